--- /dev/null
+++ b/src/main/java/cloverpulley/Attempt.java
@@ -0,0 +1,15 @@
+package cloverpulley;
+
+/** One sending of a request. */
+final class Attempt {
+  final Upstream upstream;
+  final long sentAt;
+  boolean out = true;
+  boolean mayHaveRun = true;
+  boolean late;
+
+  Attempt(Upstream upstream, long sentAt) {
+    this.upstream = upstream;
+    this.sentAt = sentAt;
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/Logic.java
@@ -0,0 +1,594 @@
+package cloverpulley;
+
+import cloverpulley.Window.Metric;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import java.util.function.Consumer;
+
+/**
+ * Every decision of a balancer; its interface (settings, events, actions) is in Balancer.java. Ordinary path:
+ * {@link #admit} refuses at the allowed rate, {@link #place} picks by bounded load, {@link #learn} looks.
+ */
+public final class Logic implements Balancer {
+
+  private static final long SECOND = 1_000_000_000L;
+  /** The window in longest aims, a second at least: long enough for a mean, short enough to see it change. */
+  private static final double WINDOW_AIMS = 2;
+  /** The line, in parts of the class's aim: half an aim is healthy, a whole one critical. */
+  private static final double MIN_VALUE = 0.5;
+  private static final double MAX_VALUE = 1.0;
+  /** maxRate is what the key was offered in the window and a tenth more; minRate this part of it. */
+  private static final double HEADROOM = 1.1;
+  private static final double MIN_PART = 0.02;
+  /** The line of worthless excess lies at this part of the latencies: gone before in-share work suffers. */
+  private static final double EXCESS_EARLY = 0.3;
+  /** An upstream with fewer answers in the window has no room worth reckoning with. */
+  private static final int ENOUGH = 10;
+  /** Seconds of its quota that a tenant may save up, and the requests it always may: guards a small part of a
+   * quota against chance arrivals. */
+  private static final double QUOTA_BURST = 1;
+  private static final double QUOTA_LEAST = 10;
+  /** Keys kept; the one idle longest goes first. */
+  private static final int MAX_KEYS = 20_000;
+  /** Windows over which a healthy fleet's usual in-flight is learned: slower than a crowd forms. */
+  private static final double USUAL_WINDOWS = 2;
+  /** Step of the mean of what latency and hint are usual: some 200 requests. */
+  private static final double USUAL_STEP = 0.005;
+  /** Bounded load: an upstream may hold half more than the mean of in-flight requests. */
+  private static final double SLACK = 0.5;
+  /** A key goes to this many upstreams, and to this many times its share of all as well. */
+  private static final int KEY_SPREAD = 2;
+  /** How slow an upstream is against the fleet: a mean over this time, of which one sample moves this part at
+   * most and counts for this many means at most; forgotten over the longer time. Keys are kept by a power. */
+  private static final double SLOW_MEAN = 2 * SECOND;
+  private static final double SLOW_STEP = 0.3;
+  private static final double SLOW_MOST = 4;
+  private static final double SLOW_KEPT = 10 * SECOND;
+  private static final double SLOW_POWER = 3;
+  /** From this slowness of the best near choice a key leaves its zone: guards a zone that gets too much. */
+  private static final double LEAVE_AT = 3;
+  /** Room: in-flight requests at which the mean latency would be this part of the aim (Little's law). */
+  private static final double ROOM_PART = 0.36;
+  /** Room never falls below this, or no upstream could show that it is idle. */
+  private static final int ROOM_LEAST = 2;
+  /** A request without an upstream is held for this part of its aim, then refused: still early. */
+  private static final double HOLD_PART = 0.3;
+  /** Held requests tried in vain after an outcome: bounds the work where nothing has room. */
+  private static final int HELD_TRIES = 4;
+  /** An upstream is silent after this many times the usual time between its answers, and this part of the
+   * shortest aim: heavy requests cause shorter silences, and under so many samples nothing is usual. */
+  private static final double SILENT_GAPS = 8;
+  private static final int SILENT_SAMPLES = 4;
+  private static final double SILENT_PART = 0.3;
+  /** Retries and copies earned by a request admitted, and the most saved up: a fifth more load at worst. */
+  private static final double RETRY_SHARE = 0.2;
+  private static final double RETRY_MOST = 20;
+  /** A hinted request counts for this many mean ones at most, and no less than its inverse. */
+  private static final double HINT_MOST = 4;
+  /** Ring points of an upstream of ordinary weight: enough for a spread within some 10%. */
+  private static final int POINTS = 100;
+  /** A weight counts for this many times the median at most, and no less than its inverse. */
+  private static final double WEIGHT_MOST = 4;
+  /** The sweep over requests in hand comes this many times in the shortest aim. */
+  private static final int SWEEPS = 8;
+  /** Failures in a row that eject an upstream, the first and the longest ejection. */
+  private static final int EJECT_AFTER = 3;
+  private static final long EJECT_FIRST = SECOND / 2;
+  private static final long EJECT_MOST = 8 * SECOND;
+  /** With more than this share of the ready upstreams ejected or silent, both are ignored (panic floor). */
+  private static final double PANIC_SHARE = 0.5;
+  /** Back-off of calls for the list. */
+  private static final long ASK_FIRST = SECOND / 2;
+  private static final long ASK_MOST = 2 * SECOND;
+  /** Share of the cold budget's window that may be sent at once. */
+  private static final double COLD_BURST = 0.25;
+  /** Sends a second that all balancers together may always give to a cold upstream. */
+  private static final double COLD_TRICKLE = 2;
+  /** The usual sends to an upstream are forgotten over this time: longer than most outages. */
+  private static final long SENDS_KEPT = 30 * SECOND;
+
+  private final Settings settings;
+  private final SplittableRandom random;
+  private final long window;
+  private final long shortestAim;
+  private final long sweep;
+  private final Map<String, RequestClass> classes = new HashMap<>();
+  private final Map<String, Double> quotas = new HashMap<>();
+  private final Map<String, Bucket> quotaBuckets = new HashMap<>();
+  private final Map<Long, Upstream> upstreams = new LinkedHashMap<>();
+  private final Map<String, Open> open = new LinkedHashMap<>();
+  /** Requests without an attempt out, the most valuable first, then the oldest. */
+  private final TreeSet<Open> held = new TreeSet<>(Comparator.comparingDouble((Open r) -> -value(r))
+      .thenComparingLong(r -> r.arrived).thenComparing(r -> r.request.id()));
+  private final Map<String, Window> windows = new LinkedHashMap<>(64, 0.75f, true);
+  private final Window fleet;
+  private double usualInFlight;
+  private double usualSends;
+  /** The ready upstreams by id, and the ring of which they are the members. */
+  private Upstream[] owners = {};
+  private Ring ring;
+  private int ready;
+  private boolean panic;
+  private double readyLoad;
+  private double usualHint;
+  private double weightUnit;
+  private long visits;
+  private double retryTokens = RETRY_MOST;
+  private boolean sweeping;
+  private int askFailures;
+  private long askAt = Long.MAX_VALUE;
+  private long now;
+  private Consumer<Action> out;
+
+  /** Makes the decisions of one balancer; the seed is its only source of randomness. */
+  public Logic(Settings settings, long seed) {
+    this.settings = settings;
+    random = new SplittableRandom(seed);
+    settings.classes().forEach(c -> classes.put(c.name(), c));
+    settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
+        .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.groupSize()));
+    shortestAim = settings.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
+    long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
+    window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
+    sweep = shortestAim / SWEEPS;
+    fleet = new Window(window, 0);
+  }
+
+  @Override
+  public void handle(long nowNanos, Event event, Consumer<Action> actions) {
+    now = nowNanos;
+    out = actions;
+    if (event instanceof Request e) {
+      onRequest(e);
+    } else if (event instanceof Outcome e) {
+      onOutcome(e);
+    } else if (event instanceof TimerFired) {
+      onSweep();
+    } else if (event instanceof ListNews e) {
+      onList(e);
+    } else if (event instanceof ClientGone e) {
+      if (open.containsKey(e.id()) && !open.get(e.id()).ended) {
+        release(open.get(e.id()));
+      }
+    } else if (event instanceof AnswerStarted e && open.get(e.id()) != null) {
+      open.get(e.id()).streaming = true;
+    }
+    if (!sweeping && (!open.isEmpty() || askAt != Long.MAX_VALUE)) {
+      sweeping = true;
+      out.accept(new SetTimer("sweep", now + sweep));
+    }
+  }
+
+  // ---- Admission: the straight line ---------------------------------------------------------------------
+
+  /** The published line: from maxRate at or below minValue down to minRate at or above maxValue. */
+  static double allowedRate(double mean, double minValue, double maxValue, double maxRate, double minRate) {
+    double part = Math.min(1, Math.max(0, (mean - minValue) / (maxValue - minValue)));
+    return maxRate + part * (minRate - maxRate);
+  }
+
+  private void onRequest(Request request) {
+    RequestClass type = classes.get(request.className());
+    if (type == null) {
+      throw new IllegalArgumentException("request of unknown class " + request.className());
+    }
+    boolean excess = overQuota(request.tenant());
+    String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
+    Window key = windowOf(endpoint + ' ' + request.key());
+    Open r = new Open(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
+    if (open.size() >= settings.limits().maxOpen() || !admit(r)) {
+      out.accept(new Refuse(request.id(), retryAfter()));
+      return;
+    }
+    open.put(request.id(), r);
+    retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_SHARE);
+    advance(r);
+  }
+
+  /** This balancer's part of a tenant's quota is a bucket; what finds it empty is excess. */
+  private boolean overQuota(String tenant) {
+    if (!quotas.containsKey(tenant)) {
+      return false;
+    }
+    windowOf(tenant).add(now, Metric.OFFERED, 1);
+    Bucket quota = quotaBuckets.computeIfAbsent(tenant, k -> new Bucket());
+    double rate = quotas.get(tenant) * carried(tenant);
+    boolean over = quota.fill(now, rate, Math.max(QUOTA_LEAST, rate * QUOTA_BURST)) < 1;
+    quota.tokens -= over ? 0 : 1;
+    return over;
+  }
+
+  /** How many times its even part of the traffic this balancer carries: what the median of the other tenants
+   * surely asks here against its part. Guards in-share work where a front favours a balancer or peers die. */
+  private double carried(String tenant) {
+    double[] times = quotas.keySet().stream().filter(t -> !t.equals(tenant))
+        .mapToDouble(t -> windowOf(t).surely(now, Metric.OFFERED) / quotas.get(t)).sorted().toArray();
+    return times.length == 0 ? 1 : Math.max(1, times[(times.length - 1) / 2]);
+  }
+
+  private Window windowOf(String name) {
+    Window w = windows.computeIfAbsent(name, k -> new Window(window, now));
+    if (windows.size() > MAX_KEYS) {
+      windows.remove(windows.keySet().iterator().next());
+    }
+    return w;
+  }
+
+  /** Refuses at the allowed rate; the key is the endpoint: class, tenant, within or over quota. Overload of
+   * the fleet is nobody's key, so the line takes the worse of its mean and the fleet's. Work over a quota is
+   * worth less, so its line falls sooner: one tenant throttles itself first. */
+  private boolean admit(Open r) {
+    r.key.add(now, Metric.OFFERED, 1);
+    r.endpoint.add(now, Metric.OFFERED, 1);
+    fleet.add(now, Metric.OFFERED, 1);
+    double mean = Math.max(r.endpoint.mean(now), fleet.mean(now));
+    double maxRate = r.endpoint.total(now, Metric.OFFERED) * HEADROOM;
+    double early = r.excess ? EXCESS_EARLY + (1 - EXCESS_EARLY) * settings.overShareWorth() : 1;
+    double allowed = allowedRate(mean, MIN_VALUE * early, MAX_VALUE * early, maxRate, maxRate * MIN_PART);
+    // Guards work inside a quota from what this balancer did not cause: no more is out than while healthy.
+    boolean idle = quotas.containsKey(r.request.tenant())
+        && readyLoad + held.size() < usualInFlight * ready;
+    if (r.endpoint.total(now, Metric.ADMITTED) >= allowed && (r.excess || !idle)) {
+      return false;
+    }
+    r.endpoint.add(now, Metric.ADMITTED, 1);
+    return true;
+  }
+
+  private double value(Open r) {
+    return r.type.worth() * (r.excess ? settings.overShareWorth() : 1);
+  }
+
+  /** Load in mean requests, by the hint if there is one: a few heavy ones fill an upstream that a count calls
+   * half empty. */
+  private double load(long hint) {
+    if (hint <= 0) {
+      return 1;
+    }
+    usualHint += (hint - usualHint) * (usualHint == 0 ? 1 : USUAL_STEP);
+    return Math.min(HINT_MOST, Math.max(1 / HINT_MOST, hint / usualHint));
+  }
+
+  private long retryAfter() {
+    long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0;
+    return (long) (most * random.nextDouble());
+  }
+
+  // ---- Placement: bounded-load hashing on a ring of ready upstreams -------------------------------------
+
+  private void rebuildRing() {
+    Upstream[] before = owners;
+    owners = upstreams.values().stream().filter(u -> u.listed.state() == State.READY)
+        .sorted(Comparator.comparingLong(u -> u.id)).toArray(Upstream[]::new);
+    if (Arrays.equals(before, owners)) {
+      return; // Building is the dearest step in a large fleet; most news is of drains that end.
+    }
+    ready = owners.length;
+    readyLoad = Arrays.stream(owners).mapToDouble(u -> u.load).sum();
+    boolean sized = settings.weightKind() == WeightKind.NOMINAL || settings.weightKind() == WeightKind.ROUGH;
+    if (weightUnit == 0 && ready > 0) {
+      // Kept for life, so that a change of the list moves the changed upstream's keys only.
+      weightUnit = Arrays.stream(owners).mapToDouble(u -> u.listed.weight()).sorted().toArray()[ready / 2];
+    }
+    ring = new Ring(Arrays.stream(owners).mapToLong(u -> u.id).toArray(),
+        Arrays.stream(owners).mapToInt(u -> (int) Math.round(POINTS * (sized ? share(u) : 1))).toArray());
+  }
+
+  private double share(Upstream u) {
+    return weightUnit <= 0 ? 1
+        : Math.min(WEIGHT_MOST, Math.max(1 / WEIGHT_MOST, u.listed.weight() / weightUnit));
+  }
+
+  /** The first upstream from the key's place on the ring that may take it, own zone first; or null. */
+  private Upstream place(Open r) {
+    long point = r.request.key() == null ? random.nextLong() : Ring.mix(Ring.mix(r.request.key().hashCode()));
+    int start = ready == 0 ? 0 : ring.start(point);
+    // Guards against keys that leave their warm upstreams in a crowd: each move is work, and so more crowd.
+    double share = r.key.total(now, Metric.OFFERED) / Math.max(1, fleet.total(now, Metric.OFFERED));
+    double most = settings.warmKeys() ? KEY_SPREAD + Math.ceil(KEY_SPREAD * ready * share) : ready;
+    Upstream away = null;
+    Upstream passed = null;
+    visits++;
+    for (int i = 0, seen = 0, tried = 0; seen < ready && tried < most; i++) {
+      Upstream u = owners[ring.member(start + i)];
+      if (u.visit == visits) {
+        continue;
+      }
+      u.visit = visits;
+      seen++;
+      if (mayGoTo(r, u) && usable(u)) {
+        boolean near = u.listed.zone().equals(settings.zone());
+        boolean hasRoom = u.load < bound(u);
+        // With under one in flight at each no cap tells a crowded one: a slow one keeps a part of its keys.
+        boolean keeps = hasRoom && Ring.fraction(point, u.id) * Math.pow(slowness(u), SLOW_POWER) < 1;
+        if (near && keeps) {
+          return u;
+        }
+        passed = near && hasRoom && (passed == null || slowness(u) < slowness(passed)) ? u : passed;
+        tried += near ? 1 : 0;
+        away = away == null && keeps ? u : away;
+      }
+    }
+    return passed == null || away != null && slowness(passed) > LEAVE_AT ? away : passed;
+  }
+
+  private double slowness(Upstream u) {
+    return u.slowness(now, SLOW_KEPT);
+  }
+
+  private void learnSlowness(Upstream u, double part) {
+    double against = Math.min(SLOW_MOST, fleet.mean(now) > 0 ? part / fleet.mean(now) : Math.max(1, part));
+    u.addSlowness(now, against, SLOW_MEAN, SLOW_STEP, SLOW_KEPT);
+  }
+
+  private boolean usable(Upstream u) {
+    return (panic || u.ejectedUntil <= now && !silent(u))
+        && (warmth(u) >= 1 || coldTokens(u) >= 1);
+  }
+
+  /** The load up to which an upstream may take a request. */
+  private double bound(Upstream u) {
+    return Math.max(1, Math.min(Math.ceil((1 + SLACK) * (readyLoad + 1) / ready), room(u)));
+  }
+
+  /** Little's law: answers a second times the latency wanted. Guards against bursts that wait in a queue past
+   * their aim, of which the line learns too late. No bound before enough answers: a restart would starve. */
+  private double room(Upstream u) {
+    if (u.firstServed == 0
+        || now - u.firstServed < window / 4 && u.window.total(now, Metric.SAMPLES) < ENOUGH) {
+      return Double.MAX_VALUE;
+    }
+    long served = Math.min(window / 2, Math.max(sweep, now - u.firstServed));
+    return Math.max(ROOM_LEAST, ROOM_PART * u.window.total(now, Metric.AIMS) * SECOND / served);
+  }
+
+  /** Nothing heard for far longer than its answers usually lie apart: frozen or dead, before a time-out. */
+  private boolean silent(Upstream u) {
+    return u.inFlight > 0 && u.window.total(now, Metric.SAMPLES) >= SILENT_SAMPLES && now - u.heardAt
+        > Math.max(SILENT_GAPS * u.window.mean(now) / u.inFlight, SILENT_PART * shortestAim);
+  }
+
+  // ---- Rule 2: where a request may still go -------------------------------------------------------------
+
+  private boolean mayGoTo(Open r, Upstream u) {
+    for (Attempt a : r.attempts) {
+      if (a.upstream == u && (a.out || ready > r.attempts.size())) {
+        return false;
+      }
+      if (a.mayHaveRun && r.type.effect() != Effect.SAFE) {
+        boolean sameGroup = switch (r.type.dedupScope()) {
+          case ALL -> true;
+          case ZONE -> a.upstream.listed.zone().equals(u.listed.zone());
+          case CELL -> a.upstream.listed.cell() == u.listed.cell();
+        };
+        // The window is cut by a tick, against a balancer that carries the sending out a moment later.
+        if (r.type.effect() == Effect.UNSAFE || !sameGroup
+            || now - a.sentAt >= r.type.dedupWindowNanos() - settings.tickNanos()) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  private boolean mayRefuse(Open r) {
+    return r.type.effect() == Effect.SAFE || !r.mayHaveRun()
+        || r.type.effect() == Effect.KEYED && r.type.dedupScope() == DedupScope.ALL;
+  }
+
+  // ---- Rule 4: cold upstreams ---------------------------------------------------------------------------
+
+  /** The part of its capacity that an upstream surely has: from cold-from, evenly, to the whole. */
+  private double warmth(Upstream u) {
+    double part = Math.max(0, now - u.started) / (double) Math.max(1, settings.contract().warmWithinNanos());
+    return u.started <= 0 || part >= 1 ? 1 : settings.contract().coldFrom() * (1 - part) + part;
+  }
+
+  /** Sends that a cold upstream may still get: its warmth's part of what a warm one usually gets from this
+   * balancer. The trickle guards against a fleet that is cold all at once and would wait for traffic to be
+   * allowed traffic. */
+  private double coldTokens(Upstream u) {
+    double rate = Math.max(COLD_TRICKLE / settings.groupSize(), warmth(u) * usualSends);
+    double window = rate * settings.contract().fallWindowNanos() / SECOND;
+    return u.cold.fill(now, rate, Math.max(1, window * COLD_BURST));
+  }
+
+  // ---- Life of a request --------------------------------------------------------------------------------
+
+  /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
+  private boolean advance(Open r) {
+    boolean first = r.attempts.isEmpty();
+    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !first && retryTokens < 1
+        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep;
+    Upstream u = over ? null : place(r);
+    if (u != null) {
+      retryTokens -= first ? 0 : 1;
+      held.remove(r);
+      send(r, u);
+    } else if (over || first && now >= r.arrived + HOLD_PART * r.type.aimNanos() || !first && ready == 0) {
+      finish(r);
+    } else {
+      held.add(r);
+      return false;
+    }
+    return true;
+  }
+
+  private void send(Open r, Upstream u) {
+    r.attempts.add(new Attempt(u, now));
+    r.out++;
+    u.heardAt = u.inFlight == 0 ? now : u.heardAt;
+    u.inFlight++;
+    u.load += r.load;
+    u.cold.tokens -= warmth(u) < 1 ? 1 : 0;
+    readyLoad += r.load;
+    fleet.add(now, Metric.ADMITTED, 1);
+    out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
+  }
+
+  /** A second copy past a silent upstream, where class and settings allow it and the fleet is healthy. */
+  private void hedge(Open r) {
+    Attempt last = r.attempts.get(r.attempts.size() - 1);
+    if (!settings.limits().secondCopies() || !settings.limits().cancel() || !silent(last.upstream)
+        || retryTokens < 1 || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
+        || r.attempts.size() >= settings.limits().maxAttempts()) {
+      return;
+    }
+    Upstream u = r.type.effect() == Effect.UNSAFE ? null : place(r);
+    if (u != null) {
+      retryTokens--;
+      send(r, u);
+    }
+  }
+
+  private void finish(Open r) {
+    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter()) : new Fail(r.request.id()));
+    release(r);
+  }
+
+  /** The request has its final answer: stops what it still has out, forgets it once nothing is. */
+  private void release(Open r) {
+    r.ended = true;
+    held.remove(r);
+    if (r.out == 0) {
+      open.remove(r.request.id());
+    }
+    for (int i = 0; i < r.attempts.size() && settings.limits().cancel(); i++) {
+      if (r.attempts.get(i).out) {
+        out.accept(new Cancel(r.request.id(), i));
+      }
+    }
+  }
+
+  private void onOutcome(Outcome o) {
+    Open r = open.get(o.id());
+    if (r == null || o.attempt() >= r.attempts.size() || !r.attempts.get(o.attempt()).out) {
+      return;
+    }
+    Attempt a = r.attempts.get(o.attempt());
+    a.out = false;
+    a.mayHaveRun = !o.status().provesNotRun();
+    a.upstream.inFlight--;
+    a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
+    a.upstream.heardAt = now;
+    r.out--;
+    readyLoad -= a.upstream.listed.state() == State.READY ? r.load : 0;
+    learn(r, a, o);
+    if (r.ended && r.out == 0) {
+      open.remove(o.id());
+    } else if (!r.ended && o.finished()) {
+      release(r);
+    } else if (!r.ended && r.out == 0) {
+      advance(r);
+    }
+    int tries = HELD_TRIES;
+    for (Open h = held.isEmpty() ? null : held.first(); h != null && tries > 0; h = held.higher(h)) {
+      tries -= advance(h) ? 0 : 1;
+    }
+  }
+
+  private void learn(Open r, Attempt a, Outcome o) {
+    Upstream u = a.upstream;
+    if (o.status() == Status.SERVED) {
+      u.failures = 0;
+      u.ejections = 0;
+      u.firstServed = u.firstServed == 0 ? now : u.firstServed;
+      u.window.add(now, Metric.AIMS, r.load * r.type.aimNanos() / SECOND);
+      u.window.add(now, Metric.SAMPLES, 1);
+      u.window.add(now, Metric.SUM, r.load * o.latencyNanos());
+      learnSlowness(u, (double) o.latencyNanos() / r.type.aimNanos());
+      sample(r, (double) (now - r.arrived) / r.type.aimNanos());
+    } else if (o.status() == Status.FULL) {
+      learnSlowness(u, Double.MAX_VALUE);
+    } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
+      learnSlowness(u, (double) r.type.deadlineNanos() / r.type.aimNanos());
+      // A failure is charged its class's limit, or quick ones would pull the mean down.
+      sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
+      if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
+        long backoff = Math.min(EJECT_MOST, EJECT_FIRST << Math.min(u.ejections++, 10));
+        u.ejectedUntil = now + (long) (backoff * (0.5 + random.nextDouble() / 2));
+      }
+    }
+  }
+
+  /** Response time as the client sees it, in parts of the aim. */
+  private void sample(Open r, double part) {
+    for (Window w : List.of(r.endpoint, fleet)) {
+      w.add(now, Metric.SAMPLES, 1);
+      w.add(now, Metric.SUM, part);
+    }
+  }
+
+  /** Held requests are tried again, silent upstreams passed by a copy; nothing is kept past its deadline. */
+  private void onSweep() {
+    sweeping = false;
+    long bad = Arrays.stream(owners).filter(u -> u.ejectedUntil > now || silent(u)).count();
+    panic = bad > PANIC_SHARE * ready;
+    if (fleet.mean(now) <= MIN_VALUE) {
+      usualInFlight += (readyLoad / Math.max(1, ready) - usualInFlight) * sweep / (USUAL_WINDOWS * window);
+    }
+    usualSends = Math.max(usualSends * (1 - sweep / (double) SENDS_KEPT),
+        fleet.total(now, Metric.ADMITTED) * SECOND / window / Math.max(1, ready));
+    for (Open r : List.copyOf(open.values())) {
+      for (Attempt a : r.attempts) {
+        // Guards against upstreams that hang: a time-out may come seconds after the aim.
+        if (a.out && !a.late && now - a.sentAt > r.type.aimNanos()) {
+          a.late = true;
+          learnSlowness(a.upstream, Double.MAX_VALUE);
+        }
+      }
+      if (r.out == 1 && !r.ended && !r.streaming) {
+        hedge(r);
+      }
+    }
+    List.copyOf(held).forEach(this::advance);
+    if (now >= askAt) {
+      askAt = Long.MAX_VALUE;
+      out.accept(new Watch(true));
+    }
+  }
+
+  // ---- Following the list -------------------------------------------------------------------------------
+
+  private void onList(ListNews news) {
+    if (news.kind() == ListKind.FAILED) {
+      // Full jitter, or all balancers would come back to the list service at once.
+      long backoff = Math.min(ASK_MOST, ASK_FIRST << Math.min(askFailures++, 10));
+      askAt = now + (long) (backoff * random.nextDouble());
+      return;
+    }
+    if (news.kind() != ListKind.CACHED) {
+      askFailures = 0;
+    } else if (settings.listOnRequest()) {
+      out.accept(new Watch(true));
+    }
+    Map<Long, Listed> entries = new LinkedHashMap<>();
+    news.entries().forEach(e -> entries.put(e.upstream(), e));
+    if (news.kind() != ListKind.DELTA) {
+      // One that is absent from a full list is gone.
+      upstreams.forEach((id, u) -> entries.putIfAbsent(id, new Listed(id, u.listed.zone(), u.listed.cell(),
+          State.GONE, u.started, u.listed.weight())));
+    }
+    for (Listed e : entries.values()) {
+      Upstream u = upstreams.computeIfAbsent(e.upstream(),
+          id -> new Upstream(id, new Window(window / 2, now)));
+      if (e.startedNanos() > u.started) {
+        u.started = e.startedNanos();
+        u.failures = 0;
+        u.ejections = 0;
+        u.ejectedUntil = 0;
+        u.cold.tokens = 0;
+        u.cold.filledAt = now;
+      }
+      u.listed = e;
+    }
+    upstreams.values().removeIf(u -> u.listed.state() == State.GONE && u.inFlight == 0);
+    rebuildRing();
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/Open.java
@@ -0,0 +1,39 @@
+package cloverpulley;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request in hand: until it has its final answer and each of its attempts has ended. */
+final class Open {
+  final Balancer.Request request;
+  final Balancer.RequestClass type;
+  final long arrived;
+  final boolean excess;
+  final Window endpoint;
+  final Window key;
+  final double load;
+  final List<Attempt> attempts = new ArrayList<>(1);
+  int out;
+  boolean ended;
+  boolean streaming;
+
+  Open(Balancer.Request request, Balancer.RequestClass type, long arrived, boolean excess, Window endpoint, Window key,
+      double load) {
+    this.request = request;
+    this.type = type;
+    this.arrived = arrived;
+    this.excess = excess;
+    this.endpoint = endpoint;
+    this.key = key;
+    this.load = load;
+  }
+
+  boolean mayHaveRun() {
+    for (Attempt a : attempts) {
+      if (a.mayHaveRun) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/Window.java
@@ -0,0 +1,50 @@
+package cloverpulley;
+
+/** Counts and sums over the last window. */
+final class Window {
+
+  /** What a window counts: offers, admissions, samples, the sum of their latencies, the sum of their aims. */
+  enum Metric { OFFERED, ADMITTED, SAMPLES, SUM, AIMS }
+
+  /** A window forgets in steps of a twelfth. */
+  private static final int SLOTS = 12;
+
+  private final long slotNanos;
+  private final double[][] slots = new double[Metric.values().length][SLOTS];
+  private final double[] totals = new double[Metric.values().length];
+  private long slot;
+
+  Window(long lengthNanos, long now) {
+    slotNanos = lengthNanos / SLOTS;
+    slot = now / slotNanos;
+  }
+
+  void add(long now, Metric metric, double amount) {
+    totals[metric.ordinal()] = total(now, metric) + amount;
+    slots[metric.ordinal()][(int) (slot % SLOTS)] += amount;
+  }
+
+  double total(long now, Metric metric) {
+    long current = now / slotNanos;
+    for (long s = Math.max(slot + 1, current - SLOTS + 1); s <= current; s++) {
+      for (int m = 0; m < totals.length; m++) {
+        totals[m] -= slots[m][(int) (s % SLOTS)];
+        slots[m][(int) (s % SLOTS)] = 0;
+      }
+    }
+    slot = current;
+    return totals[metric.ordinal()];
+  }
+
+  /** A second's events of a kind, less one standard deviation of their count: what chance alone seldom makes. */
+  double surely(long now, Metric metric) {
+    double count = total(now, metric);
+    return (count - Math.sqrt(count)) * 1e9 / (slotNanos * SLOTS);
+  }
+
+  /** Mean of the samples; 0 where there are none, which the line takes for healthy. */
+  double mean(long now) {
+    double samples = total(now, Metric.SAMPLES);
+    return samples < 0.5 ? 0 : total(now, Metric.SUM) / samples;
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/FourRulesTest.java
@@ -0,0 +1,149 @@
+package cloverpulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.DedupScope;
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.Listed;
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.State;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.Watch;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** What may follow an attempt: each effect, outcome and dedup scope, with the expectation written out. */
+class FourRulesTest {
+
+  private static final long FIRST = 1;
+
+  /** Upstream 1 (zone a, cell 1), 2 (same cell), 3 (same zone), 4 (elsewhere). */
+  private static Driver fleet(Effect effect, DedupScope scope, long... ids) {
+    Driver d = new Driver(Driver.settings(false, List.of(), Driver.type("c", effect, scope)));
+    d.list(ListKind.CACHED, new Listed(FIRST, "a", 1, State.READY, 0, 1));
+    List<Listed> others = new ArrayList<>();
+    for (long id : ids) {
+      others.add(new Listed(id, id == 4 ? "b" : "a", id == 2 ? 1 : (int) id, State.READY, 0, 1));
+    }
+    d.request("r", "c", "k");
+    d.list(ListKind.DELTA, others.toArray(new Listed[0]));
+    return d;
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // effect, scope, outcome, upstreams that may get the next attempt, final answer where there is none
+    "SAFE, ALL, FULL, 2 3 4, Refuse", "SAFE, CELL, CONNECT_FAILED, 2 3 4, Refuse", "SAFE, ALL, ERROR, 2 3 4, Refuse",
+    "SAFE, CELL, RESET, 2 3 4, Refuse", "SAFE, CELL, TIMEOUT, 2 3 4, Refuse", "SAFE, CELL, CANCELLED, 2 3 4, Refuse",
+    "SAFE, CELL, NOT_SENT, 2 3 4, Refuse",
+    "UNSAFE, ALL, FULL, 2 3 4, Refuse", "UNSAFE, ALL, CONNECT_FAILED, 2 3 4, Refuse",
+    "UNSAFE, ALL, NOT_SENT, 2 3 4, Refuse", "UNSAFE, ALL, ERROR, '', Fail", "UNSAFE, ALL, RESET, '', Fail",
+    "UNSAFE, ALL, TIMEOUT, '', Fail", "UNSAFE, ALL, CANCELLED, '', Fail",
+    "KEYED, ALL, FULL, 2 3 4, Refuse", "KEYED, ALL, ERROR, 2 3 4, Refuse", "KEYED, ALL, RESET, 2 3 4, Refuse",
+    "KEYED, ALL, TIMEOUT, 2 3 4, Refuse", "KEYED, ALL, CANCELLED, 2 3 4, Refuse",
+    "KEYED, ZONE, FULL, 2 3 4, Refuse", "KEYED, ZONE, CONNECT_FAILED, 2 3 4, Refuse",
+    "KEYED, ZONE, ERROR, 2 3, Fail", "KEYED, ZONE, RESET, 2 3, Fail", "KEYED, ZONE, TIMEOUT, 2 3, Fail",
+    "KEYED, ZONE, CANCELLED, 2 3, Fail",
+    "KEYED, CELL, FULL, 2 3 4, Refuse", "KEYED, CELL, NOT_SENT, 2 3 4, Refuse", "KEYED, CELL, ERROR, 2, Fail",
+    "KEYED, CELL, RESET, 2, Fail", "KEYED, CELL, TIMEOUT, 2, Fail", "KEYED, CELL, CANCELLED, 2, Fail"})
+  void nextAttemptOrFinalAnswer(Effect effect, DedupScope scope, Status status, String allowed, String end) {
+    for (long other = 2; other <= 4; other++) {
+      Driver d = fleet(effect, scope, other);
+      List<Action> next = d.end("r", FIRST, status, Driver.MS);
+      assertEquals(allowed.contains("" + other) ? other : -1, Driver.sentTo(next), "sent on to " + other);
+    }
+    Driver alone = fleet(effect, scope);
+    alone.list(ListKind.FULL);
+    List<Action> last = new ArrayList<>(alone.end("r", FIRST, status, Driver.MS));
+    last.addAll(alone.pass(2000 * Driver.MS));
+    List<Action> finals = last.stream().filter(a -> a instanceof Refuse || a instanceof Fail).toList();
+    assertEquals(1, finals.size());
+    assertEquals(end, finals.get(0).getClass().getSimpleName());
+  }
+
+  @Test
+  void keyedIsNotResentPastItsWindow() {
+    Driver d = fleet(Effect.KEYED, DedupScope.ALL, 2, 3);
+    d.pass(1999 * Driver.MS);
+    assertEquals(-1, Driver.sentTo(d.end("r", FIRST, Status.ERROR, 1999 * Driver.MS)));
+  }
+
+  @Test
+  void everyRequestIsAnsweredWhenNoUpstreamIsLeft() {
+    Driver d = new Driver(Driver.safe());
+    d.list(ListKind.CACHED);
+    assertTrue(d.request("r", "c", "k").stream().noneMatch(a -> a instanceof Send));
+    assertTrue(Driver.has(d.pass(2000 * Driver.MS), Refuse.class));
+  }
+
+  @Test
+  void attemptsStayUnderTheLimitAndAnAnsweredRequestIsLeftAlone() {
+    Driver d = new Driver(Driver.safe()).upstreams(12);
+    long to = Driver.sentTo(d.request("r", "c", "k"));
+    int sent = 0;
+    while (to >= 0) {
+      sent++;
+      to = Driver.sentTo(d.end("r", to, Status.FULL, Driver.MS));
+    }
+    assertEquals(4, sent);
+    assertFalse(Driver.has(d.pass(3000 * Driver.MS), Send.class));
+  }
+
+  /** Guards against a retry storm: with every attempt failing, retries stay a fraction of the requests. */
+  @Test
+  void retriesAreBudgeted() {
+    Driver d = new Driver(Driver.safe()).upstreams(12);
+    int sends = 0;
+    for (int i = 0; i < 500; i++) {
+      String id = d.nextId();
+      long to = Driver.sentTo(d.request(id, "c", "k" + i));
+      while (to >= 0) {
+        sends++;
+        to = Driver.sentTo(d.end(id, to, Status.FULL, Driver.MS));
+      }
+      d.pass(Driver.MS);
+    }
+    assertTrue(sends > 500 && sends < 500 * 1.2 + 40, "sends: " + sends);
+  }
+
+  @Test
+  void theListIsAskedForAndAskedAgainAfterAFailure() {
+    Driver d = new Driver(Driver.settings(true, List.of(), Driver.type("c", Effect.SAFE, DedupScope.ALL)));
+    assertTrue(Driver.has(d.list(ListKind.CACHED, Driver.up(1)), Watch.class));
+    for (int i = 0; i < 8; i++) {
+      d.list(ListKind.FAILED);
+      assertTrue(Driver.has(d.pass(2100 * Driver.MS), Watch.class), "asked again inside ask-within");
+    }
+    assertFalse(Driver.has(d.list(ListKind.FULL, Driver.up(1), Driver.up(2)), Watch.class));
+    assertFalse(Driver.has(d.pass(9000 * Driver.MS), Watch.class), "a subscription is not asked for twice");
+  }
+
+  @Test
+  void anUpstreamBackWithANewStartIsUsedAgain() {
+    Driver d = new Driver(Driver.safe()).upstreams(1);
+    d.list(ListKind.FULL);
+    assertEquals(-1, d.serve("k", Driver.MS));
+    d.list(ListKind.DELTA, new Listed(100, "a", 0, State.READY, d.now, 1));
+    d.pass(2000 * Driver.MS);
+    assertEquals(100, d.serve("k", Driver.MS));
+  }
+
+  /** Guards against losing an answer that streams on past the deadline. */
+  @Test
+  void aStartedStreamHasNoDeadline() {
+    Driver d = new Driver(Driver.safe()).upstreams(1);
+    d.request("r", "c", "k");
+    d.step(new Balancer.AnswerStarted("r", 0, 100, Driver.MS));
+    List<Action> later = d.pass(5000 * Driver.MS);
+    assertTrue(later.stream().noneMatch(a -> a instanceof Fail || a instanceof Refuse || a instanceof Send));
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/SizeTest.java
@@ -0,0 +1,21 @@
+package cloverpulley;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The module is ported by hand one day and has to stay small. */
+class SizeTest {
+
+  @Test
+  void moduleStaysInsideItsLimits() throws IOException {
+    List<String> lines = Files.readAllLines(Path.of("src/main/java/cloverpulley/Logic.java"));
+    long count = lines.stream().filter(l -> !l.isBlank()).count();
+    assertTrue(count <= 550, "non-blank lines: " + count);
+    lines.forEach(l -> assertTrue(l.length() <= 110, "over 110 columns: " + l));
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/StormTest.java
@@ -0,0 +1,228 @@
+package cloverpulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.Cancel;
+import cloverpulley.Balancer.ClientGone;
+import cloverpulley.Balancer.Contract;
+import cloverpulley.Balancer.DedupScope;
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Event;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.Limits;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.Listed;
+import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Prices;
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.SetTimer;
+import cloverpulley.Balancer.Settings;
+import cloverpulley.Balancer.State;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.Tenant;
+import cloverpulley.Balancer.TimerFired;
+import cloverpulley.Balancer.WeightKind;
+import java.lang.reflect.Field;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Random legal events over seeds and settings; the observer knows the four rules and nothing of the module. */
+class StormTest {
+
+  private static final long MS = 1_000_000L;
+
+  private record Try(long upstream, String zone, int cell, long at) {}
+
+  /** The observer's book on one request. */
+  private static final class Entry {
+    final RequestClass type;
+    final long deadline;
+    final List<Try> tries = new ArrayList<>();
+    final List<Status> ends = new ArrayList<>();
+    boolean answered;
+
+    Entry(RequestClass type, long deadline) {
+      this.type = type;
+      this.deadline = deadline;
+    }
+
+    int out() {
+      return (int) ends.stream().filter(e -> e == null).count();
+    }
+  }
+
+  private final Map<String, Entry> book = new LinkedHashMap<>();
+  private final Map<Long, Listed> fleet = new LinkedHashMap<>();
+  private final List<Long> timers = new ArrayList<>();
+  private SplittableRandom random;
+  private Settings settings;
+  private Balancer module;
+  private long now = 5_000_000 * MS;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24})
+  void rulesHold(long seed) {
+    random = new SplittableRandom(seed);
+    settings = settings();
+    module = new Logic(settings, seed);
+    for (int i = 0; i < 8; i++) {
+      change(i);
+    }
+    step(new ListNews(ListKind.CACHED, List.copyOf(fleet.values())));
+    int id = 0;
+    for (int round = 0; round < 3000; round++) {
+      now += random.nextLong(6) * MS;
+      fire();
+      if (random.nextInt(100) < 4) {
+        Listed changed = change(random.nextInt(12));
+        step(random.nextBoolean() ? new ListNews(ListKind.DELTA, List.of(changed))
+            : new ListNews(ListKind.FULL, List.copyOf(fleet.values())));
+      } else if (random.nextInt(100) < 1) {
+        step(new ListNews(ListKind.FAILED, List.of()));
+      }
+      for (int n = random.nextInt(4); n > 0; n--) {
+        RequestClass type = settings.classes().get(random.nextInt(settings.classes().size()));
+        long deadline = now + (20 + random.nextInt(600)) * MS;
+        book.put("r" + id, new Entry(type, deadline));
+        step(new Request("r" + id++, type.name(), random.nextBoolean() ? "t" : null,
+            random.nextInt(5) == 0 ? null : "k" + random.nextInt(30), deadline, 0, false));
+      }
+      outcomes(40);
+    }
+    for (int round = 0; round < 300; round++) {
+      now += 5 * MS;
+      fire();
+      outcomes(100);
+    }
+    book.forEach((name, e) -> assertTrue(e.answered, "no final answer for " + name));
+    long idle = timers.size();
+    now += 60_000 * MS;
+    fire();
+    assertTrue(timers.size() <= 1 && idle <= 2, "state empties when traffic stops: " + timers.size() + " timers");
+    assertEquals(0, sizeOf("open"), "requests still kept");
+    assertEquals(0, sizeOf("held"), "requests still held");
+  }
+
+  /** The size of one of the module's private collections: what it keeps is not to be seen from outside. */
+  private int sizeOf(String field) {
+    try {
+      Field f = Logic.class.getDeclaredField(field);
+      f.setAccessible(true);
+      Object kept = f.get(module);
+      return kept instanceof Map<?, ?> map ? map.size() : ((Collection<?>) kept).size();
+    } catch (ReflectiveOperationException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private Settings settings() {
+    List<RequestClass> classes = new ArrayList<>();
+    for (Effect effect : Effect.values()) {
+      for (DedupScope scope : DedupScope.values()) {
+        classes.add(new RequestClass(effect + " " + scope, effect, scope, (50 + random.nextInt(300)) * MS,
+            (50 + random.nextInt(200)) * MS, 0, 700 * MS, 1 + random.nextInt(3), 0, false));
+      }
+    }
+    return new Settings(0, 1 + random.nextInt(3), "z0", classes, List.of(new Tenant("t", 1, random.nextInt(200))),
+        new Limits(random.nextBoolean(), false, false, random.nextBoolean(), true, 1000 * MS, 1 + random.nextInt(6),
+            40 + random.nextInt(1000), 1, 100 * MS),
+        new Contract(12 * MS, random.nextBoolean() ? 10_000 * MS : 0, 0, 0.2, 5000 * MS, 3, 2000 * MS),
+        new Prices(0, 0, 0), random.nextBoolean(), WeightKind.values()[random.nextInt(4)], 0.1, true, MS);
+  }
+
+  /** A new state for one upstream. */
+  private Listed change(long id) {
+    State state = random.nextInt(3) > 0 ? State.READY : random.nextBoolean() ? State.DRAINING : State.GONE;
+    Listed listed = new Listed(id, "z" + id % 2, (int) (id / 3 * 2 + id % 2), state,
+        random.nextInt(4) == 0 ? now : 0, 1 + random.nextInt(4));
+    fleet.put(id, listed);
+    return listed;
+  }
+
+  private void fire() {
+    List<Long> due = timers.stream().filter(t -> t <= now).toList();
+    timers.removeIf(t -> t <= now);
+    due.forEach(t -> step(new TimerFired("sweep")));
+  }
+
+  /** Ends some attempts: those past the deadline time out, others end at random. */
+  private void outcomes(int percent) {
+    for (Map.Entry<String, Entry> entry : List.copyOf(book.entrySet())) {
+      Entry e = entry.getValue();
+      for (int i = 0; i < e.tries.size(); i++) {
+        boolean late = now >= e.deadline;
+        if (e.ends.get(i) == null && (late || random.nextInt(100) < percent / 4)) {
+          Status status = e.answered && random.nextBoolean() ? Status.CANCELLED : late ? Status.TIMEOUT
+              : random.nextInt(2) == 0 ? Status.SERVED : Status.values()[random.nextInt(Status.values().length)];
+          e.ends.set(i, status);
+          e.answered |= status == Status.SERVED;
+          step(new Outcome(entry.getKey(), i, e.tries.get(i).upstream(), status, now - e.tries.get(i).at(), e.answered,
+              Map.of()));
+        }
+      }
+      if (!e.answered && random.nextInt(2000) == 0) {
+        e.answered = true;
+        step(new ClientGone(entry.getKey()));
+      }
+      assertTrue(e.answered || now <= e.deadline + settings.contract().answerSlackNanos(), "late: " + entry.getKey());
+    }
+    book.values().removeIf(e -> e.answered && e.out() == 0);
+  }
+
+  private void step(Event event) {
+    List<Action> actions = new ArrayList<>();
+    module.handle(now, event, actions::add);
+    for (Action action : actions) {
+      if (action instanceof SetTimer t) {
+        timers.add(t.atNanos());
+      } else if (action instanceof Send s) {
+        checkSend(book.get(s.id()), s);
+      } else if (action instanceof Refuse r) {
+        Entry e = book.get(r.id());
+        assertTrue(!e.answered, "one final answer");
+        boolean open = e.ends.stream().anyMatch(x -> x == null || !x.provesNotRun());
+        assertTrue(!open || e.type.effect() == Effect.SAFE
+            || e.type.effect() == Effect.KEYED && e.type.dedupScope() == DedupScope.ALL, "refusal promises too much");
+        e.answered = true;
+      } else if (action instanceof Fail f) {
+        assertTrue(!book.get(f.id()).answered, "one final answer");
+        book.get(f.id()).answered = true;
+      } else if (action instanceof Cancel) {
+        assertTrue(settings.limits().cancel());
+      }
+    }
+  }
+
+  private void checkSend(Entry e, Send s) {
+    Listed to = fleet.get(s.upstream());
+    assertTrue(!e.answered, "sent after the final answer");
+    assertEquals(State.READY, to.state(), "sent to a draining or gone upstream");
+    assertTrue(e.tries.size() < settings.limits().maxAttempts(), "too many attempts");
+    assertTrue(e.out() == 0 || settings.limits().secondCopies(), "second copy");
+    assertTrue(now < e.deadline, "sent past the deadline");
+    for (int i = 0; i < e.tries.size(); i++) {
+      Try t = e.tries.get(i);
+      if (e.type.effect() != Effect.SAFE && (e.ends.get(i) == null || !e.ends.get(i).provesNotRun())) {
+        assertEquals(Effect.KEYED, e.type.effect(), "unsafe sent again");
+        assertTrue(now - t.at() < e.type.dedupWindowNanos(), "resent past the window");
+        assertTrue(e.type.dedupScope() == DedupScope.ALL
+            || e.type.dedupScope() == DedupScope.ZONE && t.zone().equals(to.zone())
+            || e.type.dedupScope() == DedupScope.CELL && t.cell() == to.cell(), "resent outside the group");
+      }
+    }
+    e.tries.add(new Try(to.upstream(), to.zone(), to.cell(), now));
+    e.ends.add(null);
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/drill/JarIT.java
@@ -0,0 +1,62 @@
+package cloverpulley.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged jar as it is shipped, in a process of its own. */
+class JarIT {
+
+  @TempDir
+  Path folder;
+
+  private int run(String input, String... args) throws IOException, InterruptedException {
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-jar", System.getProperty("jar")));
+    command.addAll(List.of(args));
+    Files.writeString(folder.resolve("in"), input);
+    Process process = new ProcessBuilder(command).redirectInput(file("in")).redirectOutput(file("out"))
+        .redirectError(file("err")).start();
+    assertTrue(process.waitFor(1, TimeUnit.MINUTES), "ends when its input ends");
+    return process.exitValue();
+  }
+
+  private File file(String name) {
+    return folder.resolve(name).toFile();
+  }
+
+  private String text(String name) throws IOException {
+    return Files.readString(folder.resolve(name), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void aRequestIsSentOn() throws IOException, InterruptedException {
+    String start = "{\"clock-ns\":1000,\"groups\":[{\"balancer\":0,\"msgs\":[{\"Provision\":{\"seed\":1,\"boot-info\":"
+        + "{\"categories\":[{\"name\":\"c\",\"aim-ns\":400000000,\"deadline-ns\":2000000000,"
+        + "\"effect\":\"idempotent\"}]}}},{\"Topology\":{\"kind\":\"C\",\"stamp\":1,\"entries\":[{\"upstream\":7,"
+        + "\"region-part\":\"\",\"pack\":0,\"stage-state\":\"up\",\"capacity-hint\":1}]}}]}]}\n";
+    String job = "{\"clock-ns\":2000,\"groups\":[{\"balancer\":0,\"msgs\":[{\"JobIn\":{\"rid\":\"a\",\"service\":\"c\","
+        + "\"drop-dead-ns\":900000000}}]}]}\n";
+    assertEquals(0, run(start + job, "drill"), text("err"));
+    assertTrue(text("out").contains("{\"Deliver\":{\"rid\":\"a\","), text("out"));
+    assertEquals("", text("err"));
+  }
+
+  @Test
+  void malformedInputAndWrongUsageEndAsDocumented() throws IOException, InterruptedException {
+    assertEquals(1, run("{\n", "drill"));
+    assertEquals(1, text("err").lines().count(), text("err"));
+    assertEquals(2, run("", "proxy"));
+    assertTrue(text("err").startsWith("usage: "), text("err"));
+  }
+}
