--- a/src/main/java/cloverpulley/drill/Link.java
+++ b/src/main/java/cloverpulley/drill/Link.java
@@ -2,9 +2,11 @@
 
 import cloverpulley.Balancer;
 import cloverpulley.Logic;
+import cloverpulley.wire.Fields;
+import cloverpulley.wire.SettingsDecoder;
+import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
@@ -37,7 +39,7 @@
       line++;
       reply.reset();
       try (JsonGenerator generator = json.createGenerator(reply)) {
-        answer(parse(text), generator);
+        answer(Fields.parse(json, "batch", text), generator);
       } catch (JsonProcessingException e) {
         throw new WireException("line " + line + ": not JSON: " + e.getOriginalMessage());
       } catch (WireException | IllegalArgumentException e) {
@@ -49,19 +51,6 @@
     }
   }
 
-  private Fields parse(String text) throws IOException {
-    try (JsonParser parser = json.createParser(text)) {
-      if (parser.nextToken() == null) {
-        throw new WireException("expected a batch, got an empty line");
-      }
-      Object value = Fields.read(parser);
-      if (parser.nextToken() != null) {
-        throw new WireException("expected one value a line, got more");
-      }
-      return Fields.object("batch", value);
-    }
-  }
-
   private void answer(Fields batch, JsonGenerator generator) throws IOException {
     long now = batch.integer("clock-ns");
     generator.writeStartObject();
@@ -91,7 +80,7 @@
       if (!f.has("boot-info")) {
         throw new WireException("field " + f.path() + ".boot-info: expected an object, got nothing");
       }
-      instances.put(id, new Logic(Decoder.settings(f.nested("boot-info")), f.integer("seed")));
+      instances.put(id, new Logic(SettingsDecoder.settings(f.nested("boot-info")), f.integer("seed")));
       return;
     }
     Balancer instance = instances.get(id);
--- /dev/null
+++ b/src/main/java/cloverpulley/serve/Clock.java
@@ -0,0 +1,25 @@
+package cloverpulley.serve;
+
+import java.util.concurrent.TimeUnit;
+
+/** The one clock of a balancer: monotonic, with an origin that leaves room for upstreams older than the process. */
+final class Clock {
+
+  /** An upstream up for longer counts as up for this long: no module asks for the difference. */
+  private static final long ORIGIN = TimeUnit.DAYS.toNanos(1);
+
+  private final long startNanos = System.nanoTime();
+  private final long startMillis = System.currentTimeMillis();
+
+  long now() {
+    return ORIGIN + System.nanoTime() - startNanos;
+  }
+
+  /**
+   * The clock reading at a Unix time; 0, long ago, stays 0. The distance between the two clocks is taken once: were it
+   * taken anew, a drift of the wall clock would look like a restart of every upstream on the list.
+   */
+  long atUnixMillis(long millis) {
+    return millis <= 0 ? 0 : Math.max(1, ORIGIN + TimeUnit.MILLISECONDS.toNanos(millis - startMillis));
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/serve/Config.java
@@ -0,0 +1,89 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.Settings;
+import cloverpulley.wire.Fields;
+import cloverpulley.wire.SettingsDecoder;
+import cloverpulley.wire.WireException;
+import com.fasterxml.jackson.core.JsonFactory;
+import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What a balancer is told at its start.
+ *
+ * @param peerListen null where balancers don't talk
+ * @param peersAll null where there is no address for all
+ * @param idleNanos after this an upstream may close a connection that stands idle
+ * @param loadReports whether upstreams report their load
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+    InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, ServerList known,
+    Settings settings, long idleNanos, boolean loadReports) {
+
+  private static final int SOCKETS = 1024;
+  private static final long IDLE_NANOS = 5_000_000_000L;
+
+  /** Reads the file that the environment names; what the environment states itself comes first. */
+  static Config read(Map<String, String> environment) throws IOException {
+    String path = environment.get("ROUTER_CONFIG");
+    if (path == null) {
+      throw new WireException("ROUTER_CONFIG is not set");
+    }
+    return parse(Files.readString(Path.of(path)), environment);
+  }
+
+  static Config parse(String text, Map<String, String> environment) throws IOException {
+    Fields f = Fields.parse(new JsonFactory(), "config", text);
+    List<InetSocketAddress> peers = new ArrayList<>();
+    if (f.has("peers")) {
+      for (String peer : f.texts("peers")) {
+        peers.add(address("peers", peer));
+      }
+    }
+    if (!f.has("settings")) {
+      throw new WireException("field config.settings: expected an object, got nothing");
+    }
+    Fields settings = f.nested("settings");
+    return new Config(
+        environment.containsKey("ROUTER_NAME") ? environment.get("ROUTER_NAME") : f.text("name"),
+        address("listen", environment.containsKey("ROUTER_LISTEN") ? environment.get("ROUTER_LISTEN")
+            : f.text("listen")),
+        address("discovery", environment.containsKey("ROUTER_DISCOVERY") ? environment.get("ROUTER_DISCOVERY")
+            : f.text("discovery")),
+        seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
+        f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
+        f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
+        f.has("known") ? ServerList.parse(f.nested("known")) : ServerList.NONE,
+        SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
+        !settings.nested("report").text("how", "none").equals("none"));
+  }
+
+  private static long seed(String hex) {
+    try {
+      return Long.parseUnsignedLong(hex, 16);
+    } catch (NumberFormatException e) {
+      throw new WireException("field config.seed: expected up to 16 hex digits, got \"" + hex + "\"");
+    }
+  }
+
+  /** An address in figures, such as 10.0.0.4:8000 or [::1]:8000; there is no DNS. */
+  static InetSocketAddress address(String name, String text) {
+    int colon = text.lastIndexOf(':');
+    byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    try {
+      if (host != null) {
+        return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
+      }
+    } catch (IOException | IllegalArgumentException e) {
+      // Worded below, like an address without a port.
+    }
+    throw new WireException("field " + name + ": expected an address and a port, got \"" + text + "\"");
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/serve/Fleet.java
@@ -0,0 +1,90 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.Listed;
+import cloverpulley.Balancer.State;
+import cloverpulley.serve.ServerList.Server;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The upstreams as discovery last named them: the module's numbers, addresses and states. */
+final class Fleet {
+
+  private final Clock clock;
+  private final Map<String, Long> numbers = new HashMap<>();
+  private final Map<Long, Server> servers = new LinkedHashMap<>();
+  private long revision;
+
+  Fleet(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** The version of the list that is held. */
+  long revision() {
+    return revision;
+  }
+
+  /** Where an upstream listens; null for one that is not on the list. */
+  InetSocketAddress address(long upstream) {
+    Server server = servers.get(upstream);
+    return server == null ? null : server.address();
+  }
+
+  boolean isReady(long upstream) {
+    Server server = servers.get(upstream);
+    return server != null && server.state() == State.READY;
+  }
+
+  boolean hasReady() {
+    return servers.values().stream().anyMatch(s -> s.state() == State.READY);
+  }
+
+  /** Takes in a list, or changes to it, and words it for the module. */
+  ListNews take(ListKind kind, ServerList list) {
+    revision = list.revision();
+    if (kind != ListKind.DELTA) {
+      servers.clear();
+    }
+    List<Listed> entries = new ArrayList<>();
+    for (Server server : list.members()) {
+      long number = numbers.computeIfAbsent(server.id(), this::number);
+      entries.add(listed(number, server));
+      if (server.state() == State.GONE) {
+        servers.remove(number);
+      } else {
+        servers.put(number, server);
+      }
+    }
+    // A name that left gets its number again should it come back; nothing is kept of it meanwhile.
+    numbers.values().retainAll(servers.keySet());
+    return new ListNews(kind, entries);
+  }
+
+  /** The list as it is held, for a module that starts anew. */
+  ListNews held() {
+    List<Listed> entries = new ArrayList<>();
+    servers.forEach((number, server) -> entries.add(listed(number, server)));
+    return new ListNews(ListKind.CACHED, entries);
+  }
+
+  /** FNV-1a of the name: every balancer, and each after a restart, has to place the same keys alike. */
+  private long number(String id) {
+    long hash = 0xcbf29ce484222325L;
+    for (int i = 0; i < id.length(); i++) {
+      hash = (hash ^ id.charAt(i)) * 0x100000001b3L;
+    }
+    while (numbers.containsValue(hash)) {
+      hash++;
+    }
+    return hash;
+  }
+
+  private Listed listed(long number, Server s) {
+    return new Listed(number, s.zone(), s.cell(), s.state(), clock.atUnixMillis(s.upSinceMillis()), s.size());
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -0,0 +1,138 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Logic;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Logger;
+
+/** One balancer, from start to stop: wires the parts together on one event loop. */
+final class Server {
+
+  private static final Logger LOG = Logger.getLogger(Server.class.getName());
+
+  private static final int BACKLOG = 1024;
+  private static final int DISCOVERY_CONNECT_MILLIS = 2000;
+  /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
+  private static final long AGENT_RETRY_MILLIS = 200;
+  /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
+  private static final long ACCEPT_MILLIS = 700;
+  /** SIGKILL may come 3.7 s after SIGTERM; what then has no answer gets one before. */
+  private static final long STOP_MILLIS = 3400;
+  private static final long STOP_CHECK_MILLIS = 20;
+
+  private final EventLoopGroup group;
+  private final EventLoop loop;
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private Node node;
+  private Frontend frontend;
+  private Discovery discovery;
+  private Peers peers;
+  private Channel listener;
+  private boolean pushed;
+
+  private Server() {
+    group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    loop = group.next();
+  }
+
+  /** Starts a balancer and returns once it listens. */
+  static Server start(Config config) {
+    Server server = new Server();
+    try {
+      server.loop.submit(() -> server.wire(config)).syncUninterruptibly();
+      if (config.peerListen() != null && config.settings().limits().peers()) {
+        server.peers.listen(server.group, config.peerListen(), server.node).syncUninterruptibly();
+      }
+      server.listener = server.frontend.listen(new ServerBootstrap().group(server.group)
+          .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
+          .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true), config.listen())
+          .syncUninterruptibly().channel();
+      server.loop.submit(server.frontend::ready).syncUninterruptibly();
+    } catch (RuntimeException e) {
+      server.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+      throw e;
+    }
+    LOG.info(() -> config.name() + " serves at " + server.address() + ", " + config.known().members().size()
+        + " upstreams known");
+    return server;
+  }
+
+  private void wire(Config config) {
+    Clock clock = new Clock();
+    Fleet fleet = new Fleet(clock);
+    Sockets sockets = new Sockets(config.sockets());
+    Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true);
+    UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
+        config.idleNanos());
+    peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
+    pushed = !config.settings().listOnRequest();
+    discovery = new Discovery(
+        connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
+        config.discovery(), fleet::revision, this::news);
+    node = new Node(loop, clock, config.settings(), config.loadReports(),
+        n -> new Logic(config.settings(), config.seed() + n), fleet, pool, discovery, peers);
+    frontend = new Frontend(node, clock, sockets, pool, config.settings().classes());
+    node.news(ListKind.CACHED, config.known());
+    if (pushed) {
+      discovery.watch(true);
+    }
+  }
+
+  private void news(ListKind kind, ServerList list) {
+    if (kind != ListKind.FAILED || !pushed) {
+      node.news(kind, list);
+    } else {
+      loop.schedule(() -> discovery.watch(true), AGENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Waits for the end of {@link #stop}. */
+  void await() {
+    try {
+      stopped.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Takes what still comes for a while, answers all that was taken, and returns when no client is left. */
+  void stop() {
+    LOG.info("stopping");
+    loop.execute(() -> {
+      frontend.stopping();
+      loop.schedule(() -> {
+        frontend.close();
+        finish();
+      }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(node::failAll, STOP_MILLIS, TimeUnit.MILLISECONDS);
+    });
+    await();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    LOG.info("stopped");
+  }
+
+  private void finish() {
+    if (frontend.hasConnections()) {
+      loop.schedule(this::finish, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    } else {
+      stopped.countDown();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -0,0 +1,272 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.Status;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Connections to upstreams and the calls on them: one call a connection, one outcome a call, nothing sent again. */
+final class UpstreamPool {
+
+  private static final Logger LOG = Logger.getLogger(UpstreamPool.class.getName());
+
+  /** Header of an upstream that turned a request away unseen. */
+  private static final String NEVER_RAN = "X-Never-Ran";
+  /** The part of the upstreams' idle time after which a connection is closed here: a request that crosses the
+   * upstream's own closing would be a reset. */
+  private static final double IDLE_PART = 0.7;
+  private static final long SWEEP_MILLIS = 250;
+
+  private final Bootstrap bootstrap;
+  private final Sockets sockets;
+  private final long idleNanos;
+  /** Idle connections of an upstream, the one used last in front. */
+  private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
+  private final Set<Call> connecting = new HashSet<>();
+
+  UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos) {
+    this.sockets = sockets;
+    idleNanos = (long) (upstreamIdleNanos * IDLE_PART);
+    this.bootstrap = bootstrap.clone()
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos))
+        .handler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpClientCodec(), new Framed(),
+                new HttpObjectAggregator(Frontend.MOST_BODY), new Connection(channel));
+          }
+        });
+    bootstrap.config().group().next()
+        .scheduleWithFixedDelay(this::closeOld, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts a call; it takes over the request. The time-out covers connecting. */
+  void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
+    call.timeout = bootstrap.config().group().next()
+        .schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
+    Connection reused = reuse(call.upstream, address);
+    if (reused != null) {
+      reused.write(call, request);
+      return;
+    }
+    if (!sockets.roomForUpstream() && !closeOldest()) {
+      request.release();
+      call.end(Status.CONNECT_FAILED, null);
+      return;
+    }
+    ChannelFuture connect = bootstrap.connect(address);
+    if (connect.isDone() && !connect.isSuccess()) {
+      // No socket could be made at all; such a failure would be announced on a thread that is not ours.
+      request.release();
+      call.end(Status.CONNECT_FAILED, null);
+      return;
+    }
+    connecting.add(call);
+    call.channel = connect.channel();
+    sockets.opened(call.channel);
+    connect.addListener(f -> {
+      connecting.remove(call);
+      // Guards against a request written although it was withdrawn while connecting: such a call is done.
+      if (call.isDone() || !f.isSuccess()) {
+        request.release();
+        call.end(Status.CONNECT_FAILED, null);
+        connect.channel().close();
+      } else {
+        connect.channel().pipeline().get(Connection.class).write(call, request);
+      }
+    });
+  }
+
+  /** Stops waiting for a call. */
+  void cancel(Call call) {
+    abandon(call, Status.NOT_SENT, Status.CANCELLED);
+  }
+
+  /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
+  void withdraw(LongPredicate from) {
+    List.copyOf(idle.keySet()).stream().filter(from::test).forEach(this::closeIdle);
+    List.copyOf(connecting).stream().filter(call -> from.test(call.upstream)).forEach(this::cancel);
+  }
+
+  void closeIdle(long upstream) {
+    ArrayDeque<Connection> connections = idle.remove(upstream);
+    if (connections != null) {
+      connections.forEach(c -> c.channel.close());
+    }
+  }
+
+  /** Closes the connection that has stood idle longest; false if none is idle. */
+  boolean closeOldest() {
+    Connection oldest = null;
+    for (ArrayDeque<Connection> connections : idle.values()) {
+      Connection last = connections.peekLast();
+      oldest = last != null && (oldest == null || last.idleSince < oldest.idleSince) ? last : oldest;
+    }
+    if (oldest == null) {
+      return false;
+    }
+    idle.get(oldest.upstream).removeLast();
+    oldest.channel.close();
+    return true;
+  }
+
+  /** Ends a call whose answer may still come; its connection can't be used again. */
+  private void abandon(Call call, Status unwritten, Status written) {
+    if (!call.isDone()) {
+      Channel channel = call.channel;
+      call.end(call.written ? written : unwritten, null);
+      if (channel != null) {
+        channel.close();
+      }
+    }
+  }
+
+  private Connection reuse(long upstream, SocketAddress address) {
+    ArrayDeque<Connection> connections = idle.getOrDefault(upstream, new ArrayDeque<>());
+    for (Connection c = connections.poll(); c != null; c = connections.poll()) {
+      if (c.channel.isActive() && c.channel.remoteAddress().equals(address)) {
+        return c;
+      }
+      c.channel.close();
+    }
+    return null;
+  }
+
+  private void closeOld() {
+    long now = System.nanoTime();
+    for (Iterator<ArrayDeque<Connection>> all = idle.values().iterator(); all.hasNext();) {
+      ArrayDeque<Connection> connections = all.next();
+      while (!connections.isEmpty() && now - connections.peekLast().idleSince > idleNanos) {
+        connections.pollLast().channel.close();
+      }
+      if (connections.isEmpty()) {
+        all.remove();
+      }
+    }
+  }
+
+  /** One connection, and the call on it. */
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+
+    final Channel channel;
+    long upstream;
+    long idleSince;
+    private Call call;
+
+    Connection(Channel channel) {
+      this.channel = channel;
+    }
+
+    void write(Call next, FullHttpRequest request) {
+      call = next;
+      upstream = next.upstream;
+      next.channel = channel;
+      channel.writeAndFlush(request).addListener(f -> {
+        if (f.isSuccess()) {
+          next.written = true;
+        } else {
+          channel.close();
+          next.end(Status.CONNECT_FAILED, null);
+        }
+      });
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        return;
+      }
+      Call answered = call;
+      call = null;
+      // An answer to nothing, or one that overtook its request, leaves a connection in an unknown state.
+      boolean reusable = answered != null && !answered.isDone() && answered.written && response.decoderResult().isSuccess()
+          && HttpUtil.isKeepAlive(response);
+      if (reusable) {
+        idleSince = System.nanoTime();
+        idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
+      } else {
+        channel.close();
+      }
+      if (answered != null) {
+        answered.end(status(response), response);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+      ArrayDeque<Connection> connections = idle.get(upstream);
+      if (connections != null) {
+        connections.remove(this);
+      }
+      if (call != null) {
+        call.end(call.written ? Status.RESET : Status.CONNECT_FAILED, null);
+        call = null;
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      if (!(cause instanceof IOException)) {
+        LOG.log(Level.WARNING, "connection to " + channel.remoteAddress(), cause);
+      }
+      context.close();
+    }
+  }
+
+  /**
+   * Guards against a 200 cut short that looks whole: without a length only the connection's end marks the body's, and
+   * a process that dies ends it just so. Such an answer counts as broken.
+   */
+  private static final class Framed extends ChannelInboundHandlerAdapter {
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof HttpResponse response && response.status().equals(HttpResponseStatus.OK)
+          && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
+        response.setDecoderResult(DecoderResult.failure(new IOException("a body without a length")));
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
+  /** What an answer means. */
+  private static Status status(FullHttpResponse response) {
+    HttpResponseStatus status = response.status();
+    if (!response.decoderResult().isSuccess()) {
+      return Status.RESET;
+    }
+    if (status.equals(HttpResponseStatus.OK)) {
+      return Status.SERVED;
+    }
+    boolean refused = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+        || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
+    return refused && "1".equals(response.headers().get(NEVER_RAN)) ? Status.FULL : Status.ERROR;
+  }
+}
--- a/src/main/java/cloverpulley/wire/Fields.java
+++ b/src/main/java/cloverpulley/wire/Fields.java
@@ -1,5 +1,6 @@
-package cloverpulley.drill;
+package cloverpulley.wire;
 
+import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
@@ -8,19 +9,33 @@
 import java.util.List;
 import java.util.Map;
 
-/** A JSON object of the wire with checked access to its fields. */
-final class Fields {
+/** A JSON object with checked access to its fields. */
+public final class Fields {
 
   private final String path;
   private final Map<?, ?> values;
 
-  Fields(String path, Map<?, ?> values) {
+  public Fields(String path, Map<?, ?> values) {
     this.path = path;
     this.values = values;
   }
 
+  /** The one object that a text holds; {@code name} is what messages call it. */
+  public static Fields parse(JsonFactory json, String name, String text) throws IOException {
+    try (JsonParser parser = json.createParser(text)) {
+      if (parser.nextToken() == null) {
+        throw new WireException("expected a " + name + ", got an empty line");
+      }
+      Object value = read(parser);
+      if (parser.nextToken() != null) {
+        throw new WireException("expected one value a line, got more");
+      }
+      return object(name, value);
+    }
+  }
+
   /** Reads the value that the parser's current token starts. */
-  static Object read(JsonParser in) throws IOException {
+  private static Object read(JsonParser in) throws IOException {
     JsonToken token = in.currentToken();
     switch (token) {
       case START_OBJECT -> {
@@ -61,7 +76,7 @@
   }
 
   /** Casts a value to an object, or says what was expected. */
-  static Fields object(String path, Object value) {
+  public static Fields object(String path, Object value) {
     if (value instanceof Map<?, ?> map) {
       return new Fields(path, map);
     }
@@ -77,31 +92,31 @@
     return bad(path + "." + name, expected, values.get(name));
   }
 
-  Map<?, ?> values() {
+  public Map<?, ?> values() {
     return values;
   }
 
-  String path() {
+  public String path() {
     return path;
   }
 
-  boolean has(String name) {
+  public boolean has(String name) {
     return values.get(name) != null;
   }
 
   /** A whole number that has to be there. */
-  long integer(String name) {
+  public long integer(String name) {
     if (values.get(name) instanceof Long number) {
       return number;
     }
     throw bad(name, "a whole number");
   }
 
-  long integer(String name, long absent) {
+  public long integer(String name, long absent) {
     return has(name) ? integer(name) : absent;
   }
 
-  double number(String name, double absent) {
+  public double number(String name, double absent) {
     if (!has(name)) {
       return absent;
     }
@@ -111,35 +126,35 @@
     throw bad(name, "a number");
   }
 
-  boolean bool(String name) {
+  public boolean bool(String name) {
     if (values.get(name) instanceof Boolean flag) {
       return flag;
     }
     throw bad(name, "true or false");
   }
 
-  boolean bool(String name, boolean absent) {
+  public boolean bool(String name, boolean absent) {
     return has(name) ? bool(name) : absent;
   }
 
-  String text(String name) {
+  public String text(String name) {
     if (values.get(name) instanceof String text) {
       return text;
     }
     throw bad(name, "a text");
   }
 
-  String text(String name, String absent) {
+  public String text(String name, String absent) {
     return has(name) ? text(name) : absent;
   }
 
   /** A nested object; an empty one where it is absent. */
-  Fields nested(String name) {
+  public Fields nested(String name) {
     return has(name) ? object(path + "." + name, values.get(name)) : new Fields(path + "." + name, Map.of());
   }
 
   /** An array of objects that has to be there. */
-  List<Fields> objects(String name) {
+  public List<Fields> objects(String name) {
     if (!(values.get(name) instanceof List<?> list)) {
       throw bad(name, "an array");
     }
@@ -150,8 +165,23 @@
     return out;
   }
 
+  /** An array of texts that has to be there. */
+  public List<String> texts(String name) {
+    if (!(values.get(name) instanceof List<?> list)) {
+      throw bad(name, "an array");
+    }
+    List<String> out = new ArrayList<>(list.size());
+    for (Object value : list) {
+      if (!(value instanceof String text)) {
+        throw bad(path + "." + name, "texts", value);
+      }
+      out.add(text);
+    }
+    return out;
+  }
+
   /** One of the words; the table maps the wire's words to the module's. */
-  <T> T word(String name, Map<String, T> words) {
+  public <T> T word(String name, Map<String, T> words) {
     T word = words.get(text(name));
     if (word == null) {
       throw bad(name, "one of " + new java.util.TreeSet<>(words.keySet()));
@@ -159,12 +189,12 @@
     return word;
   }
 
-  <T> T word(String name, Map<String, T> words, T absent) {
+  public <T> T word(String name, Map<String, T> words, T absent) {
     return has(name) ? word(name, words) : absent;
   }
 
   /** A load report: its numbers by name, anything else skipped; empty where none came. */
-  Map<String, Double> load(String name) {
+  public Map<String, Double> load(String name) {
     if (!has(name)) {
       return Map.of();
     }
--- a/src/main/java/cloverpulley/wire/WireException.java
+++ b/src/main/java/cloverpulley/wire/WireException.java
@@ -1,11 +1,11 @@
-package cloverpulley.drill;
+package cloverpulley.wire;
 
 /** Malformed input; the message says what was wrong and, once known, on which line. */
-final class WireException extends RuntimeException {
+public final class WireException extends RuntimeException {
 
   private static final long serialVersionUID = 1L;
 
-  WireException(String message) {
+  public WireException(String message) {
     super(message);
   }
 }
--- a/src/test/java/cloverpulley/drill/MainTest.java
+++ b/src/test/java/cloverpulley/MainTest.java
@@ -1,4 +1,4 @@
-package cloverpulley.drill;
+package cloverpulley;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Exit statuses of the command line, and what it prints where. */
@@ -17,7 +18,7 @@
   private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
   private int run(String input, String... args) throws IOException {
-    return Main.run(args, new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), new PrintStream(out),
+    return Main.run(args, Map.of(), new ByteArrayInputStream(input.getBytes(StandardCharsets.UTF_8)), new PrintStream(out),
         new PrintStream(err));
   }
 
--- a/src/test/java/cloverpulley/drill/LinkTest.java
+++ b/src/test/java/cloverpulley/drill/LinkTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer;
+import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.ByteArrayInputStream;
