--- a/src/main/java/cloverpulley/serve/Fleet.java
+++ b/src/main/java/cloverpulley/serve/Fleet.java
@@ -5,7 +5,7 @@
 import cloverpulley.Balancer.Listed;
 import cloverpulley.Balancer.State;
 import cloverpulley.serve.ServerList.Server;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -30,7 +30,7 @@
   }
 
   /** Where an upstream listens; null for one that is not on the list. */
-  InetSocketAddress address(long upstream) {
+  SocketAddress address(long upstream) {
     Server server = servers.get(upstream);
     return server == null ? null : server.address();
   }
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -46,14 +47,14 @@
   static final String HEALTH = "/healthz";
   /** The largest body either way. */
   static final int MOST_BODY = 64 * 1024;
-  private static final String API = "/api";
-  private static final String ID = "X-Trace-Id";
-  private static final String CLASS = "X-Qos";
-  private static final String TENANT = "X-Customer";
+  static final String API = "/api";
+  static final String ID = "X-Trace-Id";
+  static final String CLASS = "X-Qos";
+  static final String TENANT = "X-Customer";
   private static final String RETRY = "X-Second-Try";
-  private static final String HINT = "X-Size-Hint";
-  private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-  private static final String KEY_COOKIE = "sid";
+  static final String HINT = "X-Size-Hint";
+  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+  static final String KEY_COOKIE = "sid";
   /** The most digits of a header that is a whole number: more would not be a time or an amount of work. */
   private static final int MOST_DIGITS = 9;
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
@@ -227,7 +228,7 @@
     }
 
     private void answer(HttpResponseStatus status, String text) {
-      ByteBuf content = Unpooled.copiedBuffer(text + "\n", java.nio.charset.StandardCharsets.UTF_8);
+      ByteBuf content = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
       answer(status, 0, "text/plain", content);
       content.release();
     }
--- a/src/main/java/cloverpulley/serve/Main.java
+++ b/src/main/java/cloverpulley/serve/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
+import sun.misc.Signal;
 
 /** Entry point of the real balancer. */
 public final class Main {
@@ -19,12 +20,9 @@
       err.println("can't start: " + e.toString().lines().findFirst().orElse(""));
       return 1;
     }
-    // A hook, so that the process's own handling of signals stays; halt, or the status would tell of the signal.
-    Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-      server.stop();
-      Runtime.getRuntime().halt(0);
-    }, "stop"));
+    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
+    Signal.handle(new Signal("TERM"), signal -> new Thread(server::stop, "stop").start());
     server.await();
-    return 1;
+    return 0;
   }
 }
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -33,7 +33,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
@@ -278,7 +278,7 @@
     x.outstanding++;
     long left = x.deadline - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
-    InetSocketAddress address = fleet.address(send.upstream());
+    SocketAddress address = fleet.address(send.upstream());
     if (x.isEnded() || timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
       attempt.call.end(Status.NOT_SENT, null);
     } else if (address == null) {
@@ -312,13 +312,13 @@
       Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
       enqueue(() -> new ProbeResult(upstream, status, latency, load));
     });
-    InetSocketAddress address = fleet.address(upstream);
+    SocketAddress address = fleet.address(upstream);
     if (address == null) {
       call.end(Status.CONNECT_FAILED, null);
       return;
     }
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
-    request.headers().set(HttpHeaderNames.HOST, address.getHostString());
+    request.headers().set(HttpHeaderNames.HOST, "upstream");
     pool.start(call, address, request, PROBE_NANOS);
   }
 }
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import cloverpulley.Balancer;
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Logic;
 import io.netty.bootstrap.Bootstrap;
@@ -15,6 +16,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import java.util.logging.Logger;
 
 /** One balancer, from start to stop: wires the parts together on one event loop. */
@@ -34,6 +36,7 @@
 
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Node node;
   private Frontend frontend;
@@ -49,9 +52,15 @@
 
   /** Starts a balancer and returns once it listens. */
   static Server start(Config config) {
+    return start(config, n -> new Logic(config.settings(), config.seed() + n));
+  }
+
+  /** The same around other decisions; {@code modules} makes the n-th module of this process. */
+  static Server start(Config config, LongFunction<Balancer> modules) {
     Server server = new Server();
     try {
-      server.loop.submit(() -> server.wire(config)).syncUninterruptibly();
+      Warmup.run(config.settings());
+      server.loop.submit(() -> server.wire(config, modules)).syncUninterruptibly();
       if (config.peerListen() != null && config.settings().limits().peers()) {
         server.peers.listen(server.group, config.peerListen(), server.node).syncUninterruptibly();
       }
@@ -61,7 +70,7 @@
           .syncUninterruptibly().channel();
       server.loop.submit(server.frontend::ready).syncUninterruptibly();
     } catch (RuntimeException e) {
-      server.group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+      server.shutDown();
       throw e;
     }
     LOG.info(() -> config.name() + " serves at " + server.address() + ", " + config.known().members().size()
@@ -69,7 +78,7 @@
     return server;
   }
 
-  private void wire(Config config) {
+  private void wire(Config config, LongFunction<Balancer> modules) {
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(config.sockets());
@@ -82,8 +91,7 @@
     discovery = new Discovery(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), fleet::revision, this::news);
-    node = new Node(loop, clock, config.settings(), config.loadReports(),
-        n -> new Logic(config.settings(), config.seed() + n), fleet, pool, discovery, peers);
+    node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
     frontend = new Frontend(node, clock, sockets, pool, config.settings().classes());
     node.news(ListKind.CACHED, config.known());
     if (pushed) {
@@ -105,8 +113,12 @@
 
   /** Waits for the end of {@link #stop}. */
   void await() {
+    await(stopped);
+  }
+
+  private static void await(CountDownLatch latch) {
     try {
-      stopped.await();
+      latch.await();
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
@@ -123,16 +135,22 @@
       }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
       loop.schedule(node::failAll, STOP_MILLIS, TimeUnit.MILLISECONDS);
     });
-    await();
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    await(drained);
+    shutDown();
     LOG.info("stopped");
+    stopped.countDown();
+  }
+
+  /** Ends at once, whatever is in hand. */
+  void shutDown() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
   private void finish() {
     if (frontend.hasConnections()) {
       loop.schedule(this::finish, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     } else {
-      stopped.countDown();
+      drained.countDown();
     }
   }
 }
--- a/src/main/java/cloverpulley/serve/ServerList.java
+++ b/src/main/java/cloverpulley/serve/ServerList.java
@@ -2,7 +2,7 @@
 
 import cloverpulley.Balancer.State;
 import cloverpulley.wire.Fields;
-import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -16,7 +16,7 @@
       Map.of("ready", State.READY, "draining", State.DRAINING, "gone", State.GONE);
 
   /** One upstream; {@code upSinceMillis} is 0 for long ago. */
-  record Server(String id, InetSocketAddress address, String zone, int cell, State state, double size,
+  record Server(String id, SocketAddress address, String zone, int cell, State state, double size,
       long upSinceMillis) {}
 
   static ServerList parse(Fields f) {
