--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -198,7 +198,10 @@
   /** A module that threw is in an unknown state: what it held is answered, and a new one starts from the list. */
   private void restart(Event cause) {
     if (cause instanceof ListNews news && news.kind() == ListKind.CACHED) {
-      throw new IllegalStateException("the module can't start");
+      LOG.severe("a module can't even start: the process ends");
+      failAll();
+      loop.execute(() -> Runtime.getRuntime().halt(1));
+      return;
     }
     for (Exchange x : List.copyOf(exchanges.values())) {
       x.attempts.forEach(a -> pool.cancel(a.call));
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -36,6 +36,7 @@
 
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
   private Node node;
@@ -111,6 +112,11 @@
     return (InetSocketAddress) listener.localAddress();
   }
 
+  /** Waits for the start of {@link #stop}. */
+  void awaitStopping() {
+    await(stopping);
+  }
+
   /** Waits for the end of {@link #stop}. */
   void await() {
     await(stopped);
@@ -129,6 +135,7 @@
     LOG.info("stopping");
     loop.execute(() -> {
       frontend.stopping();
+      stopping.countDown();
       loop.schedule(() -> {
         frontend.close();
         finish();
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -0,0 +1,346 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Cancel;
+import cloverpulley.Balancer.ClientGone;
+import cloverpulley.Balancer.CloseIdle;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Probe;
+import cloverpulley.Balancer.ProbeResult;
+import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.Watch;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** How attempts end, by what an upstream does on its connection. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class AttemptTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final long LONG = TimeUnit.SECONDS.toNanos(30);
+
+  private static Config one(String upstream) throws IOException {
+    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream, "ready")));
+  }
+
+  /** An upstream whose machine says nothing: its queue of connections is full, new ones never come up. */
+  private static final class Silent implements AutoCloseable {
+    private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+    private final List<Socket> waiting = new ArrayList<>();
+
+    Silent() throws IOException {
+      while (true) {
+        Socket socket = new Socket();
+        waiting.add(socket);
+        try {
+          socket.connect(listener.getLocalSocketAddress(), 300);
+        } catch (SocketTimeoutException e) {
+          return;
+        }
+      }
+    }
+
+    String address() {
+      return "127.0.0.1:" + listener.getLocalPort();
+    }
+
+    @Override
+    public void close() throws IOException {
+      for (Socket socket : waiting) {
+        socket.close();
+      }
+      listener.close();
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+    "HTTP/1.1 200 OK~Content-Length: 2~~ok | SERVED",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ok~0~~ | SERVED",
+    "HTTP/1.1 100 Continue~~HTTP/1.1 200 OK~Content-Length: 2~~ok | SERVED",
+    "HTTP/1.1 500 Internal Server Error~Content-Length: 0~~ | ERROR",
+    "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~ | ERROR",
+    "HTTP/1.1 503 Service Unavailable~X-Never-Ran: 1~Content-Length: 0~~ | FULL",
+    "HTTP/1.1 504 Gateway Timeout~X-Never-Ran: 1~Content-Length: 0~~ | FULL",
+    "HTTP/1.1 200 OK~Content-Length: 20~~cut short | RESET",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~9~cut | RESET",
+    "HTTP/1.1 200 OK~~no length | RESET",
+    "HTTP/1.1 200 OK~Content-Length: 65537~~ | RESET",
+    "garbage~~ | RESET",
+    "'' | RESET"})
+  void anAnswerIsWordedAsItsOutcome(String answer, Status status) throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(answer.replace("~", "\r\n"));
+    }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      String got = client.ask(Rig.get("t", ""));
+      Outcome o = module.next(Outcome.class);
+      assertEquals(status, o.status());
+      assertEquals(status == Status.SERVED, o.finished());
+      assertTrue(status == Status.SERVED ? got.startsWith("HTTP/1.1 200 ") && got.endsWith("\r\n\r\nok")
+          : got.startsWith("HTTP/1.1 502 "), got);
+    }
+  }
+
+  @Test
+  void aRefusedConnectionNeverRan() throws Exception {
+    String closed;
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      closed = "127.0.0.1:" + socket.getLocalPort();
+    }
+    Script module = new Script(LONG);
+    try (Rig rig = new Rig(one(closed), module); Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Status.CONNECT_FAILED, module.next(Outcome.class).status());
+    }
+  }
+
+  @Test
+  void connectingToASilentMachineEnds() throws Exception {
+    Script module = new Script(LONG);
+    try (Silent upstream = new Silent(); Rig rig = new Rig(one(upstream.address()), module);
+        Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Status.CONNECT_FAILED, module.next(Outcome.class).status());
+    }
+  }
+
+  @Test
+  void theTimeOutCoversConnecting() throws Exception {
+    Script module = new Script(TimeUnit.MILLISECONDS.toNanos(100));
+    try (Silent upstream = new Silent(); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true,
+        Rig.member("s-1", upstream.address(), "ready")), "on_request", 1000 * Rig.LIMIT_S, 1024, ""), module);
+        Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Status.CONNECT_FAILED, module.next(Outcome.class).status(), "it was never written");
+    }
+  }
+
+  @Test
+  void aSendStillConnectingIsNotWrittenOnceItsUpstreamDrains() throws Exception {
+    CountDownLatch drain = new CountDownLatch(1);
+    try (Silent upstream = new Silent(); StubServer discovery = new StubServer(c -> {
+      c.next();
+      drain.await();
+      c.write(Discoveries.watch(Rig.list(2, false, Rig.member("s-1", upstream.address(), "draining"))));
+      c.next();
+    })) {
+      Script module = new Script((event, out) -> {
+        if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+          out.accept(new Watch(true));
+        } else if (event instanceof Request r) {
+          out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
+        } else if (event instanceof Outcome o) {
+          out.accept(new Fail(o.id()));
+        }
+      });
+      Config config = Rig.config(discovery.address(), Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")),
+          "on_request", 1000 * Rig.LIMIT_S, 1024, "");
+      try (Rig rig = new Rig(config, module); Client client = rig.client()) {
+        client.write(Rig.get("t", ""));
+        module.next(Request.class);
+        drain.countDown();
+        assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      }
+    }
+  }
+
+  @Test
+  void aSendStillConnectingIsNotWrittenOnceItsClientIsGone() throws Exception {
+    Script module = cancelling();
+    try (Silent upstream = new Silent(); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true,
+        Rig.member("s-1", upstream.address(), "ready")), "on_request", 1000 * Rig.LIMIT_S, 1024, ""), module)) {
+      try (Client client = rig.client()) {
+        client.write(Rig.get("t", ""));
+        module.next(Request.class);
+      }
+      module.next(ClientGone.class);
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+    }
+  }
+
+  /** Sends, and stops waiting when the client goes. */
+  private static Script cancelling() {
+    return new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
+      } else if (event instanceof ClientGone g) {
+        out.accept(new Cancel(g.id(), 0));
+      }
+    });
+  }
+
+  @Test
+  void aCancelledAttemptClosesItsConnection() throws Exception {
+    Script module = cancelling();
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      Thread.sleep(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+    }); Rig rig = new Rig(one(upstream.address()), module)) {
+      StubServer.Connection connection;
+      try (Client client = rig.client()) {
+        client.write(Rig.get("t", ""));
+        assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+        connection = upstream.connections.take();
+      }
+      assertEquals(Status.CANCELLED, module.next(Outcome.class).status());
+      assertTrue(connection.ends());
+    }
+  }
+
+  @Test
+  void aTimedOutAttemptClosesItsConnectionAndItsLateAnswerIsDropped() throws Exception {
+    Script module = new Script(TimeUnit.MILLISECONDS.toNanos(200));
+    CountDownLatch late = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      if (c.next().contains("X-Trace-Id: slow")) {
+        late.await();
+        c.write(StubServer.ok("late"));
+      } else {
+        c.write(StubServer.ok("fresh"));
+      }
+    }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("slow", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(Status.TIMEOUT, module.next(Outcome.class).status());
+      late.countDown();
+      assertTrue(client.ask(Rig.get("next", "")).endsWith("\r\n\r\nfresh"));
+      assertEquals(2, upstream.connections.size());
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+    }
+  }
+
+  @Test
+  void aConnectionThatTheUpstreamClosedIsNotUsedAgain() throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(StubServer.ok("x"));
+    }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      client.ask(Rig.get("t1", ""));
+      assertTrue(upstream.connections.take().ends());
+      client.ask(Rig.get("t2", ""));
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+    }
+  }
+
+  @Test
+  void idleConnectionsAreClosedWellBeforeTheUpstreamWould() throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream.address()), module);
+        Client client = rig.client()) {
+      client.ask(Rig.get("t1", ""));
+      StubServer.Connection connection = upstream.connections.take();
+      upstream.requests.take();
+      assertNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.MILLISECONDS));
+      assertTrue(connection.awaitEnd(), "closed with no word from the upstream");
+    }
+  }
+
+  @Test
+  void moreAttemptsThanAllowedAreNotSent() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
+      } else if (event instanceof Outcome o && o.attempt() < 6) {
+        out.accept(new Send(o.id(), Discoveries.number("s-1"), 0));
+      } else if (event instanceof Outcome o) {
+        out.accept(new Fail(o.id()));
+      }
+    });
+    try (StubServer upstream = StubServer.answering("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
+        Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      for (int i = 0; i < 6; i++) {
+        assertEquals(Status.ERROR, module.next(Outcome.class).status());
+      }
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      assertEquals(6, upstream.requests.size());
+    }
+  }
+
+  @Test
+  void anAnswersLoadReportReachesTheModule() throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = StubServer.answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+        + "Endpoint-Load-Metrics: TEXT inflight=7, queue=odd, util=0.61\r\n\r\n");
+        Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Map.of("inflight", 7.0, "util", 0.61), module.next(Outcome.class).load());
+    }
+  }
+
+  @Test
+  void probesAskForHealthWithoutAnId() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Probe(Discoveries.number("s-1")));
+        out.accept(new CloseIdle(Discoveries.number("s-1")));
+        out.accept(new Fail(r.id()));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream.address()), module);
+        Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Status.SERVED, module.next(ProbeResult.class).status());
+      String probe = upstream.requests.take();
+      assertTrue(probe.startsWith("GET /healthz HTTP/1.1\r\n") && !probe.contains("X-Trace-Id"), probe);
+      client.ask(Rig.get("t2", ""));
+      assertTrue(upstream.connections.take().awaitEnd(), "its idle connections are closed when asked");
+    }
+  }
+
+  @Test
+  void atTheSocketBudgetIdleConnectionsGoAndThenAttemptsFail() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), Discoveries.number("true".equals(r.tenant()) ? "s-2" : "s-1"), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id()));
+      }
+    });
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer idle = StubServer.answering(StubServer.ok("x")); StubServer busy = new StubServer(c -> {
+      c.next();
+      done.await();
+    }); Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", idle.address(), "ready"),
+        Rig.member("s-2", busy.address(), "ready")), "on_request", 200, 132, ""), module);
+        Client first = rig.client(); Client second = rig.client(); Client third = rig.client()) {
+      // Four sockets beside what is kept: three clients, one upstream.
+      first.ask(Rig.get("t1", ""));
+      second.ask(Rig.get("t2", ""));
+      third.ask("GET /healthz HTTP/1.1\r\n\r\n");
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+      second.write(Rig.get("t3", "X-Customer: true\r\n"));
+      assertNotNull(busy.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS), "the idle connection made room");
+      third.ask(Rig.get("t4", "X-Customer: true\r\n"));
+      assertEquals(Status.CONNECT_FAILED, module.next(Outcome.class).status(), "nothing is idle");
+      done.countDown();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/Discoveries.java
@@ -0,0 +1,25 @@
+package cloverpulley.serve;
+
+import java.util.List;
+
+/** What discovery says, and the numbers that its names get. */
+final class Discoveries {
+
+  private Discoveries() {}
+
+  /** The start of a watch with its first line; further ones are chunks of their own. */
+  static String watch(String line) {
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(line);
+  }
+
+  static String chunk(String line) {
+    return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+  }
+
+  /** The module's number of an upstream. */
+  static long number(String id) {
+    ServerList.Server server = new ServerList.Server(id, null, "a", 0, cloverpulley.Balancer.State.READY, 1, 0);
+    return new Fleet(new Clock()).take(cloverpulley.Balancer.ListKind.FULL, new ServerList(1, true, List.of(server)))
+        .entries().get(0).upstream();
+  }
+}
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -0,0 +1,132 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.FetchList;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.Listed;
+import cloverpulley.Balancer.Watch;
+import cloverpulley.serve.Rig.Script;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The list and its changes, and that no failure of discovery goes unnoticed. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class DiscoveryTest {
+
+  private static final String A = Rig.member("s-a", "127.0.0.1:1", "ready");
+
+  private static Script watching() {
+    return new Script((event, out) -> {
+      if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+        out.accept(new Watch(true));
+      }
+    });
+  }
+
+  private static Rig rig(StubServer discovery, String mode, Script module) throws IOException {
+    return new Rig(Rig.config(discovery.address(), Rig.list(41, true, A), mode, 200, 1024, ""), module);
+  }
+
+  private static String word(ListNews news) {
+    List<Listed> entries = news.entries();
+    return news.kind() + " " + entries.size() + (entries.isEmpty() ? "" : " " + entries.get(0).state());
+  }
+
+  @Test
+  void aWatchTellsEveryLineAndItsEnd() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      String gone = Discoveries.chunk(Rig.list(43, false, Rig.member("s-a", "127.0.0.1:1", "gone")));
+      c.write(Discoveries.watch(Rig.list(42, true, A, Rig.member("s-b", "127.0.0.1:2", "draining"))));
+      c.write(Discoveries.chunk(""));
+      c.write(gone.substring(0, 20));
+      c.write(gone.substring(20));
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      assertEquals("CACHED 1 READY", word(module.next(ListNews.class)));
+      assertEquals("FULL 2 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 GONE", word(module.next(ListNews.class)));
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+      assertTrue(discovery.requests.take().startsWith("GET /v1/servers?follow=1&since=41 HTTP/1.1\r\n"));
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+    "HTTP/1.1 503 Service Unavailable~Content-Length: 0~~",
+    "HTTP/1.1 200 OK~Content-Length: 9~~not JSON~",
+    "HTTP/1.1 200 OK~Content-Length: 100~~{\"revision\":",
+    "''"})
+  void everyFailureOfACallIsTold(String answer) throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(answer.replace("~", "\r\n"));
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+    }
+  }
+
+  @Test
+  void aWatchThatFallsSilentHasFailed() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(42, false, A)));
+      c.next();
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("DELTA 1 READY", word(module.next(ListNews.class)));
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+      assertTrue(discovery.connections.take().ends());
+    }
+  }
+
+  @Test
+  void theListIsFetchedOnce() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+        out.accept(new FetchList());
+      }
+    });
+    try (StubServer discovery = StubServer.answering(StubServer.ok(Rig.list(50, true, A)));
+        Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FULL 1 READY", word(module.next(ListNews.class)));
+      assertTrue(discovery.requests.take().startsWith("GET /v1/servers HTTP/1.1\r\n"));
+    }
+  }
+
+  @Test
+  void whereListsArePushedTheAgentIsFollowedUnasked() throws Exception {
+    Script module = new Script((event, out) -> { });
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(42, false, A)));
+    }); Rig rig = rig(discovery, "pushed", module)) {
+      module.next(ListNews.class);
+      assertEquals("DELTA 1 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 READY", word(module.next(ListNews.class)), "again after the first watch ended");
+    }
+  }
+
+  @Test
+  void startTimesKeepTheirDistanceAndRestartsShow() {
+    Clock clock = new Clock();
+    long second = TimeUnit.SECONDS.toNanos(1);
+    long wall = System.currentTimeMillis();
+    assertEquals(0, clock.atUnixMillis(0), "long ago");
+    assertEquals(clock.atUnixMillis(wall), clock.atUnixMillis(wall - 1000) + second);
+    assertTrue(Math.abs(clock.now() - clock.atUnixMillis(System.currentTimeMillis())) < 60 * second);
+    assertTrue(clock.atUnixMillis(1) > 0, "older than the process is not long ago");
+  }
+}
--- a/src/test/java/cloverpulley/serve/StubServer.java
+++ b/src/test/java/cloverpulley/serve/StubServer.java
@@ -8,9 +8,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +41,8 @@
         start(() -> {
           try (socket) {
             script.run(connection);
+          } finally {
+            connection.over.countDown();
           }
         });
       }
@@ -86,7 +90,7 @@
     }
   }
 
-  /** One connection, read a message at a time; a client's as well. */
+  /** Reads HTTP messages, a client's as well. */
   static final class Message {
 
     private Message() {}
@@ -115,6 +119,7 @@
 
     private final Socket socket;
     private final InputStream in;
+    private final CountDownLatch over = new CountDownLatch(1);
 
     Connection(Socket socket) throws IOException {
       this.socket = socket;
@@ -135,19 +140,20 @@
       socket.getOutputStream().flush();
     }
 
-    void close() throws IOException {
-      socket.close();
+    /** Waits until the script is through: its last read found the end, or it closed. */
+    boolean awaitEnd() throws InterruptedException {
+      return over.await(Rig.LIMIT_S, TimeUnit.SECONDS);
     }
 
-    /** Waits until the other side closes; false if it says more first. */
-    boolean ends() throws IOException {
-      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+    /** Waits until the other side closes; false if it says more first, or is still there at the limit. */
+    boolean ends() {
       try {
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
         return in.read() < 0;
-      } catch (java.net.SocketTimeoutException e) {
-        throw new AssertionError("still open", e);
+      } catch (SocketTimeoutException e) {
+        return false;
       } catch (IOException e) {
-        return true;
+        return true; // Closed here too, or reset: over either way.
       }
     }
   }
