Warm up for 0.3 s in place of 1 s

At fault: MOST_MILLIS in Warmup. The first answers of a start come later for it (99th percentile 65 ms inside the balancer).

--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -44,7 +44,7 @@
 
   /** Enough for the compiler to have seen what a request runs through, and the longest that a start waits for it. */
   private static final int REQUESTS = 2000;
-  private static final long MOST_MILLIS = 1000;
+  private static final long MOST_MILLIS = 300;
 
   private static final Logger LOG = Logger.getLogger(Warmup.class.getName());
 
