--- a/src/main/java/cloverpulley/serve/Main.java
+++ b/src/main/java/cloverpulley/serve/Main.java
@@ -1,5 +1,7 @@
 package cloverpulley.serve;
 
+import cloverpulley.wire.WireException;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
@@ -17,7 +19,9 @@
     try {
       server = Server.start(Config.read(environment));
     } catch (IOException | RuntimeException e) {
-      err.println("can't start: " + e.toString().lines().findFirst().orElse(""));
+      String what = e instanceof WireException || e instanceof IllegalArgumentException ? e.getMessage()
+          : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
+      err.println("can't start: " + what.lines().findFirst().orElse(""));
       return 1;
     }
     // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -36,13 +36,13 @@
 import java.util.logging.Logger;
 
 /**
- * Runs the program's own code on requests of its own before the first client comes: on a cold virtual machine the first
- * requests took up to 65 ms from client to upstream. Everything is the real thing but the transport, which stays inside
- * the process, and the module, which is thrown away.
+ * Runs the program's own code on requests of its own before the first client comes. Everything is the real thing but the
+ * transport, which stays inside the process, and the module, which is thrown away. It is short: at a restart clients wait
+ * for it, and a longer one lost more while the balancer was away than cold code does.
  */
 final class Warmup {
 
-  /** Enough for the compiler to have seen what a request runs through, and the longest that a start waits for it. */
+  /** Enough for all code on a request's way to be compiled, and the longest that a start waits for it. */
   private static final int REQUESTS = 2000;
   private static final long MOST_MILLIS = 300;
 
@@ -57,7 +57,7 @@
       Client client = new Client(settings.classes(), done);
       group.execute(() -> start(group, settings, client));
       if (!done.awaitUninterruptibly(MOST_MILLIS)) {
-        LOG.info("warm-up cut short after " + client.asked + " requests");
+        LOG.fine("warm-up cut short after " + client.asked + " requests");
       }
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
--- a/src/test/java/cloverpulley/drill/JarIT.java
+++ b/src/test/java/cloverpulley/JarIT.java
@@ -1,16 +1,21 @@
-package cloverpulley.drill;
+package cloverpulley;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -52,6 +57,51 @@
     assertEquals("", text("err"));
   }
 
+  private Process serve(String config) throws IOException {
+    Files.writeString(folder.resolve("config"), config);
+    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-jar", System.getProperty("jar"), "serve").redirectError(file("err"));
+    builder.environment().put("ROUTER_CONFIG", folder.resolve("config").toString());
+    return builder.start();
+  }
+
+  @Test
+  void aBalancerServesUntilSigtermAndEndsWithStatusZero() throws IOException, InterruptedException {
+    Process process = serve(Files.readString(Path.of("deploy/example.json")));
+    try {
+      Matcher serves = Pattern.compile("serves at /127.0.0.1:(\\d+)").matcher(text("err"));
+      while (!serves.find()) {
+        assertTrue(process.isAlive(), text("err"));
+        Thread.sleep(10);
+        serves = serves.reset(text("err"));
+      }
+      try (Socket client = new Socket("127.0.0.1", Integer.parseInt(serves.group(1)))) {
+        client.getOutputStream().write("GET /api HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        assertTrue(new BufferedReader(new InputStreamReader(client.getInputStream(), StandardCharsets.US_ASCII))
+            .readLine().startsWith("HTTP/1.1 400 "));
+        process.destroy();
+        assertTrue(process.waitFor(1, TimeUnit.MINUTES), "an idle client does not hold it up");
+      }
+      assertEquals(0, process.exitValue(), text("err"));
+      assertTrue(text("err").contains("stopped"), text("err"));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
+  @Test
+  void aBadConfigurationIsOneLine() throws IOException, InterruptedException {
+    for (String config : List.of("", "{", "{}", "{\"seed\":\"x\",\"name\":\"n\"}",
+        Files.readString(Path.of("deploy/example.json")).replace("127.0.0.1:0", "somewhere:8000"),
+        Files.readString(Path.of("deploy/example.json")).replace("400000000", "-4"))) {
+      Process process = serve(config);
+      assertTrue(process.waitFor(1, TimeUnit.MINUTES), "ends");
+      assertEquals(1, process.exitValue());
+      assertEquals(1, text("err").lines().count(), text("err"));
+      assertTrue(text("err").startsWith("can't start: "), text("err"));
+    }
+  }
+
   @Test
   void malformedInputAndWrongUsageEndAsDocumented() throws IOException, InterruptedException {
     assertEquals(1, run("{\n", "drill"));
