--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -199,7 +199,7 @@
     Script module = cancelling();
     try (StubServer upstream = new StubServer(c -> {
       c.next();
-      Thread.sleep(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      new CountDownLatch(1).await(); // Never says anything, nor closes: only the balancer can.
     }); Rig rig = new Rig(one(upstream.address()), module)) {
       StubServer.Connection connection;
       try (Client client = rig.client()) {
@@ -226,9 +226,11 @@
     }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
       assertTrue(client.ask(Rig.get("slow", "")).startsWith("HTTP/1.1 502 "));
       assertEquals(Status.TIMEOUT, module.next(Outcome.class).status());
+      StubServer.Connection slow = upstream.connections.take();
+      assertTrue(slow.ends(), "closed before anything came");
       late.countDown();
       assertTrue(client.ask(Rig.get("next", "")).endsWith("\r\n\r\nfresh"));
-      assertEquals(2, upstream.connections.size());
+      assertEquals(1, upstream.connections.size(), "on a new connection");
       assertEquals(Status.SERVED, module.next(Outcome.class).status());
     }
   }
