SIGHUP reads the configuration again and follows discovery to its new address

Ruled out by reading: nothing else ends the process. Config.parse preferred ROUTER_DISCOVERY, so a reread would have kept the old address; Fleet.take believed any revision and an empty complete list.

--- a/src/main/java/cloverpulley/serve/Config.java
+++ b/src/main/java/cloverpulley/serve/Config.java
@@ -5,6 +5,7 @@
 import cloverpulley.wire.SettingsDecoder;
 import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -30,7 +31,10 @@
   private static final int SOCKETS = 1024;
   private static final long IDLE_NANOS = 5_000_000_000L;
 
-  /** Reads the file that the environment names; what the environment states itself comes first. */
+  /**
+   * Reads the file that the environment names. The file comes first, the environment states only what it lacks: the file
+   * may have been replaced since the program was started, its environment never is.
+   */
   static Config read(Map<String, String> environment) throws IOException {
     String path = environment.get("ROUTER_CONFIG");
     if (path == null) {
@@ -52,11 +56,9 @@
     }
     Fields settings = f.nested("settings");
     return new Config(
-        environment.containsKey("ROUTER_NAME") ? environment.get("ROUTER_NAME") : f.text("name"),
-        address("listen", environment.containsKey("ROUTER_LISTEN") ? environment.get("ROUTER_LISTEN")
-            : f.text("listen")),
-        address("discovery", environment.containsKey("ROUTER_DISCOVERY") ? environment.get("ROUTER_DISCOVERY")
-            : f.text("discovery")),
+        text(f, "name", environment.get("ROUTER_NAME")),
+        address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
+        address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
         seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
         f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
         f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
@@ -65,6 +67,17 @@
         !settings.nested("report").text("how", "none").equals("none"));
   }
 
+  private static String text(Fields f, String name, String otherwise) {
+    return f.has(name) || otherwise == null ? f.text(name) : otherwise;
+  }
+
+  /** What a file that can't be used lacks, in one line. */
+  static String complaint(Exception e) {
+    String what = e instanceof WireException || e instanceof IllegalArgumentException ? e.getMessage()
+        : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
+    return what.lines().findFirst().orElse("");
+  }
+
   private static long seed(String hex) {
     try {
       return Long.parseUnsignedLong(hex, 16);
--- a/src/main/java/cloverpulley/serve/Discovery.java
+++ b/src/main/java/cloverpulley/serve/Discovery.java
@@ -48,11 +48,13 @@
   private static final int MOST_BYTES = 1 << 20;
 
   private final Bootstrap bootstrap;
-  private final InetSocketAddress address;
   private final LongSupplier revision;
   private final BiConsumer<ListKind, ServerList> news;
   private final JsonFactory json = new JsonFactory();
+  private InetSocketAddress address;
   private Stream watch;
+  /** Whether a watch is wanted, also while none stands because the last one failed. */
+  private boolean watching;
   private boolean failing;
 
   /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
@@ -64,8 +66,17 @@
     this.news = news;
   }
 
+  /** Discovery has another address: what is watched is watched there from now on, and the old connection ends. */
+  void move(InetSocketAddress to) {
+    if (!to.equals(address)) {
+      address = to;
+      watch(watching);
+    }
+  }
+
   @Override
   public void watch(boolean on) {
+    watching = on;
     if (watch != null) {
       watch.stop();
       watch = null;
--- a/src/main/java/cloverpulley/serve/Fleet.java
+++ b/src/main/java/cloverpulley/serve/Fleet.java
@@ -44,8 +44,11 @@
     return servers.values().stream().anyMatch(s -> s.state() == State.READY);
   }
 
-  /** Takes in a list, or changes to it, and words it for the module. */
+  /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
   ListNews take(ListKind kind, ServerList list) {
+    if (!isNews(kind, list)) {
+      return new ListNews(ListKind.DELTA, List.of());
+    }
     revision = list.revision();
     if (kind != ListKind.DELTA) {
       servers.clear();
@@ -65,6 +68,16 @@
     return new ListNews(kind, entries);
   }
 
+  /**
+   * Guards against a discovery that lags or has just lost its own list: an older version would bring back what has gone,
+   * and an empty list would take the service away. Version 0 is that of a list that names none.
+   */
+  private boolean isNews(ListKind kind, ServerList list) {
+    boolean older = list.revision() > 0 && list.revision() < revision;
+    boolean empties = kind != ListKind.DELTA && list.members().isEmpty() && !servers.isEmpty();
+    return !older && !empties;
+  }
+
   /** The list as it is held, for a module that starts anew. */
   ListNews held() {
     List<Listed> entries = new ArrayList<>();
--- a/src/main/java/cloverpulley/serve/Main.java
+++ b/src/main/java/cloverpulley/serve/Main.java
@@ -1,10 +1,9 @@
 package cloverpulley.serve;
 
-import cloverpulley.wire.WireException;
-import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import sun.misc.Signal;
 
 /** Entry point of the real balancer. */
@@ -12,21 +11,24 @@
 
   private Main() {}
 
-  /** Serves until SIGTERM, which ends the process with status 0; returns 1 where it can't start. */
+  /**
+   * Serves until SIGTERM, which ends the process with status 0; returns 1 where it can't start. SIGHUP makes it read its
+   * configuration again.
+   */
   public static int run(Map<String, String> environment, PrintStream err) {
     System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-    Server server;
+    CompletableFuture<Server> started = new CompletableFuture<>();
+    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
+    Signal.handle(new Signal("TERM"), signal -> started.thenAccept(s -> new Thread(s::stop, "stop").start()));
+    // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
+    Signal.handle(new Signal("HUP"), signal -> started.thenAccept(s -> s.reload(() -> Config.read(environment))));
     try {
-      server = Server.start(Config.read(environment));
+      started.complete(Server.start(Config.read(environment)));
     } catch (IOException | RuntimeException e) {
-      String what = e instanceof WireException || e instanceof IllegalArgumentException ? e.getMessage()
-          : e instanceof JsonProcessingException j ? "configuration: not JSON: " + j.getOriginalMessage() : e.toString();
-      err.println("can't start: " + what.lines().findFirst().orElse(""));
+      err.println("can't start: " + Config.complaint(e));
       return 1;
     }
-    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
-    Signal.handle(new Signal("TERM"), signal -> new Thread(server::stop, "stop").start());
-    server.await();
+    started.join().await();
     return 0;
   }
 }
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -13,6 +13,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -108,6 +109,25 @@
     }
   }
 
+  /** Where a configuration comes from. */
+  interface Source {
+    Config read() throws IOException;
+  }
+
+  /**
+   * Reads the configuration again and follows discovery to where it says; all else waits for a restart. One that can't be
+   * read changes nothing.
+   */
+  void reload(Source source) {
+    try {
+      Config config = source.read();
+      loop.execute(() -> discovery.move(config.discovery()));
+      LOG.info(() -> "configuration read again, discovery at " + config.discovery());
+    } catch (IOException | RuntimeException e) {
+      LOG.warning("configuration not taken, the one before stays: " + Config.complaint(e));
+    }
+  }
+
   InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
   }
--- a/src/test/java/cloverpulley/JarIT.java
+++ b/src/test/java/cloverpulley/JarIT.java
@@ -89,6 +89,38 @@
     }
   }
 
+  /** Guards against SIGHUP, which ends a virtual machine that does not handle it. */
+  @Test
+  void sighupReadsTheConfigurationAgainAndABadOneIsOneLine() throws IOException, InterruptedException {
+    String config = Files.readString(Path.of("deploy/example.json"));
+    Process process = serve(config);
+    try {
+      awaitLine(process, "serves at");
+      Files.writeString(folder.resolve("config"), config.replace("127.0.0.1:8500", "127.0.0.1:8501"));
+      hangUp(process);
+      awaitLine(process, "read again, discovery at /127.0.0.1:8501");
+      Files.writeString(folder.resolve("config"), "{");
+      hangUp(process);
+      awaitLine(process, "configuration not taken, the one before stays");
+      process.destroy();
+      assertTrue(process.waitFor(1, TimeUnit.MINUTES), "still listens to SIGTERM");
+      assertEquals(0, process.exitValue(), text("err"));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
+  private static void hangUp(Process process) throws IOException, InterruptedException {
+    assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+  }
+
+  private void awaitLine(Process process, String what) throws IOException, InterruptedException {
+    while (!text("err").contains(what)) {
+      assertTrue(process.isAlive(), text("err"));
+      Thread.sleep(10);
+    }
+  }
+
   @Test
   void aBadConfigurationIsOneLine() throws IOException, InterruptedException {
     for (String config : List.of("", "{", "{}", "{\"seed\":\"x\",\"name\":\"n\"}",
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/ReloadTest.java
@@ -0,0 +1,118 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.State;
+import cloverpulley.Balancer.Watch;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import cloverpulley.wire.WireException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A configuration that is read again while the balancer serves, and lists that are not to be believed. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class ReloadTest {
+
+  private static final String A = Rig.member("s-a", "127.0.0.1:1", "ready");
+  private static final String B = Rig.member("s-b", "127.0.0.1:2", "ready");
+
+  private static StubServer discovery(String... lines) throws Exception {
+    return new StubServer(c -> {
+      c.next();
+      for (int i = 0; i < lines.length; i++) {
+        c.write(i == 0 ? Discoveries.watch(lines[i]) : Discoveries.chunk(lines[i]));
+      }
+      c.ends();
+    });
+  }
+
+  private static Script watching() {
+    return new Script((event, out) -> {
+      if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+        out.accept(new Watch(true));
+      }
+    });
+  }
+
+  @Test
+  void discoveryIsFollowedToItsNewAddressAtOnce() throws Exception {
+    Script module = watching();
+    try (StubServer old = discovery(Rig.list(2, true, A)); StubServer fresh = discovery(Rig.list(3, true, A, B));
+        Rig rig = new Rig(Rig.config(old.address(), Rig.list(1, true, A)), module)) {
+      module.next(ListNews.class);
+      assertEquals(1, module.next(ListNews.class).entries().size());
+      rig.server.reload(() -> Rig.config(fresh.address(), Rig.list(1, true, A)));
+      ListNews news = module.next(ListNews.class);
+      assertEquals(ListKind.FULL, news.kind());
+      assertEquals(2, news.entries().size());
+      assertTrue(fresh.requests.take().startsWith("GET /v1/servers?follow=1&since=2 HTTP/1.1\r\n"));
+      assertTrue(old.connections.take().awaitEnd(), "nothing is left at the old address");
+    }
+  }
+
+  /** Guards against a bad file that ends the balancer or leaves it without discovery. */
+  @Test
+  void aFileThatCannotBeReadChangesNothing() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = discovery(Rig.list(2, true, A));
+        Rig rig = new Rig(Rig.config(discovery.address(), Rig.list(1, true, A)), module)) {
+      module.next(ListNews.class);
+      module.next(ListNews.class);
+      rig.server.reload(() -> Config.parse("{\"name\":", Map.of()));
+      rig.server.reload(() -> {
+        throw new WireException("on purpose: this line belongs to a test");
+      });
+      try (Client client = rig.client()) {
+        assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "));
+      }
+      assertEquals(1, discovery.connections.size(), "the watch still stands");
+    }
+  }
+
+  /** Guards against an environment that still names what the file named at the start. */
+  @Test
+  void theFileComesBeforeTheEnvironment() throws Exception {
+    String text = Rig.text("127.0.0.1:8501", Rig.list(1, true, A), "on_request", 200, 1024, "");
+    Map<String, String> environment = Map.of("ROUTER_DISCOVERY", "127.0.0.1:8500", "ROUTER_NAME", "n7");
+    assertEquals(8501, Config.parse(text, environment).discovery().getPort());
+    assertEquals("n7", Config.parse(text.replace("\"name\":\"n0\",", ""), environment).name());
+  }
+
+  private static List<Integer> sizes(ServerList... lists) {
+    Fleet fleet = new Fleet(new Clock());
+    return Arrays.stream(lists).map(l -> {
+      fleet.take(l.complete() ? ListKind.FULL : ListKind.DELTA, l);
+      return fleet.held().entries().size();
+    }).toList();
+  }
+
+  private static ServerList list(int revision, boolean complete, String... ids) throws Exception {
+    List<ServerList.Server> members = new ArrayList<>();
+    for (String id : ids) {
+      members.add(new ServerList.Server(id, Config.address("a", "127.0.0.1:1"), "a", 0, State.READY, 1, 0));
+    }
+    return new ServerList(revision, complete, members);
+  }
+
+  /** Guards against a lagging discovery that brings back what has gone. */
+  @Test
+  void anOlderVersionOfTheListIsNotTaken() throws Exception {
+    assertEquals(List.of(1, 1, 1, 2), sizes(list(5, true, "a"), list(4, true, "a", "b"), list(4, false, "c"),
+        list(6, false, "d")));
+  }
+
+  /** Guards against a discovery that has lost its list: without one nothing can be served. */
+  @Test
+  void anEmptyListIsNotTaken() throws Exception {
+    assertEquals(List.of(2, 2, 1), sizes(list(5, true, "a", "b"), list(6, true), list(7, true, "a")));
+  }
+}
