Clients without a whole request, their framing, and limits from the configuration

Nothing limited the time to a whole request; the aggregator answered 413 past the turn and kept the connection; autoRead off does not stop what is decoded already; deadlines and names were kept as sent; run took 192 MB for given. Ruled out: Content-Length with Transfer-Encoding - this Netty fails it with 400 (tested), the connection now closes after it.

--- /dev/null
+++ b/src/main/java/cloverpulley/serve/Clients.java
@@ -0,0 +1,102 @@
+package cloverpulley.serve;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The clients' connections by what they are doing and since when; says which go when time or descriptors run out. */
+final class Clients {
+
+  /** What a connection does; in the order in which they are shed, and one that is served never is. */
+  enum State { LEAVING, READING, IDLE, SERVED }
+
+  /** A client's connection. */
+  interface Client {
+    /** It has not sent a whole request in time. */
+    void overdue();
+
+    void close();
+  }
+
+  /** A client is owed an error or a close 3 s after it connected if no whole request has come by then. */
+  static final long READING_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
+  /** After an error a client has this long to read it: closing at once, over what it still sends, would destroy it. */
+  private static final long LEAVING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+  /** A client that has not asked for this long won't miss its connection. */
+  private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(60);
+
+  /** The time of the last move comes first in each, so that the longest in a state is at its head. */
+  private final Map<State, Map<Client, Long>> since = new EnumMap<>(State.class);
+
+  Clients() {
+    for (State state : State.values()) {
+      since.put(state, new LinkedHashMap<>());
+    }
+  }
+
+  int count() {
+    int count = 0;
+    for (Map<Client, Long> clients : since.values()) {
+      count += clients.size();
+    }
+    return count;
+  }
+
+  /** It does something else from now on; a state that it is in already starts anew. */
+  void move(Client client, State to) {
+    remove(client);
+    since.get(to).put(client, System.nanoTime());
+  }
+
+  boolean is(Client client, State state) {
+    return since.get(state).containsKey(client);
+  }
+
+  void remove(Client client) {
+    for (Map<Client, Long> clients : since.values()) {
+      if (clients.remove(client) != null) {
+        return;
+      }
+    }
+  }
+
+  /** Closes the one that is missed least; false if all are being served. Closing it has to remove it. */
+  boolean shed() {
+    for (State state : State.values()) {
+      if (state != State.SERVED && !since.get(state).isEmpty()) {
+        since.get(state).keySet().iterator().next().close();
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Ends what has gone on for too long. */
+  void sweep() {
+    longer(State.LEAVING, LEAVING_NANOS).forEach(Client::close);
+    longer(State.READING, READING_NANOS).forEach(Client::overdue);
+    longer(State.IDLE, IDLE_NANOS).forEach(Client::close);
+  }
+
+  private List<Client> longer(State state, long nanos) {
+    long now = System.nanoTime();
+    List<Client> found = new ArrayList<>();
+    for (Map.Entry<Client, Long> entry : since.get(state).entrySet()) {
+      if (now - entry.getValue() <= nanos) {
+        break;
+      }
+      found.add(entry.getKey());
+    }
+    return found;
+  }
+
+  /** Closes all that are owed nothing. */
+  void closeUnserved() {
+    while (shed()) {
+      // One at a time: each takes itself out.
+    }
+  }
+}
--- a/src/main/java/cloverpulley/serve/Config.java
+++ b/src/main/java/cloverpulley/serve/Config.java
@@ -24,11 +24,12 @@
  * @param idleNanos after this an upstream may close a connection that stands idle
  * @param loadReports whether upstreams report their load
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, ServerList known,
     Settings settings, long idleNanos, boolean loadReports) {
 
   private static final int SOCKETS = 1024;
+  private static final int MEMORY_MB = 192;
   private static final long IDLE_NANOS = 5_000_000_000L;
 
   /**
@@ -60,6 +61,7 @@
         address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
         address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
         seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
+        f.nested("limits").integer("memory_mb", MEMORY_MB) << 20,
         f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
         f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
         f.has("known") ? ServerList.parse(f.nested("known")) : ServerList.NONE,
--- a/src/main/java/cloverpulley/serve/Exchange.java
+++ b/src/main/java/cloverpulley/serve/Exchange.java
@@ -29,7 +29,9 @@
     void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
   }
 
-  /** What the module is told of it; the id is given by the node, for clients' ids may repeat. */
+  /** The client's id: no two requests in hand have the same. */
+  final String traceId;
+  /** What the module is told of it; the id is given by the node, for a client may use its own again. */
   final RequestClass type;
   final String tenant;
   final String key;
@@ -58,8 +60,9 @@
   }
 
   /** Takes over the request. */
-  Exchange(RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
+  Exchange(String traceId, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
       FullHttpRequest request, Reply reply) {
+    this.traceId = traceId;
     this.type = type;
     this.tenant = tenant;
     this.key = key;
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -2,32 +2,43 @@
 
 import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Settings;
+import cloverpulley.Balancer.Tenant;
+import cloverpulley.serve.Clients.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.CodecException;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -57,6 +68,14 @@
   static final String KEY_COOKIE = "sid";
   /** The most digits of a header that is a whole number: more would not be a time or an amount of work. */
   private static final int MOST_DIGITS = 9;
+  private static final long MOST_MILLIS = 1_000_000_000L;
+  /** The longest id, tenant or key that is kept as it came. */
+  private static final int MOST_NAME = 128;
+  /** Requests that may wait behind the one being served on a connection. */
+  private static final int MOST_EARLY = 32;
+  /** More requests than one read can hold: what is too many is for this class to say, in its turn. */
+  private static final int MOST_DECODED = 8192;
+  private static final long SWEEP_MILLIS = 100;
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -65,31 +84,38 @@
   private final Sockets sockets;
   private final UpstreamPool pool;
   private final Map<String, RequestClass> classes;
-  private final Set<Connection> connections = new LinkedHashSet<>();
-  /** Connections between requests, the one idle longest first. */
-  private final Set<Connection> idle = new LinkedHashSet<>();
+  private final Set<String> tenants;
+  private final Clients clients = new Clients();
+  private final RequestReader.Budget bodies;
   private Channel listener;
   private boolean ready;
   private boolean stopping;
 
-  Frontend(Node node, Clock clock, Sockets sockets, UpstreamPool pool, List<RequestClass> classes) {
+  /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
+  Frontend(Node node, Clock clock, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
     this.node = node;
     this.clock = clock;
     this.sockets = sockets;
     this.pool = pool;
-    this.classes = classes.stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
+    this.classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
+    this.tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
+    this.bodies = new RequestReader.Budget(mostHeld);
   }
 
   ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
     ChannelFuture bound = bootstrap.clone().childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
-            new Connection(channel));
+        Connection connection = new Connection(channel);
+        // The decoder fails a request whose length is told twice, or by Transfer-Encoding as well.
+        channel.pipeline().addLast(connection.arrivals(), new HttpServerCodec(new HttpDecoderConfig(), MOST_DECODED),
+            connection.reader, connection);
         accepted(channel);
       }
     }).bind(address);
     listener = bound.channel();
+    bound.channel().eventLoop().scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS,
+        TimeUnit.MILLISECONDS);
     return bound;
   }
 
@@ -106,59 +132,94 @@
   /** Accepts no more, and closes the connections that are owed nothing. */
   void close() {
     listener.close();
-    List.copyOf(idle).forEach(c -> c.channel.close());
+    clients.closeUnserved();
   }
 
   boolean hasConnections() {
-    return !connections.isEmpty();
+    return clients.count() > 0;
   }
 
-  /** Guards the descriptors: what the machine accepted counts as taken, so a client comes before what is idle. */
+  /**
+   * Guards the descriptors: what the machine accepted counts as taken, so a new client comes before one that has nothing
+   * open, and before connections to upstreams that stand idle.
+   */
   private void accepted(Channel channel) {
+    boolean room = clients.count() < sockets.forClients() && sockets.hasRoom() || clients.shed() || pool.closeOldest();
     sockets.opened(channel);
-    if (!sockets.roomForUpstream()) {
-      pool.closeOldest();
-    }
-    if (!sockets.roomForClient() && !idle.isEmpty()) {
-      idle.iterator().next().channel.close();
+    if (!room && sockets.isFull()) {
+      channel.close();
     }
   }
 
   /** One client's connection: a request at a time, those that come early wait for their turn. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Clients.Client {
 
     private final Channel channel;
-    private final ArrayDeque<FullHttpRequest> early = new ArrayDeque<>();
+    private final RequestReader reader;
+    private final ArrayDeque<FullHttpRequest> early = new ArrayDeque<>(1);
     private boolean busy;
     private boolean keepAlive;
+    /** Nothing that still comes is read: it follows what can't be understood, or there is too much of it. */
+    private boolean deaf;
+    /** Bytes have come since the last request that was taken. */
+    private boolean begun;
+    /** Bytes of the body of the request that is served. */
+    private int size;
     private Exchange exchange;
 
     Connection(Channel channel) {
       this.channel = channel;
+      reader = new RequestReader(bodies, () -> busy);
+    }
+
+    /** Sees bytes before they are decoded: from the first one on a request has to come in whole in time. */
+    ChannelInboundHandlerAdapter arrivals() {
+      return new ChannelInboundHandlerAdapter() {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object bytes) {
+          if (deaf) {
+            ReferenceCountUtil.release(bytes);
+            return;
+          }
+          begun = true;
+          if (clients.is(Connection.this, State.IDLE)) {
+            clients.move(Connection.this, State.READING);
+          }
+          context.fireChannelRead(bytes);
+        }
+      };
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
-      connections.add(this);
-      idle.add(this);
+      clients.move(this, State.READING);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-      if (busy) {
+      if (deaf) {
+        return;
+      }
+      deaf = !request.decoderResult().isSuccess();
+      if (!busy) {
+        take(request);
+      } else if (early.size() < MOST_EARLY) {
         early.add(request.retain());
         channel.config().setAutoRead(false);
       } else {
-        take(request);
+        // Guards the memory: switching off reading alone does not stop what the decoder has already.
+        FullHttpRequest last = early.peekLast();
+        last.setDecoderResult(DecoderResult.failure(new TooLongFrameException("too many requests at once")));
+        deaf = true;
       }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-      connections.remove(this);
-      idle.remove(this);
+      clients.remove(this);
       early.forEach(FullHttpRequest::release);
       early.clear();
+      reader.release();
       if (exchange != null) {
         node.clientGone(exchange);
         exchange = null;
@@ -167,21 +228,41 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      if (!(cause instanceof IOException)) {
-        LOG.log(Level.WARNING, "connection from " + channel.remoteAddress(), cause);
+      boolean usual = cause instanceof IOException || cause instanceof CodecException;
+      LOG.log(usual ? Level.FINE : Level.WARNING, "connection from " + channel.remoteAddress(), cause);
+      if (cause instanceof IOException || !deaf) {
+        context.close();
+      } // Otherwise it speaks of what is not read any more; what came before it is still answered.
+    }
+
+    @Override
+    public void overdue() {
+      if (begun) {
+        deaf = true;
+        busy = true;
+        answer(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in whole");
+      } else {
+        close();
       }
-      context.close();
+    }
+
+    @Override
+    public void close() {
+      clients.remove(this);
+      channel.close();
     }
 
     private void take(FullHttpRequest request) {
       busy = true;
-      idle.remove(this);
-      keepAlive = HttpUtil.isKeepAlive(request) && request.decoderResult().isSuccess();
+      begun = false;
+      size = request.content().readableBytes();
+      clients.move(this, State.SERVED);
+      keepAlive = HttpUtil.isKeepAlive(request);
       String uri = request.uri();
       int query = uri.indexOf('?');
       String path = query < 0 ? uri : uri.substring(0, query);
       if (!request.decoderResult().isSuccess()) {
-        answer(HttpResponseStatus.BAD_REQUEST, "malformed request");
+        answer(status(request.decoderResult().cause()), "malformed request");
       } else if (path.equals(HEALTH)) {
         boolean serves = ready && !stopping && node.canServe();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
@@ -196,21 +277,31 @@
 
     private void serve(FullHttpRequest request) {
       HttpHeaders headers = request.headers();
+      String id = headers.get(ID, "");
+      String tenant = headers.get(TENANT);
       RequestClass type = classes.get(headers.get(CLASS, ""));
-      long expires = headers.contains(EXPIRES) ? wholeNumber(headers.get(EXPIRES)) : -1;
-      if (headers.get(ID, "").isEmpty()) {
-        answer(HttpResponseStatus.BAD_REQUEST, ID + " is missing");
+      long expires = headers.contains(EXPIRES) ? wholeNumber(headers.get(EXPIRES)) : Long.MAX_VALUE;
+      if (id.isEmpty() || id.length() > MOST_NAME) {
+        answer(HttpResponseStatus.BAD_REQUEST, ID + " is missing or too long");
       } else if (type == null) {
         answer(HttpResponseStatus.BAD_REQUEST, CLASS + " names no known class");
-      } else if (headers.contains(EXPIRES) && expires < 0) {
+      } else if (tenant != null && !tenants.isEmpty() && !tenants.contains(tenant)) {
+        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " names no known tenant");
+      } else if (tenant != null && tenant.length() > MOST_NAME) {
+        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " is too long");
+      } else if (expires < 0) {
         answer(HttpResponseStatus.BAD_REQUEST, EXPIRES + " is not a number of milliseconds");
       } else if (type.effect() == Effect.KEYED && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
         // Guards a keyed class: without the key no upstream could drop a repeat.
         answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
+      } else if (node.isOpen(id)) {
+        // Guards the client whose request it is, and its effect.
+        answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
       } else {
-        long wait = expires < 0 ? type.deadlineNanos() : TimeUnit.MILLISECONDS.toNanos(expires);
+        // No client waits for longer than its class's deadline, and nothing is kept for longer.
+        long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
-        exchange = new Exchange(type, headers.get(TENANT), key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
+        exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
             "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, request.retain(), this::answer);
         node.take(exchange);
       }
@@ -220,7 +311,9 @@
       for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
         for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
           if (cookie.name().equals(KEY_COOKIE)) {
-            return cookie.value();
+            // Guards the memory: keys are kept, and a long one counts by its hash.
+            String value = cookie.value();
+            return value.length() <= MOST_NAME ? value : Integer.toHexString(value.hashCode());
           }
         }
       }
@@ -245,32 +338,57 @@
         response.headers().set(HttpHeaderNames.RETRY_AFTER,
             String.format(Locale.ROOT, "%.3f", Math.ceil(retryAfterNanos / 1e6) / 1e3));
       }
-      boolean keep = keepAlive && !stopping;
+      // What waits for its turn has been taken, and is answered before the connection ends.
+      boolean keep = keepAlive && (!early.isEmpty() || !deaf && !stopping);
       HttpUtil.setKeepAlive(response, keep);
       channel.writeAndFlush(response).addListener(f -> {
-        if (!keep || !f.isSuccess()) {
+        if (!f.isSuccess() || !keep && !deaf) {
           channel.close();
+        } else if (!keep) {
+          leave();
         } else {
           next();
         }
       });
     }
 
+    /** Guards the error on its way: to close over bytes that were not read would reset it away. */
+    private void leave() {
+      clients.move(this, State.LEAVING);
+      channel.config().setAutoRead(false);
+      if (channel instanceof DuplexChannel duplex) {
+        duplex.shutdownOutput();
+      }
+    }
+
     private void next() {
       busy = false;
+      reader.release(size);
       FullHttpRequest request = early.poll();
       if (request != null) {
         take(request);
         request.release();
       } else if (channel.isActive()) {
-        idle.add(this);
+        clients.move(this, begun ? State.READING : State.IDLE);
       }
-      if (early.isEmpty()) {
+      if (early.isEmpty() && !deaf) {
         channel.config().setAutoRead(true);
       }
     }
   }
 
+  /** How a request that can't be read is answered. */
+  private static HttpResponseStatus status(Throwable cause) {
+    if (cause instanceof TooLongHttpContentException) {
+      return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
+    } else if (cause instanceof TooLongHttpLineException) {
+      return HttpResponseStatus.REQUEST_URI_TOO_LONG;
+    } else if (cause instanceof TooLongHttpHeaderException) {
+      return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+    }
+    return HttpResponseStatus.BAD_REQUEST;
+  }
+
   /** The number, or -1 for anything but digits. */
   private static long wholeNumber(String text) {
     boolean digits = !text.isEmpty() && text.length() <= MOST_DIGITS
--- a/src/main/java/cloverpulley/serve/Node.java
+++ b/src/main/java/cloverpulley/serve/Node.java
@@ -36,8 +36,10 @@
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
@@ -67,6 +69,8 @@
   private final ListSource lists;
   private final PeerSender peers;
   private final Map<String, Exchange> exchanges = new HashMap<>();
+  /** The clients' ids of the same. */
+  private final Set<String> traceIds = new HashSet<>();
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
   private final ArrayDeque<Supplier<Event>> queue = new ArrayDeque<>();
   private boolean scheduled;
@@ -107,11 +111,17 @@
   void take(Exchange x) {
     x.id = "r" + taken++;
     exchanges.put(x.id, x);
+    traceIds.add(x.traceId);
     x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
     enqueue(() -> x.isEnded() ? null
         : new Request(x.id, x.type.name(), x.tenant, x.key, x.deadline, x.hintNanos, x.retry));
   }
 
+  /** Whether a request with this id of a client's is in hand, or an attempt of it is still out. */
+  boolean isOpen(String traceId) {
+    return traceIds.contains(traceId);
+  }
+
   /** The client has closed its connection. */
   void clientGone(Exchange x) {
     x.abandon();
@@ -208,6 +218,7 @@
     }
     failAll();
     exchanges.clear();
+    traceIds.clear();
     queue.clear();
     module = modules.apply(++generation);
     ListNews held = fleet.held();
@@ -221,6 +232,7 @@
   private void forget(Exchange x) {
     if (x != null && x.isEnded() && x.outstanding == 0) {
       exchanges.remove(x.id);
+      traceIds.remove(x.traceId);
     }
   }
 
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -26,6 +26,8 @@
   private static final Logger LOG = Logger.getLogger(Server.class.getName());
 
   private static final int BACKLOG = 1024;
+  /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
+  private static final int BODIES_PART = 16;
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
   /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
   private static final long AGENT_RETRY_MILLIS = 200;
@@ -94,7 +96,7 @@
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), fleet::revision, this::news);
     node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
-    frontend = new Frontend(node, clock, sockets, pool, config.settings().classes());
+    frontend = new Frontend(node, clock, sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
     node.news(ListKind.CACHED, config.known());
     if (pushed) {
       discovery.watch(true);
--- a/src/main/java/cloverpulley/serve/Sockets.java
+++ b/src/main/java/cloverpulley/serve/Sockets.java
@@ -5,16 +5,23 @@
 /** Counts the open sockets against what the process may hold. */
 final class Sockets {
 
-  /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery. */
-  private static final int OWN = 64;
-  /** Kept for clients, whose connections the machine accepts whether or not there is room. */
-  private static final int FOR_CLIENTS = 64;
-
+  /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery before and after a move. */
+  private static final int OWN = 24;
+  /**
+   * Kept free: up to 16 connections are accepted before any is closed for them, and a closed one keeps its descriptor until
+   * the next look at all sockets. Without one the acceptor would rest for a second.
+   */
+  private static final int SPARE = 32;
+  /** The part of the rest that clients may hold while others could go: each request needs one more to an upstream. */
+  private static final double CLIENT_PART = 0.5;
+
+  private final int limit;
   private final int most;
   private int open;
 
   Sockets(int limit) {
-    most = limit - OWN;
+    this.limit = limit;
+    most = limit - OWN - SPARE;
   }
 
   void opened(Channel channel) {
@@ -22,12 +29,18 @@
     channel.closeFuture().addListener(f -> open--);
   }
 
-  /** Whether so few are open that one more may go to an upstream. */
-  boolean roomForUpstream() {
-    return open < most - FOR_CLIENTS;
+  /** Whether one more may be opened. */
+  boolean hasRoom() {
+    return open < most;
   }
 
-  boolean roomForClient() {
-    return open < most;
+  /** Whether the spare ones are nearly gone as well. */
+  boolean isFull() {
+    return open > limit - OWN - SPARE / 2;
+  }
+
+  /** How many connections of clients may be kept. */
+  int forClients() {
+    return (int) (most * CLIENT_PART);
   }
 }
--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -76,7 +76,7 @@
       reused.write(call, request);
       return;
     }
-    if (!sockets.roomForUpstream() && !closeOldest()) {
+    if (!sockets.hasRoom() && !closeOldest()) {
       request.release();
       call.end(Status.CONNECT_FAILED, null);
       return;
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -54,7 +54,7 @@
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
     try {
       Promise<Void> done = group.next().newPromise();
-      Client client = new Client(settings.classes(), done);
+      Client client = new Client(settings, done);
       group.execute(() -> start(group, settings, client));
       if (!done.awaitUninterruptibly(MOST_MILLIS)) {
         LOG.fine("warm-up cut short after " + client.asked + " requests");
@@ -74,7 +74,7 @@
         settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1));
     Node node = new Node(group.next(), clock, settings, false, n -> new Logic(settings, n), fleet, pool,
         new NoList(), (to, data) -> { });
-    Frontend frontend = new Frontend(node, clock, sockets, pool, settings.classes());
+    Frontend frontend = new Frontend(node, clock, sockets, pool, settings, Long.MAX_VALUE);
     node.news(ListKind.CACHED, new ServerList(0, true,
         List.of(new Server("warm-up", upstream, settings.zone(), 0, State.READY, 1, 0))));
     ServerBootstrap listeners = new ServerBootstrap().group(group).channel(LocalServerChannel.class);
@@ -117,11 +117,13 @@
   /** A client that asks again as soon as it has its answer. */
   private static final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final List<RequestClass> classes;
+    private final String tenant;
     private final Promise<Void> done;
     private volatile int asked;
 
-    Client(List<RequestClass> classes, Promise<Void> done) {
-      this.classes = classes;
+    Client(Settings settings, Promise<Void> done) {
+      classes = settings.classes();
+      tenant = settings.tenants().isEmpty() ? "warm-up" : settings.tenants().get(0).name();
       this.done = done;
     }
 
@@ -144,7 +146,7 @@
       FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, Frontend.API,
           Unpooled.wrappedBuffer(new byte[200]));
       request.headers().set(HttpHeaderNames.HOST, "warm-up").set(Frontend.ID, "warm-up-" + asked)
-          .set(Frontend.CLASS, type.name()).set(Frontend.TENANT, "warm-up").set(Frontend.HINT, 10_000)
+          .set(Frontend.CLASS, type.name()).set(Frontend.TENANT, tenant).set(Frontend.HINT, 10_000)
           .set(Frontend.IDEMPOTENCY_KEY, asked).set(HttpHeaderNames.COOKIE, Frontend.KEY_COOKIE + "=" + asked % 100)
           .set(Frontend.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
           .set(HttpHeaderNames.CONTENT_LENGTH, 200);
--- /dev/null
+++ b/src/test/java/cloverpulley/serve/ClientTest.java
@@ -0,0 +1,183 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.serve.Rig.Client;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Clients that send what can't be used, or nothing: each gets an error or a close, and no one else notices. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class ClientTest {
+
+  private static final String NOWHERE = "127.0.0.1:1";
+  private static final String TENANTS = "\"projects\":[{\"name\":\"acme\",\"portion\":1.0,\"quota-per-s\":100000.0}],";
+
+  private static Config one(StubServer upstream, int sockets) throws IOException {
+    return Rig.config(NOWHERE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")), "on_request", 200,
+        sockets, "");
+  }
+
+  /** The error says what is wrong, the connection ends, and what follows on it is not looked at. */
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+    "POST /api HTTP/1.1~Content-Length: 4~Transfer-Encoding: chunked~~0~~ | 400",
+    "POST /api HTTP/1.1~Transfer-Encoding: chunked~Content-Length: 4~~0~~ | 400",
+    "POST /api HTTP/1.1~Transfer-Encoding: identity~~ | 400",
+    "POST /api HTTP/1.1~Transfer-Encoding: chunked, identity~~0~~ | 400",
+    "POST /api HTTP/1.1~Content-Length: 1~Content-Length: 2~~x | 400",
+    "POST /api HTTP/1.1~Content-Length: -1~~ | 400",
+    "POST /api HTTP/1.1~Content-Length: 99999999999999999999~~ | 400",
+    "POST /api HTTP/1.1~Content-Length: 60000000~~ | 413",
+    "POST /api HTTP/1.1~Transfer-Encoding: chunked~~zz~~ | 400",
+    "nonsense~~ | 400"})
+  void whatCannotBeReadEndsTheConnection(String bad, int status) throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream, 1024));
+        Client client = rig.client()) {
+      String head = "X-Trace-Id: bad~X-Qos: keyed~Idempotency-Key: k~";
+      String text = bad.trim().replaceFirst("HTTP/1.1~", "HTTP/1.1~" + head).replace("~", "\r\n");
+      client.write(text + Rig.get("hidden", ""));
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 " + status + " ") && answer.contains("connection: close\r\n"), answer);
+      assertNull(client.answer());
+      try (Client good = rig.client()) {
+        assertTrue(good.ask(Rig.get("good", "")).startsWith("HTTP/1.1 200 "));
+      }
+      assertTrue(upstream.requests.take().contains("X-Trace-Id: good\r\n"));
+      assertNull(upstream.requests.poll());
+    }
+  }
+
+  /** Guards the order of answers: an error must not overtake the answer to what came before it. */
+  @Test
+  void anErrorWaitsForItsTurn() throws Exception {
+    CountDownLatch bad = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      bad.await();
+      c.write(StubServer.ok("first"));
+      c.ends();
+    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client()) {
+      client.write(Rig.get("t", ""));
+      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      client.write("POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 65537\r\n\r\n");
+      bad.countDown();
+      assertTrue(client.answer().endsWith("\r\n\r\nfirst"));
+      assertTrue(client.answer().startsWith("HTTP/1.1 413 "));
+      assertNull(client.answer());
+    }
+  }
+
+  /** Guards the memory: what comes early is held, and hundreds of requests at once are too many. */
+  @Test
+  void hundredsOfRequestsAtOnceAreCutOff() throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      for (String r = c.next(); r != null; r = c.next()) {
+        done.await();
+        c.write(StubServer.ok("x"));
+      }
+    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client(); Client other = rig.client()) {
+      StringBuilder many = new StringBuilder();
+      for (int i = 0; i < 500; i++) {
+        many.append(Rig.get("t" + i, ""));
+      }
+      client.write(many.toString());
+      for (int i = 0; i < 200; i++) {
+        // Each answer takes a look at all sockets, and each look reads more of the requests than there is room for.
+        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+      }
+      done.countDown();
+      List<String> answers = new ArrayList<>();
+      for (String answer = client.answer(); answer != null; answer = client.answer()) {
+        answers.add(answer);
+      }
+      assertTrue(answers.size() < 100, "answers: " + answers.size());
+      assertTrue(answers.get(0).startsWith("HTTP/1.1 200 "), answers.get(0));
+      assertTrue(answers.get(answers.size() - 1).startsWith("HTTP/1.1 400 "), answers.size() + answers.get(answers.size() - 1));
+    }
+  }
+
+  /** Guards another client's request, and its effect, from one who uses its id. */
+  @Test
+  void theIdOfARequestInHandIsAConflict() throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      while (c.next() != null) {
+        done.await();
+        c.write(StubServer.ok("x"));
+      }
+    }); Rig rig = new Rig(one(upstream, 1024)); Client client = rig.client(); Client thief = rig.client()) {
+      client.write(Rig.get("t", ""));
+      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      assertTrue(thief.ask(Rig.get("t", "")).startsWith("HTTP/1.1 409 "));
+      done.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      assertTrue(thief.ask(Rig.get("t", "")).startsWith("HTTP/1.1 200 "), "free again");
+      assertEquals(2, upstream.requests.size() + 1);
+    }
+  }
+
+  @Test
+  void anUnknownTenantAndAnEndlessNameAreErrors() throws Exception {
+    Config config = Config.parse(Rig.text(NOWHERE, Rig.list(1, true), "on_request", 200, 1024, "")
+        .replace("\"settings\":{", "\"settings\":{" + TENANTS), Map.of());
+    try (Rig rig = new Rig(config); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("t", "X-Customer: nobody\r\n")).startsWith("HTTP/1.1 400 "));
+      assertTrue(client.ask(Rig.get("t".repeat(1000), "X-Customer: acme\r\n")).startsWith("HTTP/1.1 400 "));
+    }
+  }
+
+  /** Guards the descriptors from clients that connect and say nothing, or never come to an end. */
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {"'' | ''", "GET /api HT | HTTP/1.1 408 ",
+    "POST /api HTTP/1.1~X-Trace-Id: t~Content-Length: 5~~half | HTTP/1.1 408 "})
+  void withoutAWholeRequestAConnectionEnds(String part, String answer) throws Exception {
+    try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true))); Client client = rig.client()) {
+      client.write(part.replace("~", "\r\n"));
+      String got = client.answer();
+      assertTrue(answer.isEmpty() ? got == null : got.startsWith(answer), got);
+      assertTrue(got == null || client.answer() == null, "and the connection ends");
+    }
+  }
+
+  /** Guards usual clients at the limit: first go those that never asked, and never one with a request open. */
+  @Test
+  void atTheLimitClientsThatNeverAskedGoFirst() throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    List<Client> silent = new ArrayList<>();
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      done.await();
+      c.write(StubServer.ok("x"));
+      c.ends();
+    }); Rig rig = new Rig(one(upstream, 72)); Client served = rig.client(); Client idle = rig.client()) {
+      String health = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+      assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "));
+      served.write(Rig.get("t", ""));
+      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      for (int i = 0; i < 60; i++) {
+        silent.add(rig.client());
+      }
+      assertNull(silent.get(0).answer(), "closed");
+      assertTrue(idle.ask(health).startsWith("HTTP/1.1 200 "), "one that has asked stays");
+      done.countDown();
+      assertTrue(served.answer().startsWith("HTTP/1.1 200 "));
+    } finally {
+      for (Client client : silent) {
+        client.close();
+      }
+    }
+  }
+}
