Answers of upstreams: nothing is reused or believed beyond its end

Suspected: a surplus answer is taken for the next call's on a connection reused at once; noise or a head without end holds a request until its deadline; a 3 GB answer; a connection that answers after its upstream drained goes back to idle. All seen to fail in AttemptTest (six spoilt answers, 1xx without end, surplus at once and later) before the change. Now: a rest of 10 ms and a read before reuse, bytes without a call close, an answer that has begun has 300 ms to be whole.

--- a/src/main/java/cloverpulley/serve/LoadReport.java
+++ b/src/main/java/cloverpulley/serve/LoadReport.java
@@ -23,7 +23,10 @@
       int equals = part.indexOf('=');
       try {
         if (equals > 0) {
-          figures.put(part.substring(0, equals).trim(), Double.parseDouble(part.substring(equals + 1).trim()));
+          double figure = Double.parseDouble(part.substring(equals + 1).trim());
+          if (Double.isFinite(figure)) {
+            figures.put(part.substring(0, equals).trim(), figure);
+          }
         }
       } catch (NumberFormatException e) {
         // A report is a hint: one odd figure does not void the others, let alone the answer.
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -12,7 +12,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
@@ -86,10 +85,10 @@
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(config.sockets());
-    Bootstrap connections = new Bootstrap().group(group).channel(NioSocketChannel.class)
+    Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true);
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos());
+        config.idleNanos(), fleet::isReady);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.Balancer.Status;
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,17 +10,24 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,24 +51,37 @@
    * upstream's own closing would be a reset. */
   private static final double IDLE_PART = 0.7;
   private static final long SWEEP_MILLIS = 250;
+  /** After an answer a connection rests for this long: what came with it beyond its end shows by then. */
+  private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  /** An answer that has begun and is not whole after this won't be: its head does not end or its length does not fit. */
+  private static final long ANSWER_MILLIS = 300;
+  /** More 1xx answers than this ahead of one are without end. */
+  private static final int MOST_INFORMATIONAL = 16;
+  /** What every answer begins with. */
+  private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
   private final Bootstrap bootstrap;
   private final Sockets sockets;
   private final long idleNanos;
+  private final LongPredicate ready;
   /** Idle connections of an upstream, the one used last in front. */
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
 
-  UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos) {
+  /** {@code ready} tells of an upstream whether anything new may go to it. */
+  UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
+      LongPredicate ready) {
     this.sockets = sockets;
+    this.ready = ready;
     idleNanos = (long) (upstreamIdleNanos * IDLE_PART);
     this.bootstrap = bootstrap.clone()
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos))
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new HttpClientCodec(), new Framed(),
-                new HttpObjectAggregator(Frontend.MOST_BODY), new Connection(channel));
+            Connection connection = new Connection(channel);
+            channel.pipeline().addLast(connection.arrivals(), new HttpClientCodec(), new Framed(), new AnswerReader(),
+                connection);
           }
         });
     bootstrap.config().group().next()
@@ -149,12 +170,15 @@
   }
 
   private Connection reuse(long upstream, SocketAddress address) {
-    ArrayDeque<Connection> connections = idle.getOrDefault(upstream, new ArrayDeque<>());
-    for (Connection c = connections.poll(); c != null; c = connections.poll()) {
-      if (c.channel.isActive() && c.channel.remoteAddress().equals(address)) {
-        return c;
+    long now = System.nanoTime();
+    for (Connection c : List.copyOf(idle.getOrDefault(upstream, new ArrayDeque<>()))) {
+      if (now - c.idleSince >= REST_NANOS) {
+        idle.get(upstream).remove(c);
+        if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && c.isQuiet()) {
+          return c;
+        }
+        c.channel.close();
       }
-      c.channel.close();
     }
     return null;
   }
@@ -179,11 +203,74 @@
     long upstream;
     long idleSince;
     private Call call;
+    /** Bytes of the answer that have been looked at. */
+    private int begun;
+    private int informational;
+    private Future<?> wholeBy;
 
     Connection(Channel channel) {
       this.channel = channel;
     }
 
+    /**
+     * Sees bytes before they are decoded. Guards against what belongs to no call, which would be taken for the answer to
+     * the next one, and against answers that keep a client waiting until its time is up.
+     */
+    ChannelInboundHandlerAdapter arrivals() {
+      return new ChannelInboundHandlerAdapter() {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+          ByteBuf bytes = (ByteBuf) message;
+          if (call == null || !begins(bytes)) {
+            bytes.release();
+            spoilt();
+          } else {
+            context.fireChannelRead(bytes);
+          }
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext context) {
+          context.fireChannelReadComplete();
+          if (call != null && begun > 0 && wholeBy == null) {
+            wholeBy = channel.eventLoop().schedule(Connection.this::spoilt, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+          }
+        }
+      };
+    }
+
+    private boolean begins(ByteBuf bytes) {
+      for (int i = 0; begun < START.length && i < bytes.readableBytes(); i++) {
+        if (bytes.getByte(bytes.readerIndex() + i) != START[begun++]) {
+          return false;
+        }
+      }
+      return true;
+    }
+
+    private void nothingBegun() {
+      begun = 0;
+      if (wholeBy != null) {
+        wholeBy.cancel(false);
+        wholeBy = null;
+      }
+    }
+
+    /** The connection is of no use any more; the call on it may have run. */
+    private void spoilt() {
+      Call spoilt = call;
+      call = null;
+      nothingBegun();
+      channel.close();
+      if (spoilt != null) {
+        spoilt.end(Status.RESET, null);
+      }
+    }
+
+    boolean isQuiet() {
+      return !(channel instanceof UpstreamSocket socket) || socket.isQuiet();
+    }
+
     void write(Call next, FullHttpRequest request) {
       call = next;
       upstream = next.upstream;
@@ -200,27 +287,38 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      nothingBegun();
+      if (call == null) {
+        channel.close();
+        return;
+      }
       if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (++informational > MOST_INFORMATIONAL || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+          spoilt();
+        }
         return;
       }
       Call answered = call;
       call = null;
-      // An answer to nothing, or one that overtook its request, leaves a connection in an unknown state.
-      boolean reusable = answered != null && !answered.isDone() && answered.written && response.decoderResult().isSuccess()
-          && HttpUtil.isKeepAlive(response);
-      if (reusable) {
+      informational = 0;
+      Status status = status(response);
+      if (status == Status.SERVED && !answered.written) {
+        // Guards the client: what came before its request had left is another's.
+        status = Status.RESET;
+      }
+      if (status != Status.RESET && answered.written && !answered.isDone() && HttpUtil.isKeepAlive(response)
+          && ready.test(upstream)) {
         idleSince = System.nanoTime();
         idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
       } else {
         channel.close();
       }
-      if (answered != null) {
-        answered.end(status(response), response);
-      }
+      answered.end(status, response);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      nothingBegun();
       ArrayDeque<Connection> connections = idle.get(upstream);
       if (connections != null) {
         connections.remove(this);
@@ -233,13 +331,27 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-      if (!(cause instanceof IOException)) {
-        LOG.log(Level.WARNING, "connection to " + channel.remoteAddress(), cause);
-      }
+      boolean usual = cause instanceof IOException || cause instanceof CodecException;
+      LOG.log(usual ? Level.FINE : Level.WARNING, "connection to " + channel.remoteAddress(), cause);
       context.close();
     }
   }
 
+  /** Puts the parts of an answer together; one that is too large comes on as one that failed, without a byte of it. */
+  private static final class AnswerReader extends HttpObjectAggregator {
+
+    AnswerReader() {
+      super(Frontend.MOST_BODY);
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
+      FullHttpResponse failed = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
+      failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
+      context.fireChannelRead(failed);
+    }
+  }
+
   /**
    * Guards against a 200 cut short that looks whole: without a length only the connection's end marks the body's, and
    * a process that dies ends it just so. Such an answer counts as broken.
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -71,7 +71,7 @@
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(Integer.MAX_VALUE);
     UpstreamPool pool = new UpstreamPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
-        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1));
+        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady);
     Node node = new Node(group.next(), clock, settings, false, n -> new Logic(settings, n), fleet, pool,
         new NoList(), (to, data) -> { });
     Frontend frontend = new Frontend(node, clock, sockets, pool, settings, Long.MAX_VALUE);
--- a/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -20,6 +20,12 @@
 import cloverpulley.Balancer.ListNews;
 import cloverpulley.serve.Rig.Client;
 import cloverpulley.serve.Rig.Script;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -106,6 +112,81 @@
     }
   }
 
+  /** Guards a client from waiting until its time is up, where the connection stays open and brings no whole answer. */
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {
+    "noise without a line's end",
+    "HTTP/1.1 200 OK~X-Endless: ",
+    "HTTP/1.1 200 OK~Content-Length: 20~~short",
+    "HTTP/1.1 200 OK~Content-Length: 3000000000~~and it keeps coming",
+    "HTTP/1.1 200 OK~Transfer-Encoding: chunked~~5~short",
+    "HTTP/1.1 500 Oh~~no length and no end"})
+  void aSpoiltAnswerOnAnOpenConnectionIsABrokenAttempt(String answer) throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(answer.replace("~", "\r\n"));
+      new CountDownLatch(1).await();
+    }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("t", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(Status.RESET, module.next(Outcome.class).status());
+      assertTrue(upstream.connections.take().ends(), "its connection is closed");
+    }
+  }
+
+  @Test
+  void informationalAnswersWithoutEndAreABrokenAttempt() throws Exception {
+    Script module = new Script(LONG);
+    try (StubServer upstream = StubServer.answering("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100));
+        Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      client.ask(Rig.get("t", ""));
+      assertEquals(Status.RESET, module.next(Outcome.class).status());
+    }
+  }
+
+  /** Guards the next client on a connection: what an answer brings beyond its end is not the next one's. */
+  @ParameterizedTest
+  @CsvSource(delimiter = '|', value = {"true", "false"})
+  void whatFollowsAnAnswerIsNotTakenForTheNext(boolean atOnce) throws Exception {
+    Script module = new Script(LONG);
+    String surplus = StubServer.ok("surplus");
+    try (StubServer upstream = new StubServer(c -> {
+      String request = c.next();
+      String answer = StubServer.ok(request.contains("X-Trace-Id: t1") ? "first" : "second");
+      c.write(atOnce ? answer + surplus : answer);
+      if (!atOnce) {
+        c.write(surplus);
+      }
+      c.next();
+    }); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("t1", "")).endsWith("\r\n\r\nfirst"));
+      assertTrue(upstream.connections.take().awaitEnd(), "closed by the balancer");
+      assertTrue(client.ask(Rig.get("t2", "")).endsWith("\r\n\r\nsecond"));
+    }
+  }
+
+  /** Guards the second before the loop sees it: a connection with something unread on it is not written to. */
+  @Test
+  void aConnectionOnWhichSomethingHasComeIsNotQuiet() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      try {
+        UpstreamSocket socket = (UpstreamSocket) new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
+            .option(ChannelOption.AUTO_READ, false).handler(new ChannelInboundHandlerAdapter())
+            .connect(listener.getLocalSocketAddress()).sync().channel();
+        try (Socket peer = listener.accept()) {
+          assertTrue(socket.isQuiet());
+          peer.getOutputStream().write(1);
+          while (socket.isQuiet()) {
+            Thread.onSpinWait();
+          }
+        }
+      } finally {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+      }
+    }
+  }
+
   @Test
   void aRefusedConnectionNeverRan() throws Exception {
     String closed;
