A header line without a colon spoils an answer

Netty takes the first word of a response's header line for its name where there is no colon. Ruled out: surplus answers, lengths.

--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -15,9 +15,9 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -80,8 +80,8 @@
           @Override
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(connection.arrivals(), new HttpClientCodec(), new Framed(), new AnswerReader(),
-                connection);
+            channel.pipeline().addLast(connection.arrivals(), new HttpRequestEncoder(), new AnswerDecoder(), new Framed(),
+                new AnswerReader(), connection);
           }
         });
     bootstrap.config().group().next()
