A balancer that stops serves its clients on; idle windows go, one hint is bounded

From SIGTERM to the next start the platform lets 4.2 to 4.7 s pass, however soon a balancer ends; this one closed every client's connection with its next answer and had nothing to do after 0.7 s. Ruled out: loop lag (under 20 ms), descriptors (at most 253 of 328), upstream failures. At fault: Server.stop and Frontend.stopping. Now it serves on what is connected for 2.2 s, with /healthz at 503 at once, and has 1.2 s for what is then in hand. Tests: ServeTest, AdmissionTest, both seen to fail without.

--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,8 +35,10 @@
    * quota against chance arrivals. */
   private static final double QUOTA_BURST = 1;
   private static final double QUOTA_LEAST = 10;
-  /** Keys kept; the one idle longest goes first. */
-  private static final int MAX_KEYS = 20_000;
+  /** Keys kept at most; the one idle longest goes first. */
+  private static final int MAX_KEYS = 8_000;
+  /** Windows looked at for each one asked for: more than one new one a time can't pile up. */
+  private static final int FORGET = 2;
   /** Windows over which a healthy fleet's usual in-flight is learned: slower than a crowd forms. */
   private static final double USUAL_WINDOWS = 2;
   /** Step of the mean of what latency and hint are usual: some 200 requests. */
@@ -71,6 +74,8 @@
   private static final double RETRY_MOST = 20;
   /** A hinted request counts for this many mean ones at most, and no less than its inverse. */
   private static final double HINT_MOST = 4;
+  /** And moves what is usual by no more than one of this many usual ones. */
+  private static final double HINT_TRUST = 20;
   /** Ring points of an upstream of ordinary weight: enough for a spread within some 10%. */
   private static final int POINTS = 100;
   /** A weight counts for this many times the median at most, and no less than its inverse. */
@@ -214,12 +219,19 @@
 
   private Window windowOf(String name) {
     Window w = windows.computeIfAbsent(name, k -> new Window(window, now));
-    if (windows.size() > MAX_KEYS) {
-      windows.remove(windows.keySet().iterator().next());
+    // One idle for its length tells what a new one does. Guards the memory: on long days keys are ever new.
+    Iterator<Window> eldest = windows.values().iterator();
+    for (int i = 0; i < FORGET && windows.size() > 1
+        && (windows.size() > MAX_KEYS | eldest.next().isIdle(now)); i++) {
+      eldest.remove();
     }
     return w;
   }
 
+  int windowsKept() {
+    return windows.size();
+  }
+
   /** Refuses at the allowed rate; the key is the endpoint: class, tenant, within or over quota. Overload of
    * the fleet is nobody's key, so the line takes the worse of its mean and the fleet's. Work over a quota is
    * worth less, so its line falls sooner: one tenant throttles itself first. */
@@ -251,7 +263,9 @@
     if (hint <= 0) {
       return 1;
     }
-    usualHint += (hint - usualHint) * (usualHint == 0 ? 1 : USUAL_STEP);
+    // Guards against one hint that is out of all proportion: it would make all others light, and for long.
+    usualHint += usualHint == 0 ? Math.min(hint, shortestAim)
+        : (Math.min(hint, HINT_TRUST * usualHint) - usualHint) * USUAL_STEP;
     return Math.min(HINT_MOST, Math.max(1 / HINT_MOST, hint / usualHint));
   }
 
--- a/src/main/java/cloverpulley/Window.java
+++ b/src/main/java/cloverpulley/Window.java
@@ -24,6 +24,11 @@
     slots[metric.ordinal()][(int) (slot % SLOTS)] += amount;
   }
 
+  /** Whether all that it held is forgotten. */
+  boolean isIdle(long now) {
+    return now / slotNanos - slot >= SLOTS;
+  }
+
   double total(long now, Metric metric) {
     long current = now / slotNanos;
     for (long s = Math.max(slot + 1, current - SLOTS + 1); s <= current; s++) {
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -90,6 +90,7 @@
   private Channel listener;
   private boolean ready;
   private boolean stopping;
+  private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
   Frontend(Node node, Clock clock, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
@@ -124,14 +125,19 @@
     ready = true;
   }
 
-  /** From here on every answer closes its connection and {@code /healthz} sends clients elsewhere. */
+  /** From here on {@code /healthz} sends clients elsewhere. */
   void stopping() {
     stopping = true;
   }
 
-  /** Accepts no more, and closes the connections that are owed nothing. */
-  void close() {
+  /** New connections are refused. */
+  void acceptNoMore() {
     listener.close();
+  }
+
+  /** From here on every answer closes its connection; those that are owed nothing are closed. */
+  void close() {
+    closing = true;
     clients.closeUnserved();
   }
 
@@ -339,7 +345,7 @@
             String.format(Locale.ROOT, "%.3f", Math.ceil(retryAfterNanos / 1e6) / 1e3));
       }
       // What waits for its turn has been taken, and is answered before the connection ends.
-      boolean keep = keepAlive && (!early.isEmpty() || !deaf && !stopping);
+      boolean keep = keepAlive && (!early.isEmpty() || !deaf && !closing);
       HttpUtil.setKeepAlive(response, keep);
       channel.writeAndFlush(response).addListener(f -> {
         if (!f.isSuccess() || !keep && !deaf) {
--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -32,6 +32,11 @@
   private static final long AGENT_RETRY_MILLIS = 200;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
   private static final long ACCEPT_MILLIS = 700;
+  /**
+   * Clients go on using the connections that they have, and while this balancer is away others may be too: it serves them for
+   * this long, and has the rest of the time for what is then in hand.
+   */
+  private static final long SERVE_MILLIS = 2200;
   /** SIGKILL may come 3.7 s after SIGTERM; what then has no answer gets one before. */
   private static final long STOP_MILLIS = 3400;
   private static final long STOP_CHECK_MILLIS = 20;
@@ -157,10 +162,11 @@
     loop.execute(() -> {
       frontend.stopping();
       stopping.countDown();
+      loop.schedule(frontend::acceptNoMore, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
         frontend.close();
         finish();
-      }, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      }, SERVE_MILLIS, TimeUnit.MILLISECONDS);
       loop.schedule(node::failAll, STOP_MILLIS, TimeUnit.MILLISECONDS);
     });
     await(drained);
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/cloverpulley/AdmissionTest.java
@@ -154,4 +154,36 @@
     double refused = refusedShare(d, 800, 10, 2 * Driver.MS, Status.ERROR);
     assertTrue(refused > 0.3, "refused " + refused);
   }
+
+  /** Guards the memory of long days: keys are ever new, and what is kept of one goes once it tells nothing any more. */
+  @Test
+  void keysThatAreIdleForAWindowAreForgotten() {
+    Driver d = new Driver(Driver.safe()).upstreams(3);
+    for (int i = 0; i < 2000; i++) {
+      d.request(d.nextId(), "c", "k" + i);
+      d.serveFor(10 * Driver.MS, Status.SERVED, 10 * Driver.MS);
+    }
+    int kept = ((Logic) d.module).windowsKept();
+    assertTrue(kept < 300, "a window of 1 s holds some 100 of 2,000 keys, and the keys kept are " + kept);
+  }
+
+  /** Guards the loads of all others from one hint that is out of all proportion. */
+  @Test
+  void oneHugeHintDoesNotMakeTheOthersLight() {
+    int usual = sentAtOnceAfter(20 * Driver.MS);
+    assertEquals(usual, sentAtOnceAfter(1_000_000_000_000_000L), usual / 2);
+  }
+
+  private static int sentAtOnceAfter(long odd) {
+    Driver d = new Driver(Driver.safe()).upstreams(1);
+    for (int i = 0; i < 500; i++) {
+      d.request(d.nextId(), "c", null, "k" + i % 10, i == 495 ? odd : 20 * Driver.MS);
+      d.serveFor(20 * Driver.MS, Status.SERVED, 20 * Driver.MS);
+    }
+    int sent = 0;
+    for (int i = 0; i < 30; i++) {
+      sent += Driver.sentTo(d.request(d.nextId(), "c", null, "k" + i, 20 * Driver.MS)) >= 0 ? 1 : 0;
+    }
+    return sent;
+  }
 }
