--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -44,7 +44,7 @@
 
   /** Enough for all code on a request's way to be compiled, and the longest that a start waits for it. */
   private static final int REQUESTS = 2000;
-  private static final long MOST_MILLIS = 300;
+  private static final long MOST_MILLIS = 900;
 
   private static final Logger LOG = Logger.getLogger(Warmup.class.getName());
 
