--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -522,8 +522,11 @@
       learnSlowness(u, Double.MAX_VALUE);
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
       learnSlowness(u, (double) r.type.deadlineNanos() / r.type.aimNanos());
-      // A failure is charged its class's limit, or quick ones would pull the mean down.
-      sample(r, (double) r.type.deadlineNanos() / r.type.aimNanos());
+      // A time-out adds its limit, another failure its latency and no less than the mean: quick ones must not
+      // pull it down. Guards work that others could do: charged the limit, a few resets had it all refused.
+      double took = (double) (now - r.arrived) / r.type.aimNanos();
+      sample(r, o.status() == Status.TIMEOUT ? (double) r.type.deadlineNanos() / r.type.aimNanos()
+          : Math.max(took, Math.max(r.endpoint.mean(now), fleet.mean(now))));
       if (++u.failures >= EJECT_AFTER && u.ejectedUntil <= now) {
         long backoff = Math.min(EJECT_MOST, EJECT_FIRST << Math.min(u.ejections++, 10));
         u.ejectedUntil = now + (long) (backoff * (0.5 + random.nextDouble() / 2));
--- a/src/test/java/cloverpulley/AdmissionTest.java
+++ b/src/test/java/cloverpulley/AdmissionTest.java
@@ -186,4 +186,19 @@
     }
     return sent;
   }
+
+  /** Guards work that others can do: one attempt in eight that is reset at once is no overload. */
+  @Test
+  void resetsAreNotChargedTheWholeDeadline() {
+    Driver d = new Driver(Driver.safe()).upstreams(6);
+    for (int i = 0; i < 1000; i++) {
+      d.request(d.nextId(), "c", "k" + i % 20);
+      if (i % 8 == 0 && !d.outstanding.isEmpty()) {
+        d.end(d.outstanding.get(d.outstanding.size() - 1), Status.RESET, Driver.MS);
+      }
+      d.serveFor(10 * Driver.MS, Status.SERVED, 10 * Driver.MS);
+    }
+    int refused = d.refusals.values().stream().mapToInt(n -> n).sum();
+    assertTrue(refused < 50, "refused: " + refused);
+  }
 }
