The warm-up is bounded by work, not by the clock, and ends with its clients

Cause: in its 0.9 s it made 17 to 75 of 2,000 requests at half a core; then its client either went on for 2 to 3 s, refused, while the start waited for its end, or the process served cold. Warmup.run, lines at fault: the wait by MOST_MILLIS and the client that asked on through shutdownGracefully. Now 16 clients make 300 requests and stop.

--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -10,6 +10,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler.Sharable;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoopGroup;
@@ -34,34 +35,54 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import java.util.stream.IntStream;
 
 /**
  * Runs the program's own code on requests of its own before the first client comes. Everything is the real thing but the
- * transport, which stays inside the process, and the module, which is thrown away. It is short: at a restart clients wait
- * for it, and a longer one lost more while the balancer was away than cold code does.
+ * transport, which stays inside the process, and the module, which is thrown away.
+ *
+ * <p>Guards against a process that serves while its code is still interpreted: with part of a core it is then the bottleneck
+ * itself, and its own delay looks like that of slow upstreams. It is bounded by work, not by the clock: so much time at part of
+ * a core is little work, and left the code cold. It would do harm where a start is urgent and the requests are few: clients
+ * wait for all of it.
  */
 final class Warmup {
 
-  /** Enough for all code on a request's way to be compiled, and the longest that a start waits for it. */
-  private static final int REQUESTS = 2000;
-  private static final long MOST_MILLIS = 900;
+  /** Enough for most code on a request's way to be compiled; what is left costs clients less than a later start. */
+  static final int REQUESTS = 300;
+  /** Clients at one time, as in service: a lone one finds its upstream's connection still at rest and opens a new one each time. */
+  private static final int CLIENTS = 16;
+  private static final int UPSTREAMS = 4;
+  /** A start waits no longer than this: bounds it on a machine that is far slower than any seen. */
+  private static final long MOST_MILLIS = 5000;
 
   private static final Logger LOG = Logger.getLogger(Warmup.class.getName());
 
   private Warmup() {}
 
   static void run(Settings settings) {
+    Count count = run(settings, MOST_MILLIS);
+    if (count.answered < REQUESTS) {
+      LOG.info("warm-up cut short after " + count.answered + " requests");
+    }
+  }
+
+  /** How many requests its clients have asked, and how many of them were answered. */
+  record Count(int asked, int answered) {}
+
+  static Count run(Settings settings, long mostMillis) {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
+    Promise<Void> done = group.next().newPromise();
+    Client client = new Client(settings, done);
     try {
-      Promise<Void> done = group.next().newPromise();
-      Client client = new Client(settings, done);
       group.execute(() -> start(group, settings, client));
-      if (!done.awaitUninterruptibly(MOST_MILLIS)) {
-        LOG.fine("warm-up cut short after " + client.asked + " requests");
-      }
+      done.awaitUninterruptibly(mostMillis);
     } finally {
+      // First the clients: they would go on against upstreams that are closed already, and the start would wait for them.
+      group.submit(() -> client.over = true).syncUninterruptibly();
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
+    return new Count(client.asked, client.answered);
   }
 
   private static void start(EventLoopGroup group, Settings settings, Client client) {
@@ -76,7 +97,8 @@
         new NoList(), (to, data) -> { });
     Frontend frontend = new Frontend(node, clock, sockets, pool, settings, Long.MAX_VALUE);
     node.news(ListKind.CACHED, new ServerList(0, true,
-        List.of(new Server("warm-up", upstream, settings.zone(), 0, State.READY, 1, 0))));
+        IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
+            .toList()));
     ServerBootstrap listeners = new ServerBootstrap().group(group).channel(LocalServerChannel.class);
     listeners.childHandler(new ChannelInitializer<Channel>() {
       @Override
@@ -84,14 +106,18 @@
         channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Frontend.MOST_BODY), new Upstream());
       }
     }).bind(upstream);
-    frontend.listen(listeners, balancer).addListener(f -> new Bootstrap().group(group).channel(LocalChannel.class)
-        .handler(new ChannelInitializer<Channel>() {
-          @Override
-          protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Frontend.MOST_BODY),
-                client);
-          }
-        }).connect(balancer));
+    frontend.listen(listeners, balancer).addListener(f -> {
+      Bootstrap clients = new Bootstrap().group(group).channel(LocalChannel.class)
+          .handler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Frontend.MOST_BODY), client);
+            }
+          });
+      for (int i = 0; i < CLIENTS; i++) {
+        clients.connect(balancer);
+      }
+    });
   }
 
   /** Discovery that never answers. */
@@ -114,12 +140,15 @@
     }
   }
 
-  /** A client that asks again as soon as it has its answer. */
+  /** Clients that ask again as soon as they have their answers. */
+  @Sharable
   private static final class Client extends SimpleChannelInboundHandler<FullHttpResponse> {
     private final List<RequestClass> classes;
     private final String tenant;
     private final Promise<Void> done;
-    private volatile int asked;
+    private int asked;
+    private int answered;
+    private boolean over;
 
     Client(Settings settings, Promise<Void> done) {
       classes = settings.classes();
@@ -134,14 +163,16 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      if (asked < REQUESTS) {
-        ask(context);
-      } else {
+      if (++answered == REQUESTS) {
         done.trySuccess(null);
       }
+      ask(context);
     }
 
     private void ask(ChannelHandlerContext context) {
+      if (over || asked == REQUESTS) {
+        return;
+      }
       RequestClass type = classes.get(asked % classes.size());
       FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, Frontend.API,
           Unpooled.wrappedBuffer(new byte[200]));
