--- a/src/main/java/cloverpulley/Logic.java
+++ b/src/main/java/cloverpulley/Logic.java
@@ -212,9 +212,15 @@
   /** How many times its even part of the traffic this balancer carries: what the median of the other tenants
    * surely asks here against its part. Guards in-share work where a front favours a balancer or peers die. */
   private double carried(String tenant) {
-    double[] times = quotas.keySet().stream().filter(t -> !t.equals(tenant))
-        .mapToDouble(t -> windowOf(t).surely(now, Metric.OFFERED) / quotas.get(t)).sorted().toArray();
-    return times.length == 0 ? 1 : Math.max(1, times[(times.length - 1) / 2]);
+    double[] times = new double[quotas.size()];
+    int others = 0;
+    for (Map.Entry<String, Double> quota : quotas.entrySet()) {
+      if (!quota.getKey().equals(tenant)) {
+        times[others++] = windowOf(quota.getKey()).surely(now, Metric.OFFERED) / quota.getValue();
+      }
+    }
+    Arrays.sort(times, 0, others);
+    return others == 0 ? 1 : Math.max(1, times[(others - 1) / 2]);
   }
 
   private Window windowOf(String name) {
--- a/src/main/java/cloverpulley/serve/Frontend.java
+++ b/src/main/java/cloverpulley/serve/Frontend.java
@@ -36,11 +36,11 @@
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -342,7 +342,7 @@
       }
       if (retryAfterNanos > 0) {
         response.headers().set(HttpHeaderNames.RETRY_AFTER,
-            String.format(Locale.ROOT, "%.3f", Math.ceil(retryAfterNanos / 1e6) / 1e3));
+            BigDecimal.valueOf((long) Math.ceil(retryAfterNanos / 1e6), 3).toPlainString());
       }
       // What waits for its turn has been taken, and is answered before the connection ends.
       boolean keep = keepAlive && (!early.isEmpty() || !deaf && !closing);
