--- a/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -67,6 +67,7 @@
   /** Idle connections of an upstream, the one used last in front. */
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
+  private final Reuse reuse = new Reuse();
 
   /** {@code ready} tells of an upstream whether anything new may go to it. */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
@@ -174,7 +175,9 @@
     for (Connection c : List.copyOf(idle.getOrDefault(upstream, new ArrayDeque<>()))) {
       if (now - c.idleSince >= REST_NANOS) {
         idle.get(upstream).remove(c);
-        if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && c.isQuiet()) {
+        if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && reuse.holds(now, now - c.idleSince)
+            && c.isQuiet()) {
+          c.stoodIdle = now - c.idleSince;
           return c;
         }
         c.channel.close();
@@ -202,6 +205,8 @@
     final Channel channel;
     long upstream;
     long idleSince;
+    /** How long it had stood idle before the call on it; -1 on a new one. */
+    long stoodIdle = -1;
     private Call call;
     /** Bytes of the answer that have been looked at. */
     private int begun;
@@ -267,6 +272,13 @@
       }
     }
 
+    private void usedAgain(boolean broke) {
+      if (stoodIdle >= 0) {
+        reuse.used(System.nanoTime(), stoodIdle, broke);
+        stoodIdle = -1;
+      }
+    }
+
     boolean isQuiet() {
       return !(channel instanceof UpstreamSocket socket) || socket.isQuiet();
     }
@@ -300,6 +312,7 @@
       }
       Call answered = call;
       call = null;
+      usedAgain(false);
       informational = 0;
       Status status = status(response);
       if (status == Status.SERVED && !answered.written) {
@@ -318,6 +331,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      if (call != null && !call.isDone() && begun == 0) {
+        usedAgain(true);
+      }
       nothingBegun();
       ArrayDeque<Connection> connections = idle.get(upstream);
       if (connections != null) {
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -49,7 +49,7 @@
 final class Warmup {
 
   /** Enough for most code on a request's way to be compiled; what is left costs clients less than a later start. */
-  static final int REQUESTS = 100;
+  static final int REQUESTS = 200;
   /** Clients at one time, as in service: a lone one finds its upstream's connection still at rest and opens a new one each time. */
   private static final int CLIENTS = 16;
   private static final int UPSTREAMS = 4;
