The warm-up's upstream answers in its turn: the start no longer waits for it

Seen in the probe: 60 of its 178 attempts ended as RESET, its upstreams were ejected and requests held meanwhile; with aims of 20 s each start of a test waited for the 5 s at most. An answer inside the process came before the sending of its request was known to have ended, and UpstreamPool takes such a one for another's. At fault: Warmup.Upstream, which answered from within the read.

--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -136,7 +136,9 @@
       FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
           request.content().retain());
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
-      context.writeAndFlush(response);
+      // In its turn: inside the process an answer could else come before the sending of its request is known to have ended,
+      // and is then taken for another's. Its upstream would be left out for that, and the start would wait.
+      context.executor().execute(() -> context.writeAndFlush(response));
     }
   }
 
