--- a/src/main/java/cloverpulley/serve/Server.java
+++ b/src/main/java/cloverpulley/serve/Server.java
@@ -2,6 +2,8 @@
 
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Settings;
 import cloverpulley.Logic;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -34,11 +36,14 @@
   private static final long ACCEPT_MILLIS = 700;
   /**
    * Clients go on using the connections that they have, and while this balancer is away others may be too: it serves them for
-   * this long, and has the rest of the time for what is then in hand.
+   * this long at most, and has the rest of the time for what is then in hand.
    */
   private static final long SERVE_MILLIS = 2200;
-  /** SIGKILL may come 3.7 s after SIGTERM; what then has no answer gets one before. */
-  private static final long STOP_MILLIS = 3400;
+  private static final long LEAST_REST_MILLIS = 400;
+  /** SIGKILL comes so long after SIGTERM, beyond the longest deadline that counts. What has no answer gets one before. */
+  private static final long KILL_MILLIS = 700;
+  private static final long MOST_DEADLINE_MILLIS = 3000;
+  private static final long STOP_EARLY_MILLIS = 300;
   private static final long STOP_CHECK_MILLIS = 20;
 
   private final EventLoopGroup group;
@@ -52,6 +57,7 @@
   private Peers peers;
   private Channel listener;
   private boolean pushed;
+  private long stopMillis;
 
   private Server() {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -86,7 +92,14 @@
     return server;
   }
 
+  /** How long after SIGTERM all that is in hand gets its answer. Guards against a SIGKILL that short deadlines bring early. */
+  static long stopMillis(Settings settings) {
+    long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
+    return Math.min(MOST_DEADLINE_MILLIS, TimeUnit.NANOSECONDS.toMillis(longest)) + KILL_MILLIS - STOP_EARLY_MILLIS;
+  }
+
   private void wire(Config config, LongFunction<Balancer> modules) {
+    stopMillis = stopMillis(config.settings());
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(config.sockets());
@@ -166,8 +179,8 @@
       loop.schedule(() -> {
         frontend.close();
         finish();
-      }, SERVE_MILLIS, TimeUnit.MILLISECONDS);
-      loop.schedule(node::failAll, STOP_MILLIS, TimeUnit.MILLISECONDS);
+      }, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS), TimeUnit.MILLISECONDS);
+      loop.schedule(node::failAll, stopMillis, TimeUnit.MILLISECONDS);
     });
     await(drained);
     shutDown();
--- a/src/main/java/cloverpulley/serve/Warmup.java
+++ b/src/main/java/cloverpulley/serve/Warmup.java
@@ -67,8 +67,8 @@
     }
   }
 
-  /** How many requests its clients have asked, and how many of them were answered. */
-  record Count(int asked, int answered) {}
+  /** How many requests its clients have asked, and how many of them were answered and served. */
+  record Count(int asked, int answered, int served) {}
 
   static Count run(Settings settings, long mostMillis) {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
@@ -82,7 +82,7 @@
       group.submit(() -> client.over = true).syncUninterruptibly();
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
     }
-    return new Count(client.asked, client.answered);
+    return new Count(client.asked, client.answered, client.served);
   }
 
   private static void start(EventLoopGroup group, Settings settings, Client client) {
@@ -150,6 +150,7 @@
     private final Promise<Void> done;
     private int asked;
     private int answered;
+    private int served;
     private boolean over;
 
     Client(Settings settings, Promise<Void> done) {
@@ -165,6 +166,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+      served += response.status().equals(HttpResponseStatus.OK) ? 1 : 0;
       if (++answered == REQUESTS) {
         done.trySuccess(null);
       }
