Maven reactor: decision, wire and balancer become modules of their own

Need: new fronts are to share the decisions without the platform's jar carrying what only they need. Tests run from the root as before.

--- a/src/test/java/cloverpulley/SizeTest.java
+++ b/decision/src/test/java/cloverpulley/SizeTest.java
@@ -13,7 +13,7 @@
 
   @Test
   void moduleStaysInsideItsLimits() throws IOException {
-    List<String> lines = Files.readAllLines(Path.of("src/main/java/cloverpulley/Logic.java"));
+    List<String> lines = Files.readAllLines(Path.of("decision/src/main/java/cloverpulley/Logic.java"));
     long count = lines.stream().filter(l -> !l.isBlank()).count();
     assertTrue(count <= 650, "non-blank lines: " + count);
     lines.forEach(l -> assertTrue(l.length() <= 110, "over 110 columns: " + l));
