--- a/balancer/src/main/java/cloverpulley/serve/Config.java
+++ b/balancer/src/main/java/cloverpulley/serve/Config.java
@@ -1,14 +1,14 @@
 package cloverpulley.serve;
 
 import cloverpulley.Balancer.Settings;
+import cloverpulley.discovery.ListDecoder;
+import cloverpulley.engine.ServerList;
 import cloverpulley.wire.Fields;
 import cloverpulley.wire.SettingsDecoder;
 import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
-import io.netty.util.NetUtil;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -49,7 +49,7 @@
     List<InetSocketAddress> peers = new ArrayList<>();
     if (f.has("peers")) {
       for (String peer : f.texts("peers")) {
-        peers.add(address("peers", peer));
+        peers.add(ListDecoder.address("peers", peer));
       }
     }
     if (!f.has("settings")) {
@@ -58,13 +58,13 @@
     Fields settings = f.nested("settings");
     return new Config(
         text(f, "name", environment.get("ROUTER_NAME")),
-        address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
-        address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
+        ListDecoder.address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
+        ListDecoder.address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
         seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
         f.nested("limits").integer("memory_mb", MEMORY_MB) << 20,
-        f.has("peer_listen") ? address("peer_listen", f.text("peer_listen")) : null, peers,
-        f.has("peers_all") ? address("peers_all", f.text("peers_all")) : null,
-        f.has("known") ? ServerList.parse(f.nested("known")) : ServerList.NONE,
+        f.has("peer_listen") ? ListDecoder.address("peer_listen", f.text("peer_listen")) : null, peers,
+        f.has("peers_all") ? ListDecoder.address("peers_all", f.text("peers_all")) : null,
+        f.has("known") ? ListDecoder.list(f.nested("known")) : ServerList.NONE,
         SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
         !settings.nested("report").text("how", "none").equals("none"));
   }
@@ -87,18 +87,4 @@
       throw new WireException("field config.seed: expected up to 16 hex digits, got \"" + hex + "\"");
     }
   }
-
-  /** An address in figures, such as 10.0.0.4:8000 or [::1]:8000; there is no DNS. */
-  static InetSocketAddress address(String name, String text) {
-    int colon = text.lastIndexOf(':');
-    byte[] host = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-    try {
-      if (host != null) {
-        return new InetSocketAddress(InetAddress.getByAddress(host), Integer.parseInt(text.substring(colon + 1)));
-      }
-    } catch (IOException | IllegalArgumentException e) {
-      // Worded below, like an address without a port.
-    }
-    throw new WireException("field " + name + ": expected an address and a port, got \"" + text + "\"");
-  }
 }
--- a/balancer/src/main/java/cloverpulley/serve/Frontend.java
+++ b/balancer/src/main/java/cloverpulley/serve/Frontend.java
@@ -4,6 +4,10 @@
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Settings;
 import cloverpulley.Balancer.Tenant;
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Exchange;
+import cloverpulley.engine.Sockets;
 import cloverpulley.serve.Clients.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -40,6 +44,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -49,7 +54,7 @@
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
 
-/** The clients' side: takes requests in, hands them to the node, and writes the final answers. */
+/** The clients' side: takes requests in, hands them to the engine, and writes the final answers. */
 final class Frontend {
 
   private static final Logger LOG = Logger.getLogger(Frontend.class.getName());
@@ -79,7 +84,8 @@
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
-  private final Node node;
+  private final Engine engine;
+  private final HttpExchange.Front exchanges;
   private final Clock clock;
   private final Sockets sockets;
   private final UpstreamPool pool;
@@ -87,17 +93,20 @@
   private final Set<String> tenants;
   private final Clients clients = new Clients();
   private final RequestReader.Budget bodies;
+  /** The clients' ids of the requests in hand, and of those of which an attempt is still out. */
+  private final Set<String> open = new HashSet<>();
   private Channel listener;
   private boolean ready;
   private boolean stopping;
   private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  Frontend(Node node, Clock clock, Sockets sockets, UpstreamPool pool, Settings settings, long mostHeld) {
-    this.node = node;
+  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, long mostHeld) {
+    this.engine = exchanges.engine();
+    this.exchanges = exchanges;
     this.clock = clock;
     this.sockets = sockets;
-    this.pool = pool;
+    this.pool = exchanges.pool();
     this.classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
     this.tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
     this.bodies = new RequestReader.Budget(mostHeld);
@@ -151,7 +160,8 @@
    */
   private void accepted(Channel channel) {
     boolean room = clients.count() < sockets.forClients() && sockets.hasRoom() || clients.shed() || pool.closeOldest();
-    sockets.opened(channel);
+    sockets.opened();
+    channel.closeFuture().addListener(f -> sockets.closed());
     if (!room && sockets.isFull()) {
       channel.close();
     }
@@ -171,7 +181,7 @@
     private boolean begun;
     /** Bytes of the body of the request that is served. */
     private int size;
-    private Exchange exchange;
+    private HttpExchange exchange;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -227,7 +237,7 @@
       early.clear();
       reader.release();
       if (exchange != null) {
-        node.clientGone(exchange);
+        engine.clientGone(exchange);
         exchange = null;
       }
     }
@@ -270,7 +280,7 @@
       if (!request.decoderResult().isSuccess()) {
         answer(status(request.decoderResult().cause()), "malformed request");
       } else if (path.equals(HEALTH)) {
-        boolean serves = ready && !stopping && node.canServe();
+        boolean serves = ready && !stopping && engine.canServe();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
       } else if (!path.equals(API)) {
         answer(HttpResponseStatus.NOT_FOUND, "no such path");
@@ -300,16 +310,18 @@
       } else if (type.effect() == Effect.KEYED && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
         // Guards a keyed class: without the key no upstream could drop a repeat.
         answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
-      } else if (node.isOpen(id)) {
+      } else if (open.contains(id)) {
         // Guards the client whose request it is, and its effect.
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
-        exchange = new Exchange(id, type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, request.retain(), this::answer);
-        node.take(exchange);
+        Exchange.Facts facts = new Exchange.Facts(type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
+            "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, 0, List.of());
+        exchange = new HttpExchange(facts, exchanges, request.retain(), this::answer, () -> open.remove(id));
+        open.add(id);
+        engine.take(exchange);
       }
     }
 
--- a/balancer/src/main/java/cloverpulley/serve/Peers.java
+++ b/balancer/src/main/java/cloverpulley/serve/Peers.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import cloverpulley.engine.Engine;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -16,7 +17,7 @@
 import java.util.logging.Logger;
 
 /** Datagrams from and to the other balancers: late, lost or sound, never answered for. */
-final class Peers implements Node.PeerSender {
+final class Peers implements Engine.PeerSender {
 
   private static final Logger LOG = Logger.getLogger(Peers.class.getName());
 
@@ -31,15 +32,15 @@
     this.all = all;
   }
 
-  /** Binds, and hands what comes from a known peer to the node. */
-  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Node node) {
+  /** Binds, and hands what comes from a known peer to the engine. */
+  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Engine engine) {
     ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
         .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
           @Override
           protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
             int from = peers.indexOf(packet.sender());
             if (from >= 0 && from != me) {
-              node.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
+              engine.peerMessage(from, ByteBufUtil.getBytes(packet.content()));
             }
           }
 
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -5,6 +5,12 @@
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Settings;
 import cloverpulley.Logic;
+import cloverpulley.discovery.Discovery;
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
+import cloverpulley.engine.Sockets;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -51,7 +57,7 @@
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
-  private Node node;
+  private Engine engine;
   private Frontend frontend;
   private Discovery discovery;
   private Peers peers;
@@ -76,7 +82,7 @@
       Warmup.run(config.settings());
       server.loop.submit(() -> server.wire(config, modules)).syncUninterruptibly();
       if (config.peerListen() != null && config.settings().limits().peers()) {
-        server.peers.listen(server.group, config.peerListen(), server.node).syncUninterruptibly();
+        server.peers.listen(server.group, config.peerListen(), server.engine).syncUninterruptibly();
       }
       server.listener = server.frontend.listen(new ServerBootstrap().group(server.group)
           .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -106,15 +112,17 @@
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true);
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos(), fleet::isReady);
+        config.idleNanos(), fleet::isReady, config.loadReports());
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), fleet::revision, this::news);
-    node = new Node(loop, clock, config.settings(), config.loadReports(), modules, fleet, pool, discovery, peers);
-    frontend = new Frontend(node, clock, sockets, pool, config.settings(), config.memoryBytes() / BODIES_PART);
-    node.news(ListKind.CACHED, config.known());
+    engine = new Engine(loop, clock, config.settings(), modules, fleet, discovery, peers);
+    engine.attach(pool);
+    frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
+        config.memoryBytes() / BODIES_PART);
+    engine.news(ListKind.CACHED, config.known());
     if (pushed) {
       discovery.watch(true);
     }
@@ -122,7 +130,7 @@
 
   private void news(ListKind kind, ServerList list) {
     if (kind != ListKind.FAILED || !pushed) {
-      node.news(kind, list);
+      engine.news(kind, list);
     } else {
       loop.schedule(() -> discovery.watch(true), AGENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -180,7 +188,7 @@
         frontend.close();
         finish();
       }, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS), TimeUnit.MILLISECONDS);
-      loop.schedule(node::failAll, stopMillis, TimeUnit.MILLISECONDS);
+      loop.schedule(engine::failAll, stopMillis, TimeUnit.MILLISECONDS);
     });
     await(drained);
     shutDown();
--- a/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -1,6 +1,9 @@
 package cloverpulley.serve;
 
 import cloverpulley.Balancer.Status;
+import cloverpulley.engine.LoadReport;
+import cloverpulley.engine.Sockets;
+import cloverpulley.engine.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -12,10 +15,13 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -41,7 +47,7 @@
 import java.util.logging.Logger;
 
 /** Connections to upstreams and the calls on them: one call a connection, one outcome a call, nothing sent again. */
-final class UpstreamPool {
+final class UpstreamPool implements Transport {
 
   private static final Logger LOG = Logger.getLogger(UpstreamPool.class.getName());
 
@@ -53,6 +59,8 @@
   private static final long SWEEP_MILLIS = 250;
   /** After an answer a connection rests for this long: what came with it beyond its end shows by then. */
   private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+  /** A probe is given up after this. */
+  private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
   /** An answer that has begun and is not whole after this won't be: its head does not end or its length does not fit. */
   private static final long ANSWER_MILLIS = 300;
   /** More 1xx answers than this ahead of one are without end. */
@@ -64,16 +72,18 @@
   private final Sockets sockets;
   private final long idleNanos;
   private final LongPredicate ready;
+  private final boolean loadReports;
   /** Idle connections of an upstream, the one used last in front. */
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
   private final Reuse reuse = new Reuse();
 
-  /** {@code ready} tells of an upstream whether anything new may go to it. */
+  /** {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load. */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
-      LongPredicate ready) {
+      LongPredicate ready, boolean loadReports) {
     this.sockets = sockets;
     this.ready = ready;
+    this.loadReports = loadReports;
     idleNanos = (long) (upstreamIdleNanos * IDLE_PART);
     this.bootstrap = bootstrap.clone()
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos))
@@ -112,7 +122,8 @@
     }
     connecting.add(call);
     call.channel = connect.channel();
-    sockets.opened(call.channel);
+    sockets.opened();
+    call.channel.closeFuture().addListener(f -> sockets.closed());
     connect.addListener(f -> {
       connecting.remove(call);
       // Guards against a request written although it was withdrawn while connecting: such a call is done.
@@ -132,18 +143,30 @@
   }
 
   /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
-  void withdraw(LongPredicate from) {
+  @Override
+  public void withdraw(LongPredicate from) {
     List.copyOf(idle.keySet()).stream().filter(from::test).forEach(this::closeIdle);
     List.copyOf(connecting).stream().filter(call -> from.test(call.upstream)).forEach(this::cancel);
   }
 
-  void closeIdle(long upstream) {
+  @Override
+  public void closeIdle(long upstream) {
     ArrayDeque<Connection> connections = idle.remove(upstream);
     if (connections != null) {
       connections.forEach(c -> c.channel.close());
     }
   }
 
+  @Override
+  public boolean probe(long upstream, SocketAddress address, Probed done) {
+    Call call = new Call(upstream, (status, answer) -> done.ended(status, loadReports && answer != null
+        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()));
+    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
+    request.headers().set(HttpHeaderNames.HOST, "upstream");
+    start(call, address, request, PROBE_NANOS);
+    return true;
+  }
+
   /** Closes the connection that has stood idle longest; false if none is idle. */
   boolean closeOldest() {
     Connection oldest = null;
--- a/balancer/src/main/java/cloverpulley/serve/Warmup.java
+++ b/balancer/src/main/java/cloverpulley/serve/Warmup.java
@@ -5,7 +5,12 @@
 import cloverpulley.Balancer.State;
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Logic;
-import cloverpulley.serve.ServerList.Server;
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
+import cloverpulley.engine.ServerList.Server;
+import cloverpulley.engine.Sockets;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -92,11 +97,12 @@
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(Integer.MAX_VALUE);
     UpstreamPool pool = new UpstreamPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
-        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady);
-    Node node = new Node(group.next(), clock, settings, false, n -> new Logic(settings, n), fleet, pool,
-        new NoList(), (to, data) -> { });
-    Frontend frontend = new Frontend(node, clock, sockets, pool, settings, Long.MAX_VALUE);
-    node.news(ListKind.CACHED, new ServerList(0, true,
+        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady, false);
+    Engine engine = new Engine(group.next(), clock, settings, n -> new Logic(settings, n), fleet, new NoList(),
+        (to, data) -> { });
+    engine.attach(pool);
+    Frontend frontend = new Frontend(new HttpExchange.Front(engine, pool, false), clock, sockets, settings, Long.MAX_VALUE);
+    engine.news(ListKind.CACHED, new ServerList(0, true,
         IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
             .toList()));
     ServerBootstrap listeners = new ServerBootstrap().group(group).channel(LocalServerChannel.class);
@@ -121,7 +127,7 @@
   }
 
   /** Discovery that never answers. */
-  private static final class NoList implements Node.ListSource {
+  private static final class NoList implements Engine.ListSource {
     @Override
     public void watch(boolean on) {}
 
--- a/balancer/src/test/java/cloverpulley/drill/LinkTest.java
+++ b/balancer/src/test/java/cloverpulley/drill/LinkTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer;
+import cloverpulley.Reason;
 import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -77,8 +78,8 @@
       g.writeStartArray();
       Encoder.write(g, new Balancer.Send("a", 7, 5));
       Encoder.write(g, new Balancer.Cancel("a", 1));
-      Encoder.write(g, new Balancer.Refuse("a", 9));
-      Encoder.write(g, new Balancer.Fail("a"));
+      Encoder.write(g, new Balancer.Refuse("a", 9, Reason.OVER_RATE));
+      Encoder.write(g, new Balancer.Fail("a", Reason.NO_ROOM));
       Encoder.write(g, new Balancer.SetTimer("t", 3));
       Encoder.write(g, new Balancer.Watch(false));
       Encoder.write(g, new Balancer.FetchList());
--- a/balancer/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Reason;
 import cloverpulley.Balancer.Cancel;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.CloseIdle;
@@ -241,7 +242,7 @@
         } else if (event instanceof Request r) {
           out.accept(new Send(r.id(), Discoveries.number("s-1"), 0));
         } else if (event instanceof Outcome o) {
-          out.accept(new Fail(o.id()));
+          out.accept(new Fail(o.id(), Reason.NO_ROOM));
         }
       });
       Config config = Rig.config(discovery.address(), Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")),
@@ -357,7 +358,7 @@
       } else if (event instanceof Outcome o && o.attempt() < 6) {
         out.accept(new Send(o.id(), Discoveries.number("s-1"), 0));
       } else if (event instanceof Outcome o) {
-        out.accept(new Fail(o.id()));
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
       }
     });
     try (StubServer upstream = StubServer.answering("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n");
@@ -388,7 +389,7 @@
       if (event instanceof Request r) {
         out.accept(new Probe(Discoveries.number("s-1")));
         out.accept(new CloseIdle(Discoveries.number("s-1")));
-        out.accept(new Fail(r.id()));
+        out.accept(new Fail(r.id(), Reason.NO_ROOM));
       }
     });
     try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream.address()), module);
@@ -408,7 +409,7 @@
       if (event instanceof Request r) {
         out.accept(new Send(r.id(), Discoveries.number("true".equals(r.tenant()) ? "s-2" : "s-1"), 0));
       } else if (event instanceof Outcome o && !o.finished()) {
-        out.accept(new Fail(o.id()));
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
       }
     });
     CountDownLatch done = new CountDownLatch(1);
--- a/balancer/src/test/java/cloverpulley/serve/Discoveries.java
+++ b/balancer/src/test/java/cloverpulley/serve/Discoveries.java
@@ -1,5 +1,8 @@
 package cloverpulley.serve;
 
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
 import java.util.List;
 
 /** What discovery says, and the numbers that its names get. */
--- a/balancer/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.engine.Clock;
 import cloverpulley.Balancer.FetchList;
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Balancer.ListNews;
--- a/balancer/src/test/java/cloverpulley/serve/ReloadTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/ReloadTest.java
@@ -3,6 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.discovery.ListDecoder;
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Balancer.ListNews;
 import cloverpulley.Balancer.State;
@@ -98,7 +102,7 @@
   private static ServerList list(int revision, boolean complete, String... ids) throws Exception {
     List<ServerList.Server> members = new ArrayList<>();
     for (String id : ids) {
-      members.add(new ServerList.Server(id, Config.address("a", "127.0.0.1:1"), "a", 0, State.READY, 1, 0));
+      members.add(new ServerList.Server(id, ListDecoder.address("a", "127.0.0.1:1"), "a", 0, State.READY, 1, 0));
     }
     return new ServerList(revision, complete, members);
   }
--- a/balancer/src/test/java/cloverpulley/serve/Rig.java
+++ b/balancer/src/test/java/cloverpulley/serve/Rig.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 
+import cloverpulley.Reason;
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.Action;
 import cloverpulley.Balancer.Event;
@@ -53,7 +54,7 @@
         if (event instanceof Request r) {
           out.accept(new Send(r.id(), upstreams.get(0), timeoutNanos));
         } else if (event instanceof Outcome o && !o.finished()) {
-          out.accept(new Fail(o.id()));
+          out.accept(new Fail(o.id(), Reason.NO_ROOM));
         }
       };
     }
--- a/balancer/src/test/java/cloverpulley/serve/ServeTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/ServeTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Reason;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.Fail;
 import cloverpulley.Balancer.PeerMessage;
@@ -112,7 +113,7 @@
   void aRefusalSaysWhenToComeBackAndGoesOutAtOnce() throws Exception {
     Script module = new Script((event, out) -> {
       if (event instanceof Request r) {
-        out.accept(new Refuse(r.id(), 250_000_001));
+        out.accept(new Refuse(r.id(), 250_000_001, Reason.OVER_RATE));
       }
     });
     try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client client = rig.client()) {
@@ -125,7 +126,7 @@
   void theModuleIsToldWhatTheHeadersSay() throws Exception {
     Script module = new Script((event, out) -> {
       if (event instanceof Request r) {
-        out.accept(new Fail(r.id()));
+        out.accept(new Fail(r.id(), Reason.NO_ROOM));
       }
     });
     try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client client = rig.client()) {
@@ -154,7 +155,7 @@
         if (r.tenant().equals("bad")) {
           throw new IllegalStateException("on purpose: this trace belongs to a test");
         }
-        out.accept(new Refuse(r.id(), 0));
+        out.accept(new Refuse(r.id(), 0, Reason.OVER_RATE));
       }
     });
     try (Rig rig = new Rig(Rig.config(NOWHERE, Rig.list(1, true)), module); Client held = rig.client();
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -116,10 +116,21 @@
 
   /**
    * A request came in and is owed one final answer by {@code deadlineNanos} (a clock reading). Tenant and key may be
-   * null; {@code workHintNanos} is 0 where no hint came.
+   * null; {@code workHintNanos} is 0 where no hint came. Where {@code answerByNanos} is above 0, it is to be sent or ended by
+   * then. {@code earlier} are attempts that a caller made before, which count as its first ones: they have ended.
    */
   record Request(String id, String className, String tenant, String key, long deadlineNanos, long workHintNanos,
-      boolean retry) implements Event {}
+      boolean retry, long answerByNanos, List<Earlier> earlier) implements Event {
+
+    /** A request that may be held until its deadline, and had no attempt before. */
+    public Request(String id, String className, String tenant, String key, long deadlineNanos, long workHintNanos,
+        boolean retry) {
+      this(id, className, tenant, key, deadlineNanos, workHintNanos, retry, 0, List.of());
+    }
+  }
+
+  /** An attempt of an earlier call for the same request; zone and cell are those of the upstream when it was sent. */
+  record Earlier(long upstream, String zone, int cell, long sentNanos, boolean mayHaveRun) {}
 
   /** A streamed answer has started: the request is this attempt's, without a deadline, until its outcome. */
   record AnswerStarted(String id, int attempt, long upstream, long latencyNanos) implements Event {}
@@ -154,10 +165,10 @@
   record Cancel(String id, int attempt) implements Action {}
 
   /** Final answer: refused, trying again does no harm. {@code retryAfterNanos} 0: no advice. */
-  record Refuse(String id, long retryAfterNanos) implements Action {}
+  record Refuse(String id, long retryAfterNanos, Reason reason) implements Action {}
 
   /** Final answer: failed, with no promise. */
-  record Fail(String id) implements Action {}
+  record Fail(String id, Reason reason) implements Action {}
 
   /** Ask for {@link TimerFired} at a clock reading. */
   record SetTimer(String token, long atNanos) implements Action {}
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -98,6 +98,9 @@
   /** The usual sends to an upstream are forgotten over this time: longer than most outages. */
   private static final long SENDS_KEPT = 30 * SECOND;
 
+  /** The timer of requests that have to be sent or ended before their deadline. */
+  private static final String ANSWER = "answer";
+
   private final Settings settings;
   private final SplittableRandom random;
   private final long window;
@@ -153,6 +156,9 @@
       onRequest(e);
     } else if (event instanceof Outcome e) {
       onOutcome(e);
+    } else if (event instanceof TimerFired e && e.token().equals(ANSWER)) {
+      // What is held past the time by which it has to be sent or ended.
+      held.stream().filter(r -> answerDue(r)).toList().forEach(this::advance);
     } else if (event instanceof TimerFired) {
       onSweep();
     } else if (event instanceof ListNews e) {
@@ -187,13 +193,32 @@
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
     Window key = windowOf(endpoint + ' ' + request.key());
     Open r = new Open(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
-    if (open.size() >= settings.limits().maxOpen() || !admit(r)) {
-      out.accept(new Refuse(request.id(), retryAfter()));
+    boolean repeat = !request.earlier().isEmpty();
+    request.earlier().forEach(e -> r.attempts.add(earlier(e)));
+    boolean full = open.size() >= settings.limits().maxOpen();
+    // A repeat is a further attempt of what was admitted once: the retry budget bounds it, not the line.
+    if (full || !repeat && !admit(r)) {
+      answer(r, full ? Reason.TABLE_FULL : Reason.OVER_RATE);
       return;
     }
     open.put(request.id(), r);
-    retryTokens = Math.min(RETRY_MOST, retryTokens + RETRY_SHARE);
-    advance(r);
+    retryTokens = Math.min(RETRY_MOST, retryTokens + (repeat ? 0 : RETRY_SHARE));
+    if (!advance(r) && request.answerByNanos() > 0) {
+      out.accept(new SetTimer(ANSWER, request.answerByNanos()));
+    }
+  }
+
+  /** An attempt that a caller made before, at an upstream that may not be listed any more. */
+  private Attempt earlier(Earlier e) {
+    Upstream u = upstreams.get(e.upstream());
+    if (u == null || u.listed.cell() != e.cell() || !u.listed.zone().equals(e.zone())) {
+      u = new Upstream(e.upstream(), null);
+      u.listed = new Listed(e.upstream(), e.zone(), e.cell(), State.GONE, 0, 1);
+    }
+    Attempt a = new Attempt(u, e.sentNanos());
+    a.out = false;
+    a.mayHaveRun = e.mayHaveRun();
+    return a;
   }
 
   /** This balancer's part of a tenant's quota is a bucket; what finds it empty is excess. */
@@ -425,7 +450,9 @@
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
     boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !first && retryTokens < 1
-        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep;
+        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep
+        || answerDue(r)
+        || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
     Upstream u = over ? null : place(r);
     if (u != null) {
       retryTokens -= first ? 0 : 1;
@@ -467,11 +494,26 @@
     }
   }
 
+  private boolean answerDue(Open r) {
+    return r.request.answerByNanos() > 0 && now >= r.request.answerByNanos();
+  }
+
   private void finish(Open r) {
-    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter()) : new Fail(r.request.id()));
+    answer(r, why(r));
     release(r);
   }
 
+  private void answer(Open r, Reason why) {
+    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter(), why) : new Fail(r.request.id(), why));
+  }
+
+  private Reason why(Open r) {
+    return now >= r.request.deadlineNanos() - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
+        : r.type.effect() != Effect.SAFE && r.mayHaveRun() ? Reason.MAY_HAVE_RUN
+        : r.attempts.size() >= settings.limits().maxAttempts() ? Reason.ATTEMPTS
+        : !r.attempts.isEmpty() && retryTokens < 1 ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
+  }
+
   /** The request has its final answer: stops what it still has out, forgets it once nothing is. */
   private void release(Open r) {
     r.ended = true;
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/EarlierTest.java
@@ -0,0 +1,118 @@
+package cloverpulley;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.DedupScope;
+import cloverpulley.Balancer.Earlier;
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.Listed;
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.SetTimer;
+import cloverpulley.Balancer.State;
+import cloverpulley.Balancer.TimerFired;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Requests whose earlier attempts a caller made, and requests that have to be answered before their deadline. */
+class EarlierTest {
+
+  private static final long MS = Driver.MS;
+  private static final long AGO = 100 * MS;
+
+  /** Upstream 1 (zone a, cell 1), 2 (same cell), 3 (same zone), 4 (elsewhere). */
+  private static Driver fleet(Effect effect, DedupScope scope, long... ids) {
+    Driver d = new Driver(Driver.settings(false, List.of(), Driver.type("c", effect, scope)));
+    Listed[] listed = new Listed[ids.length];
+    for (int i = 0; i < ids.length; i++) {
+      listed[i] = new Listed(ids[i], ids[i] == 4 ? "b" : "a", ids[i] <= 2 ? 1 : (int) ids[i], State.READY, 0, 1);
+    }
+    d.list(ListKind.CACHED, listed);
+    return d;
+  }
+
+  private static Request repeat(Driver d, long answerBy, Earlier... earlier) {
+    return new Request("r", "c", null, "k", d.now + 2000 * MS, 0, true, answerBy, List.of(earlier));
+  }
+
+  private static Earlier first(Driver d, long ago, boolean mayHaveRun) {
+    return new Earlier(1, "a", 1, d.now - ago, mayHaveRun);
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    // effect, scope, may have run, upstreams that may get the repeat, the answer where there is none
+    "SAFE, CELL, true, 2 3 4, Refuse", "SAFE, CELL, false, 2 3 4, Refuse",
+    "UNSAFE, ALL, true, '', Fail", "UNSAFE, ALL, false, 2 3 4, Refuse",
+    "KEYED, ALL, true, 2 3 4, Refuse", "KEYED, ZONE, true, 2 3, Fail", "KEYED, CELL, true, 2, Fail",
+    "KEYED, CELL, false, 2 3 4, Refuse"})
+  void aRepeatGoesAsFarAsItsClassPermits(Effect effect, DedupScope scope, boolean ran, String allowed, String end) {
+    for (long other = 2; other <= 4; other++) {
+      Driver d = fleet(effect, scope, other);
+      List<Action> actions = d.step(repeat(d, 0, first(d, AGO, ran)));
+      if (allowed.contains(Long.toString(other))) {
+        assertEquals(other, Driver.sentTo(actions), effect + " " + scope + " to " + other);
+      } else {
+        assertEquals(end, actions.get(0).getClass().getSimpleName(), "at once, not at the deadline");
+      }
+    }
+    Driver empty = fleet(effect, scope);
+    assertEquals(end, empty.step(repeat(empty, 0, first(empty, AGO, ran))).get(0).getClass().getSimpleName());
+  }
+
+  @Test
+  void aKeyedRepeatGoesBackWithinTheWindowOnly() {
+    Driver d = fleet(Effect.KEYED, DedupScope.CELL, 1);
+    assertEquals(1, Driver.sentTo(d.step(repeat(d, 0, first(d, 1900 * MS, true)))), "the only one: again there");
+    Driver late = fleet(Effect.KEYED, DedupScope.CELL, 1, 2);
+    Fail fail = assertInstanceOf(Fail.class, late.step(repeat(late, 0, first(late, 2000 * MS, true))).get(0));
+    assertEquals(Reason.MAY_HAVE_RUN, fail.reason());
+  }
+
+  /** The group is that in which the attempt was made: an upstream listed in another since drops nothing there. */
+  @Test
+  void theGroupIsTheOneOfTheTime() {
+    Driver d = fleet(Effect.KEYED, DedupScope.CELL, 3);
+    assertEquals(3, Driver.sentTo(d.step(repeat(d, 0, new Earlier(3, "a", 3, d.now - AGO, true)))));
+    Driver moved = fleet(Effect.KEYED, DedupScope.CELL, 3);
+    assertInstanceOf(Fail.class, moved.step(repeat(moved, 0, new Earlier(3, "a", 1, moved.now - AGO, true))).get(0));
+  }
+
+  @Test
+  void attemptsOfEarlierCallsCount() {
+    Driver d = fleet(Effect.SAFE, DedupScope.ALL, 1, 2, 3, 4);
+    Earlier e = first(d, AGO, true);
+    Refuse refuse = assertInstanceOf(Refuse.class, d.step(repeat(d, 0, e, e, e, e)).get(0));
+    assertEquals(Reason.ATTEMPTS, refuse.reason());
+  }
+
+  /** Guards the fleet from callers that repeat everything: what they repeat is bounded as the module's own repeats are. */
+  @Test
+  void repeatsAreBoundedByTheRetryBudget() {
+    Driver d = fleet(Effect.SAFE, DedupScope.ALL, 1, 2, 3, 4);
+    int sent = 0;
+    for (int i = 0; i < 100; i++) {
+      Request r = new Request("r" + i, "c", null, "k" + i, d.now + 2000 * MS, 0, true, 0, List.of(first(d, AGO, true)));
+      sent += Driver.sentTo(d.step(r)) >= 0 ? 1 : 0;
+    }
+    assertTrue(sent > 0 && sent <= 20, "sent " + sent);
+  }
+
+  @Test
+  void whatIsHeldIsAnsweredByItsTime() {
+    Driver d = fleet(Effect.SAFE, DedupScope.ALL);
+    long by = d.now + 37 * MS;
+    List<Action> actions = d.step(repeat(d, by));
+    assertTrue(actions.contains(new SetTimer("answer", by)), actions.toString());
+    d.now = by;
+    Refuse refuse = assertInstanceOf(Refuse.class, d.step(new TimerFired("answer")).get(0));
+    assertEquals(Reason.NO_UPSTREAM, refuse.reason());
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Discovery.java
+++ b/discovery/src/main/java/cloverpulley/discovery/Discovery.java
@@ -1,6 +1,8 @@
-package cloverpulley.serve;
+package cloverpulley.discovery;
 
 import cloverpulley.Balancer.ListKind;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.ServerList;
 import cloverpulley.wire.Fields;
 import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
@@ -33,7 +35,7 @@
 import java.util.logging.Logger;
 
 /** Asks discovery for the list of upstreams, once or as a watch on its changes, and says when that fails. */
-final class Discovery implements Node.ListSource {
+public final class Discovery implements Engine.ListSource {
 
   private static final Logger LOG = Logger.getLogger(Discovery.class.getName());
 
@@ -58,7 +60,7 @@
   private boolean failing;
 
   /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
-  Discovery(Bootstrap bootstrap, InetSocketAddress address, LongSupplier revision,
+  public Discovery(Bootstrap bootstrap, InetSocketAddress address, LongSupplier revision,
       BiConsumer<ListKind, ServerList> news) {
     this.bootstrap = bootstrap;
     this.address = address;
@@ -67,7 +69,7 @@
   }
 
   /** Discovery has another address: what is watched is watched there from now on, and the old connection ends. */
-  void move(InetSocketAddress to) {
+  public void move(InetSocketAddress to) {
     if (!to.equals(address)) {
       address = to;
       watch(watching);
@@ -198,7 +200,7 @@
       }
       ServerList list;
       try {
-        list = ServerList.parse(Fields.parse(json, "list", text));
+        list = ListDecoder.list(Fields.parse(json, "list", text));
       } catch (IOException | WireException e) {
         fail(e.getMessage());
         return;
--- /dev/null
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -0,0 +1,43 @@
+package cloverpulley.engine;
+
+/** One sending of a request: started by a front, and ended by it exactly once through {@link Engine#attemptEnded}. */
+public final class Attempt {
+
+  private final Exchange exchange;
+  private final int number;
+  private final long upstream;
+  private final long sentAt;
+  Sending sending;
+  boolean ended;
+
+  /** What a front does to stop waiting for an attempt; it still ends it, as called off or as never sent. */
+  public interface Sending {
+    void cancel();
+  }
+
+  Attempt(Exchange exchange, int number, long upstream, long sentAt) {
+    this.exchange = exchange;
+    this.number = number;
+    this.upstream = upstream;
+    this.sentAt = sentAt;
+  }
+
+  public Exchange exchange() {
+    return exchange;
+  }
+
+  /** Its place among the request's attempts, from 0, those of earlier calls among them. */
+  public int number() {
+    return number;
+  }
+
+  /** The module's number of the upstream. */
+  public long upstream() {
+    return upstream;
+  }
+
+  /** Clock reading, in nanoseconds, at which the module had it sent. */
+  public long sentAt() {
+    return sentAt;
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Clock.java
+++ b/engine/src/main/java/cloverpulley/engine/Clock.java
@@ -1,9 +1,9 @@
-package cloverpulley.serve;
+package cloverpulley.engine;
 
 import java.util.concurrent.TimeUnit;
 
 /** The one clock of a balancer: monotonic, with an origin that leaves room for upstreams older than the process. */
-final class Clock {
+public final class Clock {
 
   /** An upstream up for longer counts as up for this long: no module asks for the difference. */
   private static final long ORIGIN = TimeUnit.DAYS.toNanos(1);
@@ -11,7 +11,8 @@
   private final long startNanos = System.nanoTime();
   private final long startMillis = System.currentTimeMillis();
 
-  long now() {
+  /** The present clock reading, in nanoseconds. */
+  public long now() {
     return ORIGIN + System.nanoTime() - startNanos;
   }
 
@@ -19,7 +20,7 @@
    * The clock reading at a Unix time; 0, long ago, stays 0. The distance between the two clocks is taken once: were it
    * taken anew, a drift of the wall clock would look like a restart of every upstream on the list.
    */
-  long atUnixMillis(long millis) {
+  public long atUnixMillis(long millis) {
     return millis <= 0 ? 0 : Math.max(1, ORIGIN + TimeUnit.MILLISECONDS.toNanos(millis - startMillis));
   }
 }
--- a/balancer/src/main/java/cloverpulley/serve/Node.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -1,4 +1,4 @@
-package cloverpulley.serve;
+package cloverpulley.engine;
 
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.Action;
@@ -23,23 +23,14 @@
 import cloverpulley.Balancer.TellPeer;
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Balancer.Watch;
-import cloverpulley.serve.Exchange.Attempt;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
+import cloverpulley.Reason;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
@@ -47,30 +38,26 @@
 import java.util.logging.Logger;
 
 /**
- * Stands between the sockets and the decision module: words what happens on the first as the second's events, one at a
- * time, and carries out its actions in order. It decides nothing. All of it runs on one event loop.
+ * Stands between the fronts and the decision module: words what happens on the first as the second's events, one at a time,
+ * and carries out its actions in order. It decides nothing and knows no protocol. All fronts of a process share one: one
+ * module, one fleet, one count of what is in flight. All of it runs on one loop.
  */
-final class Node {
+public final class Engine {
 
-  private static final Logger LOG = Logger.getLogger(Node.class.getName());
+  private static final Logger LOG = Logger.getLogger(Engine.class.getName());
 
-  /** A request without an answer gets one so long after the deadline that the module knows: a last guard. */
+  /** A request without an answer gets one so long after the time that the module knows: a last guard. */
   private static final long GUARD_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-  /** A probe is given up after this. */
-  private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
-  private final EventLoop loop;
+  private final ScheduledExecutorService loop;
   private final Clock clock;
   private final Settings settings;
-  private final boolean loadReports;
   private final LongFunction<Balancer> modules;
   private final Fleet fleet;
-  private final UpstreamPool pool;
   private final ListSource lists;
   private final PeerSender peers;
+  private final List<Transport> transports = new ArrayList<>(1);
   private final Map<String, Exchange> exchanges = new HashMap<>();
-  /** The clients' ids of the same. */
-  private final Set<String> traceIds = new HashSet<>();
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
   private final ArrayDeque<Supplier<Event>> queue = new ArrayDeque<>();
   private boolean scheduled;
@@ -79,64 +66,68 @@
   private long taken;
 
   /** Where the module's questions for the list go. */
-  interface ListSource {
+  public interface ListSource {
     void watch(boolean on);
 
     void fetch();
   }
 
   /** Where the module's messages to other balancers go; -1 is all of them. */
-  interface PeerSender {
+  public interface PeerSender {
     void send(int to, byte[] data);
   }
 
-  /** {@code modules} makes the n-th module of this process. */
-  Node(EventLoop loop, Clock clock, Settings settings, boolean loadReports, LongFunction<Balancer> modules, Fleet fleet,
-      UpstreamPool pool, ListSource lists, PeerSender peers) {
+  /**
+   * Makes an engine; every method is then to be called on {@code loop}, which has one thread.
+   *
+   * @param modules makes the n-th module of this process
+   */
+  public Engine(ScheduledExecutorService loop, Clock clock, Settings settings, LongFunction<Balancer> modules, Fleet fleet,
+      ListSource lists, PeerSender peers) {
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
-    this.loadReports = loadReports;
     this.modules = modules;
     this.fleet = fleet;
-    this.pool = pool;
     this.lists = lists;
     this.peers = peers;
     module = modules.apply(generation);
   }
 
+  /** A front's way to the upstreams joins; the first that can probe does. */
+  public void attach(Transport transport) {
+    transports.add(transport);
+  }
+
   // ---- What happens --------------------------------------------------------------------------------------
 
   /** A client's request has come in whole. */
-  void take(Exchange x) {
+  public void take(Exchange x) {
     x.id = "r" + taken++;
     exchanges.put(x.id, x);
-    traceIds.add(x.traceId);
-    x.guard = loop.schedule(() -> overdue(x), x.deadline + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
-    enqueue(() -> x.isEnded() ? null
-        : new Request(x.id, x.type.name(), x.tenant, x.key, x.deadline, x.hintNanos, x.retry));
+    Exchange.Facts f = x.facts();
+    long due = f.answerBy() > 0 ? Math.min(f.answerBy(), f.deadline()) : f.deadline();
+    x.guard = loop.schedule(() -> overdue(x), due + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
+    enqueue(() -> x.isEnded() ? null : new Request(x.id, f.type().name(), f.tenant(), f.key(), f.deadline(), f.hintNanos(),
+        f.retry(), f.answerBy(), f.earlier()));
   }
 
-  /** Whether a request with this id of a client's is in hand, or an attempt of it is still out. */
-  boolean isOpen(String traceId) {
-    return traceIds.contains(traceId);
-  }
-
-  /** The client has closed its connection. */
-  void clientGone(Exchange x) {
-    x.abandon();
+  /** The client has gone, or has been answered by its front without the module. */
+  public void clientGone(Exchange x) {
+    x.end();
     enqueue(() -> known(x) ? new ClientGone(x.id) : null);
   }
 
   private void overdue(Exchange x) {
     if (!x.isEnded()) {
-      x.answer(HttpResponseStatus.GATEWAY_TIMEOUT, 0, null, Unpooled.EMPTY_BUFFER);
+      x.end();
+      x.answer(Verdict.failed(Reason.DEADLINE));
       clientGone(x);
     }
   }
 
-  /** Discovery has said something; with FAILED it has not, and the list is unused. */
-  void news(ListKind kind, ServerList list) {
+  /** A source of the list has said something; with FAILED it has not, and the list is unused. */
+  public void news(ListKind kind, ServerList list) {
     if (kind == ListKind.FAILED) {
       enqueue(() -> new ListNews(kind, List.of()));
       return;
@@ -144,34 +135,65 @@
     ListNews news = fleet.take(kind, list);
     enqueue(() -> news);
     // After the news, so that the module knows why what was still connecting comes back unsent.
-    pool.withdraw(upstream -> !fleet.isReady(upstream));
+    transports.forEach(t -> t.withdraw(upstream -> !fleet.isReady(upstream)));
   }
 
   /** Another balancer has sent a message. */
-  void peerMessage(int from, byte[] data) {
+  public void peerMessage(int from, byte[] data) {
     enqueue(() -> new PeerMessage(from, data));
   }
 
   /** Whether a request that came now could be served. */
-  boolean canServe() {
+  public boolean canServe() {
     return fleet.hasReady();
   }
 
-  /** Requests that are owed an answer. */
-  boolean owesAnswers() {
-    return exchanges.values().stream().anyMatch(x -> !x.isEnded());
+  /** Requests in hand: those owed an answer, and those with an attempt still out. */
+  public int inHand() {
+    return exchanges.size();
+  }
+
+  /** Attempts that have not ended. */
+  public int inFlight() {
+    int attempts = 0;
+    for (Exchange x : exchanges.values()) {
+      attempts += x.outstanding;
+    }
+    return attempts;
   }
 
   /** Answers all requests in hand, without a promise. */
-  void failAll() {
+  public void failAll() {
     for (Exchange x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
-        x.answer(HttpResponseStatus.INTERNAL_SERVER_ERROR, 0, null, Unpooled.EMPTY_BUFFER);
+        x.end();
+        x.answer(Verdict.failed(Reason.STOPPING));
         clientGone(x);
       }
     }
   }
 
+  /**
+   * An attempt has ended; a second word on the same one is ignored.
+   *
+   * @param load the upstream's report, empty where none came
+   * @param inTurn run when its turn to be told has come: hands over what an upstream served, and ends the exchange where it
+   *     is the final answer
+   */
+  public void attemptEnded(Attempt attempt, Status status, Map<String, Double> load, Runnable inTurn) {
+    if (attempt.ended) {
+      return;
+    }
+    attempt.ended = true;
+    Exchange x = attempt.exchange();
+    long latency = clock.now() - attempt.sentAt();
+    enqueue(() -> {
+      x.outstanding--;
+      inTurn.run();
+      return known(x) ? new Outcome(x.id, attempt.number(), attempt.upstream(), status, latency, x.isEnded(), load) : null;
+    });
+  }
+
   /**
    * Events are told only once all sockets that had something to say have been read: actions then don't go to a
    * connection whose end is known already, and an action never re-enters the module.
@@ -213,12 +235,13 @@
       loop.execute(() -> Runtime.getRuntime().halt(1));
       return;
     }
-    for (Exchange x : List.copyOf(exchanges.values())) {
-      x.attempts.forEach(a -> pool.cancel(a.call));
+    List<Exchange> all = List.copyOf(exchanges.values());
+    for (Exchange x : all) {
+      x.attempts.forEach(Engine::cancel);
     }
     failAll();
     exchanges.clear();
-    traceIds.clear();
+    all.forEach(Exchange::forgotten);
     queue.clear();
     module = modules.apply(++generation);
     ListNews held = fleet.held();
@@ -232,7 +255,7 @@
   private void forget(Exchange x) {
     if (x != null && x.isEnded() && x.outstanding == 0) {
       exchanges.remove(x.id);
-      traceIds.remove(x.traceId);
+      x.forgotten();
     }
   }
 
@@ -244,12 +267,12 @@
     } else if (action instanceof Cancel a) {
       Exchange x = exchanges.get(a.id());
       if (x != null) {
-        pool.cancel(x.attempts.get(a.attempt()).call);
+        cancel(x.attempts.get(a.attempt() - x.facts().earlier().size()));
       }
     } else if (action instanceof Refuse a) {
-      end(a.id(), HttpResponseStatus.TOO_MANY_REQUESTS, a.retryAfterNanos());
+      end(a.id(), new Verdict(true, a.reason(), a.retryAfterNanos()));
     } else if (action instanceof Fail a) {
-      end(a.id(), HttpResponseStatus.BAD_GATEWAY, 0);
+      end(a.id(), Verdict.failed(a.reason()));
     } else if (action instanceof SetTimer a) {
       long made = generation;
       loop.schedule(() -> enqueue(() -> made == generation ? new TimerFired(a.token()) : null),
@@ -261,7 +284,7 @@
     } else if (action instanceof Probe a) {
       probe(a.upstream());
     } else if (action instanceof CloseIdle a) {
-      pool.closeIdle(a.upstream());
+      transports.forEach(t -> t.closeIdle(a.upstream()));
     } else if (action instanceof TellPeer a) {
       peers.send(a.to(), a.data());
     } else if (action instanceof Balancer.Log a) {
@@ -269,6 +292,12 @@
     }
   }
 
+  private static void cancel(Attempt attempt) {
+    if (attempt.sending != null && !attempt.ended) {
+      attempt.sending.cancel();
+    }
+  }
+
   private Exchange exchange(String id) {
     Exchange x = exchanges.get(id);
     if (x == null) {
@@ -277,63 +306,47 @@
     return x;
   }
 
-  private void end(String id, HttpResponseStatus status, long retryAfterNanos) {
+  private void end(String id, Verdict verdict) {
     Exchange x = exchanges.get(id);
     if (x != null && !x.isEnded()) {
-      x.answer(status, retryAfterNanos, null, Unpooled.EMPTY_BUFFER);
+      x.end();
+      x.answer(verdict);
     }
     forget(x);
   }
 
   private void send(Exchange x, Send send) {
     long now = clock.now();
-    Attempt attempt = new Attempt(x.attempts.size(), now);
-    attempt.call = new Call(send.upstream(), (status, answer) -> attemptEnded(x, attempt, status, answer));
+    int number = x.facts().earlier().size() + x.attempts.size();
+    Attempt attempt = new Attempt(x, number, send.upstream(), now);
     x.attempts.add(attempt);
     x.outstanding++;
-    long left = x.deadline - now;
+    if (x.facts().answerBy() > 0) {
+      x.guard.cancel(false); // The sending is the answer; its own time-out bounds it from here on.
+    }
+    long left = x.facts().deadline() - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.upstream());
-    if (x.isEnded() || timeout <= 0 || attempt.number >= settings.limits().maxAttempts()) {
-      attempt.call.end(Status.NOT_SENT, null);
+    if (x.isEnded() || timeout <= 0 || number >= settings.limits().maxAttempts()) {
+      attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
     } else if (address == null) {
-      attempt.call.end(Status.CONNECT_FAILED, null);
+      attemptEnded(attempt, Status.CONNECT_FAILED, Map.of(), () -> { });
     } else {
-      pool.start(attempt.call, address, x.forward(timeout), timeout);
+      attempt.sending = x.start(attempt, address, timeout);
     }
   }
 
-  private void attemptEnded(Exchange x, Attempt attempt, Status status, FullHttpResponse answer) {
-    long latency = clock.now() - attempt.sentAt;
-    Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
-    FullHttpResponse served = status == Status.SERVED ? answer.retain() : null;
-    enqueue(() -> {
-      x.outstanding--;
-      if (served != null) {
-        if (!x.isEnded()) {
-          x.answer(HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
-        }
-        served.release();
-      }
-      return known(x)
-          ? new Outcome(x.id, attempt.number, attempt.call.upstream, status, latency, x.isEnded(), load) : null;
-    });
-  }
-
   private void probe(long upstream) {
     long sentAt = clock.now();
-    Call call = new Call(upstream, (status, answer) -> {
+    SocketAddress address = fleet.address(upstream);
+    Transport.Probed done = (status, load) -> {
       long latency = clock.now() - sentAt;
-      Map<String, Double> load = loadReports && answer != null ? LoadReport.of(answer.headers()) : Map.of();
       enqueue(() -> new ProbeResult(upstream, status, latency, load));
-    });
-    SocketAddress address = fleet.address(upstream);
+    };
     if (address == null) {
-      call.end(Status.CONNECT_FAILED, null);
-      return;
+      done.ended(Status.CONNECT_FAILED, Map.of());
+    } else if (transports.stream().noneMatch(t -> t.probe(upstream, address, done))) {
+      done.ended(Status.NOT_SENT, Map.of());
     }
-    FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
-    request.headers().set(HttpHeaderNames.HOST, "upstream");
-    pool.start(call, address, request, PROBE_NANOS);
   }
 }
--- /dev/null
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -0,0 +1,82 @@
+package cloverpulley.engine;
+
+import cloverpulley.Balancer.Earlier;
+import cloverpulley.Balancer.RequestClass;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+
+/**
+ * A request in hand, from when a front takes it until it is answered and its last attempt has ended. Each front brings its
+ * own kind, which knows how to start an attempt and how to give the final answer. All of it runs on the engine's loop.
+ */
+public abstract class Exchange {
+
+  /**
+   * What the module is told of a request.
+   *
+   * @param tenant null for none
+   * @param key null for none
+   * @param hintNanos a guess at the work; 0 for none
+   * @param retry whether the client says that it asked before
+   * @param deadline clock reading at which an answer is of no more use
+   * @param answerBy clock reading by which the module has to have sent it on or ended it; 0 for the deadline alone
+   * @param earlier attempts of earlier calls for the same request, the oldest first
+   */
+  public record Facts(RequestClass type, String tenant, String key, long hintNanos, boolean retry, long deadline,
+      long answerBy, List<Earlier> earlier) {}
+
+  private final Facts facts;
+  final List<Attempt> attempts = new ArrayList<>(1);
+  String id;
+  Future<?> guard;
+  int outstanding;
+  private boolean ended;
+
+  protected Exchange(Facts facts) {
+    this.facts = facts;
+  }
+
+  public final Facts facts() {
+    return facts;
+  }
+
+  /** The engine's name for it, in records; null before it is taken. */
+  public final String id() {
+    return id;
+  }
+
+  /** Whether it has its final answer, or the client has gone. */
+  public final boolean isEnded() {
+    return ended;
+  }
+
+  /** Marks it as ended: the final answer is given, or nobody waits for one. What it kept for sending may be let go. */
+  public final void end() {
+    if (!ended) {
+      ended = true;
+      if (guard != null) {
+        guard.cancel(false);
+      }
+      released();
+    }
+  }
+
+  /**
+   * Starts an attempt. Whatever becomes of it is told once through {@link Engine#attemptEnded}, which may be called from in
+   * here.
+   *
+   * @param timeoutNanos how long to wait for its end, connecting included
+   */
+  protected abstract Attempt.Sending start(Attempt attempt, SocketAddress address, long timeoutNanos);
+
+  /** Gives the final answer to the client; called once, and never after {@link #end}. */
+  protected abstract void answer(Verdict verdict);
+
+  /** It has ended: nothing will be sent for it any more. */
+  protected void released() {}
+
+  /** Nothing is left of it in the engine: its last attempt has ended as well. */
+  protected void forgotten() {}
+}
--- a/balancer/src/main/java/cloverpulley/serve/Fleet.java
+++ b/engine/src/main/java/cloverpulley/engine/Fleet.java
@@ -1,10 +1,10 @@
-package cloverpulley.serve;
+package cloverpulley.engine;
 
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Balancer.ListNews;
 import cloverpulley.Balancer.Listed;
 import cloverpulley.Balancer.State;
-import cloverpulley.serve.ServerList.Server;
+import cloverpulley.engine.ServerList.Server;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -13,39 +13,49 @@
 import java.util.Map;
 
 /** The upstreams as discovery last named them: the module's numbers, addresses and states. */
-final class Fleet {
+public final class Fleet {
 
   private final Clock clock;
   private final Map<String, Long> numbers = new HashMap<>();
   private final Map<Long, Server> servers = new LinkedHashMap<>();
   private long revision;
 
-  Fleet(Clock clock) {
+  public Fleet(Clock clock) {
     this.clock = clock;
   }
 
   /** The version of the list that is held. */
-  long revision() {
+  public long revision() {
     return revision;
   }
 
   /** Where an upstream listens; null for one that is not on the list. */
-  SocketAddress address(long upstream) {
+  public SocketAddress address(long upstream) {
     Server server = servers.get(upstream);
     return server == null ? null : server.address();
   }
 
-  boolean isReady(long upstream) {
+  /** What the list says of an upstream; null for one that is not on it. */
+  public Server server(long upstream) {
+    return servers.get(upstream);
+  }
+
+  /** The list as it is held, with its version. */
+  public ServerList list() {
+    return new ServerList(revision, true, List.copyOf(servers.values()));
+  }
+
+  public boolean isReady(long upstream) {
     Server server = servers.get(upstream);
     return server != null && server.state() == State.READY;
   }
 
-  boolean hasReady() {
+  public boolean hasReady() {
     return servers.values().stream().anyMatch(s -> s.state() == State.READY);
   }
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
-  ListNews take(ListKind kind, ServerList list) {
+  public ListNews take(ListKind kind, ServerList list) {
     if (!isNews(kind, list)) {
       return new ListNews(ListKind.DELTA, List.of());
     }
@@ -79,7 +89,7 @@
   }
 
   /** The list as it is held, for a module that starts anew. */
-  ListNews held() {
+  public ListNews held() {
     List<Listed> entries = new ArrayList<>();
     servers.forEach((number, server) -> entries.add(listed(number, server)));
     return new ListNews(ListKind.CACHED, entries);
--- a/balancer/src/main/java/cloverpulley/serve/LoadReport.java
+++ b/engine/src/main/java/cloverpulley/engine/LoadReport.java
@@ -1,20 +1,18 @@
-package cloverpulley.serve;
+package cloverpulley.engine;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** The load report that an upstream's answer may carry. */
-final class LoadReport {
+public final class LoadReport {
 
-  private static final String HEADER = "Endpoint-Load-Metrics";
+  public static final String HEADER = "Endpoint-Load-Metrics";
   private static final String TEXT_FORM = "TEXT ";
 
   private LoadReport() {}
 
-  /** Its figures by name; empty where none came, and anything that is not a figure is skipped. */
-  static Map<String, Double> of(HttpHeaders headers) {
-    String text = headers.get(HEADER);
+  /** The figures by name of the header's value; empty where none came (null), and anything that is not a figure is skipped. */
+  public static Map<String, Double> of(String text) {
     if (text == null || !text.startsWith(TEXT_FORM)) {
       return Map.of();
     }
--- a/balancer/src/main/java/cloverpulley/serve/Sockets.java
+++ b/engine/src/main/java/cloverpulley/engine/Sockets.java
@@ -1,9 +1,7 @@
-package cloverpulley.serve;
-
-import io.netty.channel.Channel;
+package cloverpulley.engine;
 
 /** Counts the open sockets against what the process may hold. */
-final class Sockets {
+public final class Sockets {
 
   /** Descriptors of the process itself: jar, standard streams, selector, listeners, discovery before and after a move. */
   private static final int OWN = 24;
@@ -19,28 +17,32 @@
   private final int most;
   private int open;
 
-  Sockets(int limit) {
+  public Sockets(int limit) {
     this.limit = limit;
     most = limit - OWN - SPARE;
   }
 
-  void opened(Channel channel) {
+  /** One more is open; each is to be told closed once. */
+  public void opened() {
     open++;
-    channel.closeFuture().addListener(f -> open--);
+  }
+
+  public void closed() {
+    open--;
   }
 
   /** Whether one more may be opened. */
-  boolean hasRoom() {
+  public boolean hasRoom() {
     return open < most;
   }
 
   /** Whether the spare ones are nearly gone as well. */
-  boolean isFull() {
+  public boolean isFull() {
     return open > limit - OWN - SPARE / 2;
   }
 
   /** How many connections of clients may be kept. */
-  int forClients() {
+  public int forClients() {
     return (int) (most * CLIENT_PART);
   }
 }
--- /dev/null
+++ b/engine/src/main/java/cloverpulley/engine/Verdict.java
@@ -0,0 +1,16 @@
+package cloverpulley.engine;
+
+import cloverpulley.Reason;
+
+/**
+ * A final answer other than an upstream's. A refusal says that trying again is harmless; a failure promises nothing.
+ *
+ * @param retryAfterNanos when to come back; 0 for no advice
+ */
+public record Verdict(boolean refused, Reason reason, long retryAfterNanos) {
+
+  /** A failure. */
+  public static Verdict failed(Reason reason) {
+    return new Verdict(false, reason, 0);
+  }
+}
