The ashdeck command: process, check and demo; operators' file; warm-up before the port opens

Need: one command on a fresh machine is to show the processor at work, with its rules counted. Change: module dist (picocli), launcher ./ashdeck, deploy/operators.toml, demo with a drain, a death, a cold successor and a restart of the processor in processes of their own.

--- a/config/src/main/java/cloverpulley/config/Section.java
+++ b/config/src/main/java/cloverpulley/config/Section.java
@@ -86,9 +86,13 @@
     return "";
   }
 
+  /** A text, which may be empty. */
   public String text(String key, String absent) {
-    asked.add(key);
-    return has(key) ? text(key) : absent;
+    Object value = get(key);
+    if (value != null && !(value instanceof String)) {
+      unexpected(key, "a text", value);
+    }
+    return value instanceof String text ? text : absent;
   }
 
   /** A whole number within bounds, both included. */
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/CheckCommand.java
@@ -0,0 +1,24 @@
+package cloverpulley.cli;
+
+import cloverpulley.config.BadFileException;
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Parameters;
+
+@Command(name = "check", mixinStandardHelpOptions = true,
+    description = "Reads an operators' file and says all that is wrong with it: key, line and what was expected.")
+final class CheckCommand implements Callable<Integer> {
+
+  @Parameters(paramLabel = "FILE", description = "the operators' file, such as deploy/operators.toml")
+  private Path file;
+
+  @Override
+  public Integer call() throws BadFileException {
+    Operators read = Operators.read(file);
+    System.out.println(file + ": ok, " + read.settings().classes().size() + " classes, "
+        + read.settings().tenants().size() + " tenants, "
+        + (read.fleet().discovery() == null ? read.fleet().list().members().size() + " servers" : "servers from discovery"));
+    return 0;
+  }
+}
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/DemoCommand.java
@@ -0,0 +1,26 @@
+package cloverpulley.cli;
+
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "demo", mixinStandardHelpOptions = true,
+    description = "Starts stand-in servers, a stand-in proxy and the processor on loopback, plays a bounded load with a drain, a "
+        + "death and a restart, and prints what happened.")
+final class DemoCommand implements Callable<Integer> {
+
+  @Option(names = "--seconds", paramLabel = "N", defaultValue = "12", description = "length, 8 to 120 (default: ${DEFAULT-VALUE})")
+  private int seconds;
+
+  @Option(names = "--rate", paramLabel = "N", defaultValue = "150",
+      description = "requests a second, 10 to 1000 (default: ${DEFAULT-VALUE})")
+  private int rate;
+
+  @Override
+  public Integer call() throws Exception {
+    if (seconds < 8 || seconds > 120 || rate < 10 || rate > 1000) {
+      throw new IllegalArgumentException("--seconds has to be 8 to 120 and --rate 10 to 1000");
+    }
+    return new Demo(seconds, rate).run(System.out) ? 0 : 1;
+  }
+}
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -0,0 +1,77 @@
+package cloverpulley.cli;
+
+import cloverpulley.config.BadFileException;
+import cloverpulley.processor.ProcessorServer;
+import cloverpulley.processor.Warmup;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import sun.misc.Signal;
+
+@Command(name = "process", mixinStandardHelpOptions = true,
+    description = "Runs the external processor: proxies call it for each attempt of a request (ext_proc over gRPC).",
+    footer = {"", "Prints 'process listening on HOST:PORT' once it serves. SIGTERM stops it in order, SIGHUP reads the list of",
+      "servers again where the file holds one."})
+final class ProcessCommand implements Callable<Integer> {
+
+  private static final Logger LOG = Logger.getLogger(ProcessCommand.class.getName());
+
+  /** Held, or the levels set on them may be forgotten. */
+  private static final List<Logger> QUIET =
+      List.of(Logger.getLogger("io.grpc.internal"), Logger.getLogger("io.grpc.netty"), Logger.getLogger("io.netty"));
+
+  @Option(names = "--config", paramLabel = "FILE", required = true, description = "the operators' file")
+  private Path config;
+
+  @Override
+  public Integer call() throws BadFileException, IOException, InterruptedException {
+    Operators operators = Operators.read(config);
+    // Guards the log: what a caller sends that can't be read would write a stack into it each time.
+    QUIET.forEach(logger -> logger.setLevel(Level.OFF));
+    ProcessorServer server;
+    Warmup.run(operators.processor(), operators.settings(), operators.processor().warmUpCalls());
+    try {
+      server = ProcessorServer.start(operators.processor(), operators.settings(), operators.fleet(),
+          new SecureRandom().nextLong());
+    } catch (IOException e) {
+      throw new IOException("can't listen at " + operators.processor().listen() + ": " + cause(e), e);
+    }
+    CountDownLatch term = new CountDownLatch(1);
+    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
+    Signal.handle(new Signal("TERM"), signal -> term.countDown());
+    Signal.handle(new Signal("INT"), signal -> term.countDown());
+    Signal.handle(new Signal("HUP"), signal -> reload(server));
+    System.out.println("process listening on " + server.address().getAddress().getHostAddress() + ":"
+        + server.address().getPort());
+    term.await();
+    server.stop();
+    return 0;
+  }
+
+  private static String cause(Throwable e) {
+    Throwable last = e;
+    while (last.getCause() != null) {
+      last = last.getCause();
+    }
+    return last.getMessage();
+  }
+
+  private void reload(ProcessorServer server) {
+    try {
+      Operators read = Operators.read(config);
+      if (read.fleet().discovery() == null) {
+        server.listed(read.fleet().list());
+        LOG.info(() -> "list of servers read again: " + read.fleet().list().members().size());
+      }
+    } catch (BadFileException e) {
+      LOG.warning("not taken, the list before stays: " + e.getMessage());
+    }
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/cloverpulley/cli/CommandIT.java
@@ -0,0 +1,196 @@
+package cloverpulley.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.standins.StandInCaller;
+import cloverpulley.standins.StandInProxy;
+import cloverpulley.standins.StandInUpstream;
+import cloverpulley.standins.StandInUpstream.Answer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged command, in processes of its own. */
+@Timeout(value = 3, unit = TimeUnit.MINUTES)
+class CommandIT {
+
+  private static final int LIMIT_S = 60;
+
+  @TempDir
+  Path folder;
+
+  private final List<Process> processes = new ArrayList<>();
+
+  @AfterEach
+  void end() {
+    processes.forEach(Process::destroyForcibly);
+  }
+
+  private Process start(String... args) throws IOException {
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-XX:TieredStopAtLevel=1", "-jar", System.getProperty("jar")));
+    command.addAll(Arrays.asList(args));
+    Process process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.to(err().toFile())).start();
+    processes.add(process);
+    return process;
+  }
+
+  private Path err() {
+    return folder.resolve("err" + processes.size());
+  }
+
+  private int status(String... args) throws IOException, InterruptedException {
+    Process process = start(args);
+    process.getInputStream().readAllBytes();
+    assertTrue(process.waitFor(LIMIT_S, TimeUnit.SECONDS), "it ends");
+    return process.exitValue();
+  }
+
+  private String lastErr() throws IOException {
+    return Files.readString(folder.resolve("err" + (processes.size() - 1)));
+  }
+
+  /** Waits until it serves; where. */
+  private static InetSocketAddress listening(Process process) throws IOException {
+    String line =
+        new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)).readLine();
+    assertNotNull(line, "it serves");
+    assertTrue(line.matches("process listening on 127\\.0\\.0\\.1:\\d+"), line);
+    return new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
+  }
+
+  private String config(int port, String... addresses) {
+    StringBuilder text = new StringBuilder("[[class]]\nname = \"safe\"\neffect = \"safe\"\naim_ms = 2000\n"
+        + "deadline_ms = 10000\n[processor]\nwarm_up_calls = 20\nlame_ms = 50\nlisten = \"127.0.0.1:" + port + "\"\n");
+    for (int i = 0; i < addresses.length; i++) {
+      text.append("[[fleet.server]]\nid = \"s").append(i).append("\"\naddress = \"").append(addresses[i]).append("\"\n");
+    }
+    return text.toString();
+  }
+
+  @Test
+  void wrongCommandLinesAreStatusTwoAndBadFilesOne() throws Exception {
+    assertEquals(2, status("nonsense"));
+    assertEquals(2, status("process"));
+    assertEquals(1, status("check", folder.resolve("none").toString()));
+    assertEquals(1, lastErr().lines().count(), lastErr());
+    Path bad = Files.writeString(folder.resolve("bad.toml"), config(0, "127.0.0.1:1") + "odd = 1\n[processor.odd]\n");
+    assertEquals(1, status("process", "--config", bad.toString()));
+    assertTrue(lastErr().contains("bad.toml: line 13: fleet.server[0].odd: unknown key"), lastErr());
+    assertEquals(0, status("check", "deploy/operators.toml"));
+    assertEquals(0, status("--help"));
+    for (String command : List.of("process", "check", "demo")) {
+      assertEquals(0, status(command, "--help"));
+    }
+  }
+
+  @Test
+  void aPortThatIsTakenIsOneLine() throws Exception {
+    try (var taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+      Path file = Files.writeString(folder.resolve("o.toml"), config(taken.getLocalPort(), "127.0.0.1:1"));
+      assertEquals(1, status("process", "--config", file.toString()));
+      assertTrue(lastErr().contains("can't listen at"), lastErr());
+    }
+  }
+
+  @Test
+  void sighupReadsTheListAgainAndSigtermEndsInOrder() throws Exception {
+    Path file = Files.writeString(folder.resolve("o.toml"), config(0, "127.0.0.1:7001"));
+    Process process = start("process", "--config", file.toString());
+    try (StandInCaller caller = new StandInCaller(listening(process))) {
+      assertEquals("127.0.0.1:7001", destination(caller));
+      Files.writeString(file, config(0, "127.0.0.1:7002"));
+      signal(process, "-HUP");
+      while (!destination(caller).equals("127.0.0.1:7002")) {
+        assertTrue(process.isAlive());
+      }
+      Files.writeString(file, "nonsense");
+      signal(process, "-HUP");
+      while (!lastErr().contains("not taken")) {
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      assertEquals("127.0.0.1:7002", destination(caller));
+      process.destroy();
+      assertTrue(process.waitFor(LIMIT_S, TimeUnit.SECONDS));
+      assertEquals(0, process.exitValue(), lastErr());
+      assertTrue(lastErr().contains("stopped: calls="), lastErr());
+    }
+  }
+
+  private static String destination(StandInCaller caller) throws InterruptedException {
+    StandInCaller.Stream s = caller.open().send(StandInCaller.request("x-qos", "safe"));
+    String destination = StandInCaller.sets(s.next(), "x-gateway-destination-endpoint");
+    s.cancel();
+    return destination == null ? "" : destination;
+  }
+
+  private static void signal(Process process, String signal) throws IOException, InterruptedException {
+    assertEquals(0, new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor());
+  }
+
+  /** SIGKILL with calls in hand, then a successor on the same port: each client has one answer, none is left without. */
+  @Test
+  void afterSigkillASuccessorDecides() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    try (StandInUpstream a = new StandInUpstream(group, r -> Answer.ok(50));
+        StandInUpstream b = new StandInUpstream(group, r -> Answer.ok(50))) {
+      Process first =
+          start("process", "--config", Files.writeString(folder.resolve("o.toml"), config(0, a.address(), b.address())).toString());
+      InetSocketAddress address = listening(first);
+      try (StandInProxy proxy = new StandInProxy(address, new StandInProxy.Config("x-gateway-destination-endpoint", 60, 100, true,
+          1000, 10_000, cloverpulley.extproc.ExtProc.ProcessingMode.BodySendMode.NONE,
+          cloverpulley.extproc.ExtProc.ProcessingMode.BodySendMode.NONE))) {
+        List<CompletableFuture<HttpResponse<String>>> asked = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+          asked.add(ask(http, proxy, "a" + i));
+        }
+        while (proxy.tally().destinations.get() == 0) {
+          TimeUnit.MILLISECONDS.sleep(1);
+        }
+        first.destroyForcibly();
+        for (int i = 0; i < 50; i++) {
+          asked.add(ask(http, proxy, "b" + i));
+        }
+        listening(start("process", "--config", Files.writeString(folder.resolve("o2.toml"),
+            config(address.getPort(), a.address(), b.address())).toString()));
+        int served = 0;
+        for (CompletableFuture<HttpResponse<String>> answer : asked) {
+          served += answer.get(LIMIT_S, TimeUnit.SECONDS).statusCode() == 200 ? 1 : 0;
+        }
+        assertEquals(150, served);
+        assertEquals(150, proxy.tally().answers.get());
+        assertEquals(0, proxy.tally().doubleVerdicts.get());
+      }
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private static CompletableFuture<HttpResponse<String>> ask(HttpClient http, StandInProxy proxy, String id) {
+    return http.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + proxy.address().getPort() + "/"))
+        .header("x-request-id", id).header("x-qos", "safe").build(), HttpResponse.BodyHandlers.ofString());
+  }
+}
--- a/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.config.Section;
 import cloverpulley.repeats.Repeats;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,11 +18,18 @@
  * @param askForResponses whether callers are asked by {@code mode_override} to send the response phase
  * @param lameMillis how long new connections are still taken after SIGTERM, for a successor to come up
  * @param drainMillis how long after that what is open may go on
+ * @param warmUpCalls calls made of itself before it listens
  */
 public record ProcessorConfig(InetSocketAddress listen, long messageTimeoutNanos, int ioThreads, boolean askForResponses,
-    boolean reflection, boolean reusePort, long lameMillis, long drainMillis, Names names, Limits limits,
+    boolean reflection, boolean reusePort, long lameMillis, long drainMillis, int warmUpCalls, Names names, Limits limits,
     Repeats.Config repeats, boolean countRequired, Tls tls) {
 
+  /** The same for a processor beside this one, at a port of its own on loopback and without certificates. */
+  ProcessorConfig aside() {
+    return new ProcessorConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), messageTimeoutNanos, 1,
+        askForResponses, false, false, 0, 0, 0, names, limits, repeats, countRequired, null);
+  }
+
   /** What a caller sends under which name; header names are lower case, as HTTP/2 has them. */
   public record Names(String destination, List<String> strip, String metadata, List<String> id, String attemptCount,
       String className, String defaultClass, String tenant, String key, String keyCookie, String hint, String expires,
@@ -61,7 +69,8 @@
         new Repeats.Config((int) r.whole("most", 1, 10_000_000, 100_000), TimeUnit.MILLISECONDS.toNanos(keep));
     return new ProcessorConfig(listen, TimeUnit.MILLISECONDS.toNanos(timeout), (int) s.whole("io_threads", 1, 64, 1),
         s.flag("ask_for_responses", true), s.flag("reflection", false), s.flag("reuse_port", true),
-        s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 10_000), names(s.table("headers")), limits, repeats,
+        s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 10_000),
+        (int) s.whole("warm_up_calls", 0, 100_000, 500), names(s.table("headers")), limits, repeats,
         r.flag("count_required", false), tls(s, listen));
   }
 
