Measurements of the processor and of the platform's start; one tick a loop in place of timers

Need: the processor's cost against a null processor, and the platform's jar, start and memory, are to be known. A word that was wrong in an operators' file was read as a random one of the right words: now as none.

--- /dev/null
+++ b/bench/src/main/java/cloverpulley/bench/Child.java
@@ -0,0 +1,68 @@
+package cloverpulley.bench;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/** A server in a process of its own, and what it costs. */
+final class Child implements AutoCloseable {
+
+  private final Process process;
+  private final BufferedReader out;
+
+  Child(List<String> options, Class<?> main, String... args) throws IOException {
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(options);
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
+    command.addAll(List.of(args));
+    process = new ProcessBuilder(command).redirectError(ProcessBuilder.Redirect.DISCARD).start();
+    out = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
+  }
+
+  /** The port that it prints. */
+  int port() throws IOException {
+    String line = out.readLine();
+    if (line == null || !line.startsWith("port ")) {
+      throw new IOException("a server did not start: " + line);
+    }
+    return Integer.parseInt(line.substring(5));
+  }
+
+  /** CPU time spent so far, in microseconds. */
+  double cpuMicros() {
+    return process.info().totalCpuDuration().orElseThrow().toNanos() / 1e3;
+  }
+
+  /** Memory resident now, in megabytes. */
+  double residentMb() throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+      if (line.startsWith("VmRSS:")) {
+        return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
+      }
+    }
+    throw new IOException("no VmRSS");
+  }
+
+  @Override
+  public void close() {
+    process.destroyForcibly();
+  }
+
+  static String json(String... namesAndValues) {
+    StringBuilder text = new StringBuilder("{");
+    for (int i = 0; i < namesAndValues.length; i += 2) {
+      text.append(i > 0 ? "," : "").append('"').append(namesAndValues[i]).append("\":").append(namesAndValues[i + 1]);
+    }
+    return text.append('}').toString();
+  }
+
+  static String figure(double value) {
+    return String.format(Locale.ROOT, "%.3f", value);
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/cloverpulley/bench/Servers.java
@@ -0,0 +1,114 @@
+package cloverpulley.bench;
+
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Settings;
+import cloverpulley.config.BadFileException;
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.config.Section;
+import cloverpulley.config.ServiceSection;
+import cloverpulley.extproc.ExtProc.HeadersResponse;
+import cloverpulley.extproc.ExtProc.ProcessingRequest;
+import cloverpulley.extproc.ExtProc.ProcessingResponse;
+import cloverpulley.extproc.ExternalProcessor;
+import cloverpulley.processor.FleetSource;
+import cloverpulley.processor.ProcessorConfig;
+import cloverpulley.processor.ProcessorServer;
+import io.grpc.Metadata;
+import io.grpc.Server;
+import io.grpc.ServerCall;
+import io.grpc.ServerServiceDefinition;
+import io.grpc.Status;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+/** What is measured, in a process of its own: the processor over so many upstreams, or the null processor. */
+public final class Servers {
+
+  private Servers() {}
+
+  private static final ProcessingResponse GO_ON =
+      ProcessingResponse.newBuilder().setRequestHeaders(HeadersResponse.getDefaultInstance()).build();
+  private static final ProcessingResponse ANSWER_GOES_ON =
+      ProcessingResponse.newBuilder().setResponseHeaders(HeadersResponse.getDefaultInstance()).build();
+
+  /** Prints its port and serves until it is ended; the argument is a number of upstreams, 0 for the null processor. */
+  public static void main(String[] args) throws IOException, BadFileException, InterruptedException {
+    int upstreams = Integer.parseInt(args[0]);
+    int port = upstreams == 0 ? nothing() : processor(upstreams);
+    System.out.println("port " + port);
+    System.in.read(); // Ends with the process that started it.
+    System.exit(0);
+  }
+
+  /** Same library, same threads to read and write: answers CONTINUE at once. */
+  private static int nothing() throws IOException {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    Server server = NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        .bossEventLoopGroup(group).workerEventLoopGroup(group).channelType(NioServerSocketChannel.class).directExecutor()
+        .addService(ServerServiceDefinition.builder(ExternalProcessor.SERVICE)
+            .addMethod(ExternalProcessor.PROCESS, (call, headers) -> new Null(call)).build()).build().start();
+    return server.getPort();
+  }
+
+  private static final class Null extends ServerCall.Listener<ProcessingRequest> {
+    private final ServerCall<ProcessingRequest, ProcessingResponse> call;
+
+    Null(ServerCall<ProcessingRequest, ProcessingResponse> call) {
+      this.call = call;
+      call.sendHeaders(new Metadata());
+      call.request(1);
+    }
+
+    @Override
+    public void onMessage(ProcessingRequest message) {
+      call.sendMessage(message.hasRequestHeaders() ? GO_ON : ANSWER_GOES_ON);
+      call.request(1);
+    }
+
+    @Override
+    public void onHalfClose() {
+      call.close(Status.OK, new Metadata());
+    }
+  }
+
+  private record Told(Settings settings, ProcessorConfig processor, FleetSource fleet) {
+    static Told read(Section file) {
+      Settings settings = ServiceSection.read(file);
+      long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
+      return new Told(settings, ProcessorConfig.read(file.table("processor"), 2 * longest), FleetSource.read(file.table("fleet")));
+    }
+  }
+
+  private static int processor(int upstreams) throws IOException, BadFileException {
+    StringBuilder text = new StringBuilder("""
+        [service]
+        zone = "a"
+        most_in_hand = 100000
+        [[class]]
+        name = "rate-lookup"
+        effect = "safe"
+        aim_ms = 400
+        deadline_ms = 2000
+        [[class]]
+        name = "quote-issue"
+        effect = "keyed"
+        dedup_window_ms = 2000
+        aim_ms = 750
+        deadline_ms = 3000
+        [processor]
+        listen = "127.0.0.1:0"
+        """);
+    for (int i = 0; i < upstreams; i++) {
+      text.append("[[fleet.server]]\nid = \"s").append(i).append("\"\nzone = \"a\"\ncell = ").append(i / 4)
+          .append("\naddress = \"127.").append(1 + i / 250).append(".0.").append(1 + i % 250).append(":8000\"\n");
+    }
+    Told told = OperatorsFile.parse("bench", text.toString(), Told::read);
+    return ProcessorServer.start(told.processor, told.settings, told.fleet, 1).address().getPort();
+  }
+}
--- a/config/src/main/java/cloverpulley/config/Section.java
+++ b/config/src/main/java/cloverpulley/config/Section.java
@@ -142,7 +142,7 @@
     return absent;
   }
 
-  /** One of the words. */
+  /** One of the words; with {@code absent} null it has to be there, and null stands for what was wrong. */
   public <T> T word(String key, Map<String, T> words, T absent) {
     Object value = get(key);
     if (value == null && absent != null) {
@@ -151,7 +151,7 @@
     T found = value instanceof String text ? words.get(text) : null;
     if (found == null) {
       unexpected(key, "one of " + String.join(", ", new TreeSet<>(words.keySet())), value);
-      return absent != null ? absent : words.values().iterator().next();
+      return absent;
     }
     return found;
   }
--- a/config/src/main/java/cloverpulley/config/ServiceSection.java
+++ b/config/src/main/java/cloverpulley/config/ServiceSection.java
@@ -59,7 +59,8 @@
       if (!names.add(name)) {
         c.wrong("name", "two classes are called \"" + name + "\"");
       }
-      Effect effect = c.word("effect", EFFECTS, null);
+      Effect said = c.word("effect", EFFECTS, null);
+      Effect effect = said == null ? Effect.UNSAFE : said;
       long window = c.whole("dedup_window_ms", 1, MOST_MS, effect == Effect.KEYED ? 0 : 1);
       if (effect == Effect.KEYED && window == 0) {
         c.wrong("dedup_window_ms", "expected how long a repeat is dropped, for a keyed class");
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -34,13 +34,15 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.ssl.ClientAuth;
 import io.netty.handler.ssl.SslContextBuilder;
-import io.netty.util.concurrent.EventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
 import javax.net.ssl.SSLException;
@@ -62,7 +64,8 @@
   private final EventLoopGroup ioGroup;
   private final HealthStatusManager health = new HealthStatusManager();
   private final Counts counts = new Counts();
-  private final Streams streams;
+  private final AtomicInteger openStreams = new AtomicInteger();
+  private final List<StreamLoop> loops = new ArrayList<>();
   private final Clock clock = new Clock();
   private final Fleet fleet = new Fleet(clock);
   private final HeldList held;
@@ -71,7 +74,6 @@
 
   private ProcessorServer(ProcessorConfig config, FleetSource source) {
     this.config = config;
-    streams = new Streams(config.limits().streams());
     held = new HeldList(source.stateFile());
     // One thread accepts and serves: a second would only pass connections on.
     ioGroup = new MultiThreadIoEventLoopGroup(config.ioThreads(), NioIoHandler.newFactory());
@@ -121,7 +123,7 @@
   private final class Written implements Engine.ListSource {
     @Override
     public void watch(boolean on) {
-      engine.news(ListKind.DELTA, new ServerList(0, false, java.util.List.of()));
+      engine.news(ListKind.DELTA, new ServerList(0, false, List.of()));
     }
 
     @Override
@@ -144,8 +146,10 @@
 
   private void listen(Settings settings) throws IOException {
     Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts);
-    ProcessorStream.Shared shared = new ProcessorStream.Shared(config, new Mapping(config, settings), new Replies(config),
-        engineLoop, calls, clock, counts, streams);
+    Replies replies = new Replies(config);
+    ProcessorStream.Shared shared = new ProcessorStream.Shared(config, new Mapping(config, settings), replies, engineLoop,
+        calls, clock, counts);
+    ioGroup.forEach(loop -> loops.add(new StreamLoop(loop, config, replies, openStreams)));
     ProcessorConfig.Limits limits = config.limits();
     NettyServerBuilder builder = NettyServerBuilder.forAddress(config.listen()).bossEventLoopGroup(acceptors)
         .workerEventLoopGroup(ioGroup).channelType(NioServerSocketChannel.class).directExecutor()
@@ -181,19 +185,20 @@
 
   private ServerCall.Listener<ProcessingRequest> open(ProcessorStream.Shared shared,
       ServerCall<ProcessingRequest, ProcessingResponse> call, Metadata headers) {
-    if (!streams.enter()) {
+    StreamLoop loop = ownLoop();
+    if (!loop.mayEnter()) {
       call.close(Status.RESOURCE_EXHAUSTED.withDescription("too many streams"), new Metadata());
       return new ServerCall.Listener<ProcessingRequest>() { };
     }
-    ProcessorStream stream = new ProcessorStream(shared, call, ownLoop());
-    streams.entered(stream);
+    ProcessorStream stream = new ProcessorStream(shared, call, loop);
+    loop.entered(stream);
     return stream;
   }
 
   /** The loop of the connection that is being served: with a direct executor, the present thread's. */
-  private EventExecutor ownLoop() {
-    for (EventExecutor loop : ioGroup) {
-      if (loop.inEventLoop()) {
+  private StreamLoop ownLoop() {
+    for (StreamLoop loop : loops) {
+      if (loop.isCurrent()) {
         return loop;
       }
     }
@@ -212,7 +217,7 @@
 
   /** Streams that are open. */
   public int openStreams() {
-    return streams.open();
+    return openStreams.get();
   }
 
   /** Calls in hand: without a verdict, or with an attempt whose end is not known. */
@@ -253,10 +258,8 @@
     server.shutdown();
     server.awaitTermination(config.drainMillis(), TimeUnit.MILLISECONDS);
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_WORD_MILLIS);
-    for (ProcessorStream stream : streams.all()) {
-      stream.stopSoon();
-    }
-    while (streams.open() > 0 && System.nanoTime() < until) {
+    loops.forEach(StreamLoop::stop);
+    while (openStreams.get() > 0 && System.nanoTime() < until) {
       TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
     }
     close();
--- a/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
@@ -13,10 +13,8 @@
 import cloverpulley.extproc.ExtProc.ProtocolConfiguration;
 import io.grpc.Metadata;
 import io.grpc.ServerCall;
-import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Map;
-import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
@@ -29,18 +27,17 @@
 
   /** What all streams of a processor share. */
   record Shared(ProcessorConfig config, Mapping mapping, Replies replies, ScheduledExecutorService engineLoop, Calls calls,
-      Clock clock, Counts counts, Streams streams) {}
+      Clock clock, Counts counts) {}
 
   /** Where a call stands. */
   private enum State { NEW, ASKED, SENT, RECHECKING, ENDED }
 
-  /** Parts of the message time-out after which the module has to have decided, and after which the guard does. */
-  private static final double DECIDE_PART = 0.75;
-  private static final double GUARD_PART = 0.9;
+  /** The part of the message time-out in which the module has to have decided; then comes the engine's guard, then the loop's. */
+  private static final double DECIDE_PART = 0.7;
 
   private final Shared shared;
   private final ServerCall<ProcessingRequest, ProcessingResponse> call;
-  private final ScheduledExecutorService loop;
+  private final StreamLoop loop;
   private State state = State.NEW;
   private ProtocolConfiguration protocol = ProtocolConfiguration.getDefaultInstance();
   private Mapping.Call request;
@@ -52,22 +49,22 @@
   /** The caller has been told a destination: from here on the attempt may run. */
   private boolean told;
   private boolean halfClosed;
+  /** The engine holds something for this stream, and has not been told that it is over. */
+  private boolean held;
   private boolean closed;
   /** The caller reads too slowly: nothing more is asked for until what was written has gone. */
   private boolean owesRequest;
   private Status outcome;
   private Map<String, Double> load = Map.of();
-  private Future<?> guard;
-  private Future<?> idle;
-  private long heardAt;
+  /** When the guard is due, {@code System.nanoTime()}. */
+  private long guardAt;
+  private long heardAt = System.nanoTime();
   private long receivedAt;
 
-  ProcessorStream(Shared shared, ServerCall<ProcessingRequest, ProcessingResponse> call, ScheduledExecutorService loop) {
+  ProcessorStream(Shared shared, ServerCall<ProcessingRequest, ProcessingResponse> call, StreamLoop loop) {
     this.shared = shared;
     this.call = call;
     this.loop = loop;
-    heardAt = shared.clock.now();
-    watchIdle(shared.config.limits().firstMessageMillis());
     call.sendHeaders(new Metadata());
     call.request(1);
   }
@@ -76,7 +73,7 @@
 
   @Override
   public void onMessage(ProcessingRequest message) {
-    heardAt = shared.clock.now();
+    heardAt = System.nanoTime();
     if (closed) {
       return;
     }
@@ -143,6 +140,7 @@
     request = (Mapping.Call) read;
     receivedAt = shared.clock.now();
     guarded(State.ASKED);
+    held = true;
     long answerBy = receivedAt + (long) (shared.config.messageTimeoutNanos() * DECIDE_PART);
     shared.engineLoop.execute(() -> exchange = shared.calls.take(request, receivedAt, answerBy, this));
   }
@@ -150,16 +148,19 @@
   /** A verdict is awaited, and there before the message time-out whatever the engine does. */
   private void guarded(State awaiting) {
     state = awaiting;
-    guard = loop.schedule(this::overdue, (long) (shared.config.messageTimeoutNanos() * GUARD_PART), TimeUnit.NANOSECONDS);
+    guardAt = loop.guard(this);
+  }
+
+  /** Whether it still awaits the verdict whose guard is due then. */
+  boolean awaits(long dueAt) {
+    return guardAt == dueAt && !closed && (state == State.ASKED || state == State.RECHECKING);
   }
 
   /** The engine has no verdict in time: it may be stalled, and what it says later is not used. */
-  private void overdue() {
-    if (!closed && (state == State.ASKED || state == State.RECHECKING)) {
-      shared.counts.guarded.increment();
-      finish(shared.replies.end(Verdict.failed(Reason.DEADLINE), grpc));
-      hangUp();
-    }
+  void overdue() {
+    shared.counts.guarded.increment();
+    finish(shared.replies.end(Verdict.failed(Reason.DEADLINE), grpc));
+    hangUp();
   }
 
   private void requestBody(HttpBody body) {
@@ -183,7 +184,7 @@
     }
     loop.execute(() -> {
       if (state == State.RECHECKING && !closed) {
-        decided(State.SENT);
+        state = State.SENT;
         reply(Replies.body(rechecked, true, protocol.getRequestBodyMode()));
         endIfHalfClosed();
       }
@@ -207,6 +208,7 @@
   private void answerEnded() {
     if (state == State.SENT) {
       state = State.ENDED;
+      held = false;
       Status ended = outcome == null ? Status.CANCELLED : outcome;
       Map<String, Double> report = load;
       shared.engineLoop.execute(() -> shared.calls.ended(exchange, ended, report));
@@ -257,42 +259,35 @@
         return;
       }
       boolean inBody = state == State.RECHECKING;
-      decided(State.SENT);
+      state = State.SENT;
       told = true;
-      reply(shared.replies.send(text(address), inBody, protocol));
+      reply(loop.send(address, inBody, protocol));
       endIfHalfClosed();
     });
   }
 
-  private static String text(SocketAddress address) {
-    InetSocketAddress inet = (InetSocketAddress) address;
-    String host = inet.getAddress().getHostAddress();
-    return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + inet.getPort();
-  }
-
   @Override
   public void end(Verdict verdict) {
-    loop.execute(() -> finish(shared.replies.end(verdict, grpc)));
+    loop.execute(() -> {
+      held = false;
+      finish(shared.replies.end(verdict, grpc));
+    });
   }
 
   @Override
   public void bad(int status, String what, String reason) {
-    loop.execute(() -> finish(shared.replies.bad(status, what, reason, grpc)));
+    loop.execute(() -> {
+      held = false;
+      finish(shared.replies.bad(status, what, reason, grpc));
+    });
   }
 
   // ---- Replies -------------------------------------------------------------------------------------------
 
-  private void decided(State now) {
-    state = now;
-    if (guard != null) {
-      guard.cancel(false);
-    }
-  }
-
   /** An answer in the upstream's place: the last word on the stream. */
   private void finish(ProcessingResponse last) {
     if (!closed) {
-      decided(State.ENDED);
+      state = State.ENDED;
       call.sendMessage(last);
       close(io.grpc.Status.OK);
     }
@@ -330,16 +325,16 @@
 
   private void over() {
     closed = true;
-    if (guard != null) {
-      guard.cancel(false);
-    }
-    idle.cancel(false);
-    shared.streams.left(this);
+    loop.left(this);
     hangUp();
   }
 
   /** Tells the engine that nobody is there any more; it knows what that means for the call. */
   private void hangUp() {
+    if (!held) {
+      return;
+    }
+    held = false;
     boolean maySend = told;
     shared.engineLoop.execute(() -> {
       if (exchange != null) {
@@ -349,28 +344,23 @@
   }
 
   /** Guards against streams that say nothing: a stream holds memory, and a caller may open very many. */
-  private void watchIdle(long millis) {
-    idle = loop.schedule(() -> {
-      long mostIdle = state == State.NEW ? shared.config.limits().firstMessageMillis()
-          : shared.config.limits().streamIdleMillis();
-      long left = mostIdle - TimeUnit.NANOSECONDS.toMillis(shared.clock.now() - heardAt);
-      if (left > 0) {
-        watchIdle(left);
-      } else if (state == State.NEW) {
-        broken(io.grpc.Status.DEADLINE_EXCEEDED, "nothing came on this stream");
-      } else {
-        close(io.grpc.Status.OK); // The caller goes on without us: its verdict has been given.
-        hangUp();
-      }
-    }, millis, TimeUnit.MILLISECONDS);
-  }
-
-  /** The processor ends: a call that has its verdict is let go, one that has none gets it. Called on any thread. */
-  void stopSoon() {
-    loop.execute(this::stop);
+  void checkSilence(long now) {
+    ProcessorConfig.Limits limits = shared.config.limits();
+    boolean fresh = state == State.NEW;
+    long most = TimeUnit.MILLISECONDS.toNanos(fresh ? limits.firstMessageMillis() : limits.streamIdleMillis());
+    if (closed || now - heardAt < most) {
+      return;
+    }
+    if (fresh) {
+      broken(io.grpc.Status.DEADLINE_EXCEEDED, "nothing came on this stream");
+    } else {
+      close(io.grpc.Status.OK); // The caller goes on without us: its verdict has been given.
+      hangUp();
+    }
   }
 
-  private void stop() {
+  /** The processor ends: a call that has its verdict is let go, one that has none gets it. */
+  void stop() {
     if (!closed && (state == State.ASKED || state == State.RECHECKING)) {
       finish(shared.replies.end(Verdict.failed(Reason.STOPPING), grpc));
     } else {
--- a/processor/src/main/java/cloverpulley/processor/Replies.java
+++ b/processor/src/main/java/cloverpulley/processor/Replies.java
@@ -24,6 +24,8 @@
 import com.google.protobuf.Struct;
 import com.google.protobuf.Value;
 import java.math.BigDecimal;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 
 /** The protocol's messages for each thing that is to be said. */
 final class Replies {
@@ -55,8 +57,8 @@
   }
 
   /** The destination, as the reply to the request's headers or, where {@code inBody}, to its buffered body. */
-  ProcessingResponse send(String address, boolean inBody, ProtocolConfiguration protocol) {
-    ByteString value = ByteString.copyFromUtf8(address);
+  ProcessingResponse send(SocketAddress address, boolean inBody, ProtocolConfiguration protocol) {
+    ByteString value = ByteString.copyFromUtf8(text((InetSocketAddress) address));
     HeaderMutation.Builder mutation = HeaderMutation.newBuilder().addSetHeaders(set(config.names().destination(), value));
     config.names().strip().forEach(mutation::addRemoveHeaders);
     CommonResponse common =
@@ -77,6 +79,11 @@
         Value.newBuilder().setStructValue(destination).build())).build();
   }
 
+  private static String text(InetSocketAddress address) {
+    String host = address.getAddress().getHostAddress();
+    return (host.indexOf(':') >= 0 ? "[" + host + "]" : host) + ":" + address.getPort();
+  }
+
   private static HeaderValueOption.Builder set(String name, ByteString value) {
     return HeaderValueOption.newBuilder().setAppendAction(HeaderAppendAction.OVERWRITE_IF_EXISTS_OR_ADD)
         .setHeader(HeaderValue.newBuilder().setKey(name).setRawValue(value));
