--- a/balancer/src/test/java/cloverpulley/JarIT.java
+++ b/balancer/src/test/java/cloverpulley/JarIT.java
@@ -14,6 +14,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
@@ -57,6 +59,18 @@
     assertEquals("", text("err"));
   }
 
+  /** Guards the platform's start and memory: what only other fronts need is not in its jar. */
+  @Test
+  void thePlatformsJarIsLean() throws IOException {
+    try (JarFile jar = new JarFile(System.getProperty("jar"))) {
+      List<String> names = jar.stream().map(JarEntry::getName).toList();
+      for (String other : List.of("cloverpulley/repeats/", "cloverpulley/config/", "cloverpulley/processor/",
+          "cloverpulley/load/", "io/grpc/", "com/google/", "org/tomlj/", "picocli/", "org/HdrHistogram/")) {
+        assertTrue(names.stream().noneMatch(n -> n.startsWith(other)), other);
+      }
+    }
+  }
+
   private Process serve(String config) throws IOException {
     Files.writeString(folder.resolve("config"), config);
     ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
--- a/bench/src/main/java/cloverpulley/bench/Child.java
+++ b/bench/src/main/java/cloverpulley/bench/Child.java
@@ -17,7 +17,13 @@
   private final BufferedReader out;
 
   Child(List<String> options, Class<?> main, String... args) throws IOException {
-    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    this(List.of(), options, main, args);
+  }
+
+  /** {@code before} is put before the command, such as what binds it to a core. */
+  Child(List<String> before, List<String> options, Class<?> main, String... args) throws IOException {
+    List<String> command = new ArrayList<>(before);
+    command.addAll(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
     command.addAll(options);
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
     command.addAll(List.of(args));
@@ -34,6 +40,11 @@
     return Integer.parseInt(line.substring(5));
   }
 
+  /** The next line that it prints; null at its end. */
+  String line() throws IOException {
+    return out.readLine();
+  }
+
   /** CPU time spent so far, in microseconds. */
   double cpuMicros() {
     return process.info().totalCpuDuration().orElseThrow().toNanos() / 1e3;
--- /dev/null
+++ b/bench/src/main/java/cloverpulley/bench/LoadBench.java
@@ -0,0 +1,135 @@
+package cloverpulley.bench;
+
+import cloverpulley.config.BadFileException;
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.load.Draw;
+import cloverpulley.load.Driver.Outcome;
+import cloverpulley.load.LoadRun;
+import cloverpulley.load.Plan;
+import cloverpulley.load.Results;
+import cloverpulley.standins.ScriptedHttp;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.HdrHistogram.HistogramIterationValue;
+
+/**
+ * The load generator against a null HTTP server: the highest rate on one core at which its own lateness stays under a
+ * millisecond (p99), its CPU for each request, and how exactly a stall of known times is measured. The generator runs in a process
+ * that {@code taskset} binds to one core, the server in another on other cores.
+ */
+public final class LoadBench {
+
+  private static final int[] RATES = {2000, 5000, 10_000, 12_500, 15_000, 20_000, 25_000, 30_000, 40_000};
+  private static final double MOST_LATE_MICROS = 1000;
+  private static final long SEED = 20261201;
+
+  private LoadBench() {}
+
+  /** {@code [--seconds N]} for each rate. */
+  public static void main(String[] args) throws IOException, InterruptedException, BadFileException {
+    if (args.length > 0 && args[0].equals("generate")) {
+      generate(Integer.parseInt(args[1]), Integer.parseInt(args[2]));
+      System.exit(0);
+    }
+    List<String> given = Arrays.asList(args);
+    int seconds = given.contains("--seconds") ? Integer.parseInt(given.get(given.indexOf("--seconds") + 1)) : 5;
+    int cores = Runtime.getRuntime().availableProcessors();
+    double best = 0;
+    double bestLate = 0;
+    double cpu = 0;
+    double cpuAt2000 = 0;
+    System.out.println("seed " + SEED + ", " + seconds + " s each; generator on core " + (cores - 1));
+    System.out.printf("%8s %10s %10s %10s %10s %10s%n", "rate", "achieved", "served", "late p50", "late p99", "CPU us");
+    try (Child server = new Child(List.of("taskset", "-c", "0-" + Math.max(0, cores - 2)), List.of("-XX:+UseParallelGC"),
+        Servers.class, "http")) {
+      int port = server.port();
+      try (Child generator = new Child(List.of("taskset", "-c", Integer.toString(cores - 1)),
+          List.of("-XX:+UseSerialGC", "-Xmx512m", "-Xmn256m"), LoadBench.class, "generate", "" + port, "" + seconds)) {
+        for (String line = generator.line(); line != null; line = generator.line()) {
+          String[] f = line.split(" ");
+          double rate = Double.parseDouble(f[0]);
+          double late = Double.parseDouble(f[4]);
+          System.out.printf("%8.0f %10.0f %10.4f %10.0f %10.0f %10.1f%n", rate, Double.parseDouble(f[1]),
+              Double.parseDouble(f[2]), Double.parseDouble(f[3]), late, Double.parseDouble(f[5]));
+          cpuAt2000 = rate == RATES[0] ? Double.parseDouble(f[5]) : cpuAt2000;
+          if (late < MOST_LATE_MICROS && Double.parseDouble(f[2]) > 0.9999) {
+            best = rate;
+            bestLate = late;
+            cpu = Double.parseDouble(f[5]);
+          }
+        }
+      }
+    }
+    double error = stall();
+    System.out.println(Child.json("rate_one_core", Child.figure(best), "lateness_p99_ms", Child.figure(bestLate / 1000),
+        "cpu_us_per_request", Child.figure(cpu), "cpu_us_at_2000", Child.figure(cpuAt2000), "stall_area_error",
+        String.format(Locale.ROOT, "%.5f", error)));
+    System.exit(0);
+  }
+
+  private static Plan plan(int port, double rate, double seconds, String process) throws BadFileException {
+    return OperatorsFile.parse("bench", "[load]\nseed = " + SEED + "\nrate = " + rate + "\nseconds = " + seconds + "\nprocess = \""
+        + process + "\"\n[[load.class]]\nname = \"rate-lookup\"\neffect = \"safe\"\naim_ms = 400\ndeadline_ms = 20000\n"
+        + "hint_most_us = 20000\n[[load.tenant]]\nname = \"steppe-auto\"\n[load.target]\nconnections = 6000\naddress = "
+        + "\"127.0.0.1:" + port + "\"\n", Plan::read);
+  }
+
+  /** In the generator's process: each rate in turn; a line for each with rate, achieved, part served, lateness, CPU. */
+  private static void generate(int port, int seconds) throws BadFileException, InterruptedException {
+    LoadRun.play(plan(port, 5000, seconds, "poisson"), r -> { }); // Compiled code before anything counts.
+    LoadRun.play(plan(port, 10_000, seconds, "poisson"), r -> { });
+    for (int rate : RATES) {
+      double before = cpuMicros();
+      long start = System.nanoTime();
+      Results r = LoadRun.play(plan(port, rate, seconds, "poisson"), x -> { });
+      double took = (System.nanoTime() - start) / 1e9;
+      System.out.println(rate + " " + r.all.asked / took + " " + (double) r.all.outcomes[Outcome.SERVED.ordinal()] / r.all.asked
+          + " " + r.lateness.getValueAtPercentile(50) + " " + r.lateness.getValueAtPercentile(99) + " "
+          + (cpuMicros() - before) / r.all.asked);
+      if (r.lateness.getValueAtPercentile(50) > 100 * MOST_LATE_MICROS) {
+        return; // Far behind: higher rates tell no more.
+      }
+    }
+  }
+
+  private static double cpuMicros() {
+    return ProcessHandle.current().info().totalCpuDuration().orElseThrow().toNanos() / 1e3;
+  }
+
+  /** The part by which the measured waiting in a stall of two seconds differs from the true one. */
+  private static double stall() throws BadFileException, InterruptedException {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (ScriptedHttp server = new ScriptedHttp(group, ScriptedHttp.Manner.SERVE)) {
+      LoadRun.play(plan(server.address().getPort(), 2000, 3, "poisson"), r -> { });
+      Plan plan = plan(server.address().getPort(), 2000, 6, "poisson");
+      AtomicInteger second = new AtomicInteger();
+      Results r = LoadRun.play(plan, x -> {
+        if (second.incrementAndGet() == 2) {
+          server.stall(2000);
+        }
+      });
+      double truth = 0;
+      Draw draw = new Draw(plan);
+      for (Draw.Planned p = draw.next(); p != null; p = draw.next()) {
+        long intended = r.startNanos + (long) (p.at() * 1e9);
+        truth += intended >= server.stallBegan() && intended < server.stallEnded() ? server.stallEnded() - intended : 0;
+      }
+      double measured = 0;
+      double usual = r.all.corrected.getValueAtPercentile(25);
+      for (HistogramIterationValue v : r.all.corrected.recordedValues()) {
+        measured += (v.getValueIteratedTo() - usual) * v.getCountAddedInThisIterationStep() * 1000;
+      }
+      System.out.printf("stall of %.3f s: %.1f request seconds waited, %.1f measured%n",
+          (server.stallEnded() - server.stallBegan()) / 1e9, truth / 1e9, measured / 1e9);
+      return Math.abs(measured - truth) / truth;
+    } finally {
+      group.shutdownGracefully();
+    }
+  }
+}
--- a/bench/src/main/java/cloverpulley/bench/Servers.java
+++ b/bench/src/main/java/cloverpulley/bench/Servers.java
@@ -13,6 +13,7 @@
 import cloverpulley.processor.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
 import cloverpulley.processor.ProcessorServer;
+import cloverpulley.standins.ScriptedHttp;
 import io.grpc.Metadata;
 import io.grpc.Server;
 import io.grpc.ServerCall;
@@ -37,8 +38,17 @@
   private static final ProcessingResponse ANSWER_GOES_ON =
       ProcessingResponse.newBuilder().setResponseHeaders(HeadersResponse.getDefaultInstance()).build();
 
-  /** Prints its port and serves until it is ended; the argument is a number of upstreams, 0 for the null processor. */
+  /**
+   * Prints its port and serves until it is ended; the argument is a number of upstreams, 0 for the null processor, or
+   * {@code http} for a null HTTP server.
+   */
   public static void main(String[] args) throws IOException, BadFileException, InterruptedException {
+    if (args[0].equals("http")) {
+      EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      System.out.println("port " + new ScriptedHttp(group, ScriptedHttp.Manner.SERVE).address().getPort());
+      System.in.read();
+      System.exit(0);
+    }
     int upstreams = Integer.parseInt(args[0]);
     int port = upstreams == 0 ? nothing() : processor(upstreams);
     System.out.println("port " + port);
--- a/decision/src/main/java/cloverpulley/repeats/Repeats.java
+++ b/decision/src/main/java/cloverpulley/repeats/Repeats.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.Balancer.Earlier;
 import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Status;
 import java.util.ArrayList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -170,16 +171,24 @@
     }
   }
 
-  /** The latest attempt at an upstream has ended; one that surely never ran forbids nothing any more. */
-  public void ended(long now, String id, long upstream, boolean provenNotRun) {
+  /**
+   * The latest attempt at an upstream has ended; one that surely never ran forbids nothing any more. A safe request that was
+   * served is forgotten: nothing depends on what is known of it.
+   */
+  public void ended(long now, String id, long upstream, Status status) {
     Record r = records.get(id);
     if (r == null) {
       return;
     }
+    if (status == Status.SERVED && r.effect == Effect.SAFE && !r.undecided) {
+      records.remove(id);
+      safe.remove(id);
+      return;
+    }
     touch(now, id, r);
     for (int i = r.tries.size() - 1; i >= 0; i--) {
       if (r.tries.get(i).upstream == upstream) {
-        r.tries.get(i).mayHaveRun = !provenNotRun;
+        r.tries.get(i).mayHaveRun = !status.provesNotRun();
         return;
       }
     }
--- a/decision/src/test/java/cloverpulley/repeats/RepeatsTest.java
+++ b/decision/src/test/java/cloverpulley/repeats/RepeatsTest.java
@@ -6,6 +6,7 @@
 
 import cloverpulley.Balancer.Earlier;
 import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Status;
 import cloverpulley.repeats.Repeats.Config;
 import cloverpulley.repeats.Repeats.Finding;
 import cloverpulley.repeats.Repeats.First;
@@ -38,7 +39,7 @@
     repeats.sent(1, "a", 7, "z", 3);
     assertEquals(new Joined(List.of(new Earlier(7, "z", 3, 1, true))), call(2, "a", effect, 2), "still out: it may run");
     repeats.sent(3, "a", 8, "z", 3);
-    repeats.ended(4, "a", 7, true);
+    repeats.ended(4, "a", 7, Status.FULL);
     assertEquals(new Joined(List.of(new Earlier(7, "z", 3, 1, false), new Earlier(8, "z", 3, 3, true))),
         call(5, "a", effect, 3));
   }
@@ -50,7 +51,7 @@
     assertInstanceOf(First.class, call(0, "c", Effect.SAFE, 2));
     assertInstanceOf(First.class, call(1, "d", Effect.KEYED, 1));
     repeats.sent(1, "d", 7, "z", 3);
-    repeats.ended(2, "d", 7, true);
+    repeats.ended(2, "d", 7, Status.CONNECT_FAILED);
     assertInstanceOf(Unknown.class, call(3, "d", Effect.KEYED, 3), "the second went elsewhere");
     assertInstanceOf(Unknown.class, call(4, "d", Effect.KEYED, 4), "and that stays so");
   }
@@ -80,6 +81,19 @@
     assertInstanceOf(First.class, call(1 + KEEP, "e", Effect.UNSAFE, 0), "those of the first moment are past their time");
   }
 
+  /** Guards the room: most requests are safe and served at once, and nothing depends on their records. */
+  @Test
+  void aSafeRequestThatWasServedIsForgotten() {
+    call(0, "s", Effect.SAFE, 1);
+    repeats.sent(0, "s", 7, "z", 3);
+    repeats.ended(1, "s", 7, Status.SERVED);
+    assertEquals(0, repeats.size());
+    call(2, "k", Effect.KEYED, 1);
+    repeats.sent(2, "k", 7, "z", 3);
+    repeats.ended(3, "k", 7, Status.SERVED);
+    assertInstanceOf(Joined.class, call(4, "k", Effect.KEYED, 2), "its effect has been had");
+  }
+
   @Test
   void triesOfOneRequestAreBounded() {
     for (int i = 0; i < Repeats.MOST_TRIES; i++) {
@@ -117,7 +131,7 @@
           repeats.sent(now, id, step, "z", 0);
           mayHaveRun.merge(id, 1, Integer::sum);
           if (random.nextInt(3) == 0) {
-            repeats.ended(now, id, step, true);
+            repeats.ended(now, id, step, Status.NOT_SENT);
             mayHaveRun.merge(id, -1, Integer::sum);
           }
         } else {
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -0,0 +1,160 @@
+package cloverpulley.cli;
+
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.load.Comparison;
+import cloverpulley.load.Driver;
+import cloverpulley.load.LoadRun;
+import cloverpulley.load.Plan;
+import cloverpulley.load.PlanPicture;
+import cloverpulley.load.Report;
+import cloverpulley.load.Results;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Locale;
+import java.util.concurrent.Callable;
+import java.util.function.Consumer;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+@Command(name = "load", mixinStandardHelpOptions = true,
+    description = "Puts a planned load on a server and measures honestly: open loop, latencies from each request's intended start.",
+    subcommands = {LoadCommand.Run.class, LoadCommand.Show.class, LoadCommand.Replay.class, LoadCommand.Compare.class},
+    footer = {"", "Exit status of run and replay: 3 where the generator itself fell behind."})
+final class LoadCommand implements Callable<Integer> {
+
+  private static final int FELL_BEHIND = 3;
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    throw new CommandLine.ParameterException(spec.commandLine(), "expected a subcommand");
+  }
+
+  /** Where results go. */
+  static final class Output {
+    @Option(names = "--json", paramLabel = "FILE", description = "writes the results as JSON")
+    private Path json;
+
+    @Option(names = "--html", paramLabel = "FILE", description = "writes them as one page with plots")
+    private Path html;
+
+    @Option(names = "--quiet", description = "no line each second")
+    private boolean quiet;
+
+    int finish(Results results, String title) throws IOException {
+      Report report = new Report(results);
+      System.out.print(report.text());
+      if (json != null) {
+        Files.writeString(json, report.json());
+      }
+      if (html != null) {
+        Files.writeString(html, report.html(title));
+      }
+      return results.fellBehind() ? FELL_BEHIND : 0;
+    }
+
+    /** A line each second; on a terminal the line is drawn over, with a bar of the time that has passed. */
+    Consumer<Results> live(double seconds) {
+      if (quiet) {
+        return r -> { };
+      }
+      boolean terminal = System.console() != null;
+      int[] second = {0};
+      return r -> {
+        int now = ++second[0];
+        Results.Second last = r.seconds.isEmpty() ? new Results.Second() : r.seconds.get(Math.max(0, r.seconds.size() - 2));
+        String text = String.format(Locale.ROOT, "%4d s  asked %d, served %d, p99 of the second before %.1f ms, late p99 %.2f ms", now,
+            r.all.asked, r.all.outcomes[Driver.Outcome.SERVED.ordinal()], last.corrected.getTotalCount() == 0 ? 0
+                : last.corrected.getValueAtPercentile(99) / 1e3, r.lateness.getTotalCount() == 0 ? 0
+                    : r.lateness.getValueAtPercentile(99) / 1e3);
+        if (terminal) {
+          int done = (int) Math.min(20, 20 * now / seconds);
+          System.err.print("\r[" + "#".repeat(done) + ".".repeat(20 - done) + "] " + text + (now >= seconds ? "\n" : ""));
+        } else {
+          System.err.println(text);
+        }
+      };
+    }
+  }
+
+  @Command(name = "run", mixinStandardHelpOptions = true, description = "Plays a plan.")
+  static final class Run implements Callable<Integer> {
+    @Parameters(paramLabel = "PLAN", description = "the plan file, such as deploy/load-example.toml")
+    private Path file;
+
+    @CommandLine.ArgGroup(exclusive = false)
+    private Output output = new Output();
+
+    @Override
+    public Integer call() throws Exception {
+      Plan plan = OperatorsFile.read(file, Plan::read);
+      return output.finish(LoadRun.play(plan, output.live(plan.seconds())), file.toString());
+    }
+  }
+
+  @Command(name = "plan", mixinStandardHelpOptions = true, description = "Checks a plan; with --show draws the rate that it plans.")
+  static final class Show implements Callable<Integer> {
+    @Parameters(paramLabel = "PLAN")
+    private Path file;
+
+    @Option(names = "--show", description = "draws the planned rate as text")
+    private boolean show;
+
+    @Override
+    public Integer call() throws Exception {
+      Plan plan = OperatorsFile.read(file, Plan::read);
+      System.out.print(show ? PlanPicture.draw(plan) : file + ": ok, " + PlanPicture.line(plan) + "\n");
+      return 0;
+    }
+  }
+
+  @Command(name = "replay", mixinStandardHelpOptions = true,
+      description = "Plays a trace with its own spacing; the plan says where to, and what its classes are worth.")
+  static final class Replay implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "TRACE")
+    private Path trace;
+
+    @Option(names = "--plan", paramLabel = "PLAN", required = true)
+    private Path file;
+
+    @Option(names = "--speed", paramLabel = "N", defaultValue = "1",
+        description = "2 plays twice as fast, 0.5 stretches to twice the time (default: ${DEFAULT-VALUE})")
+    private double speed;
+
+    @CommandLine.ArgGroup(exclusive = false)
+    private Output output = new Output();
+
+    @Override
+    public Integer call() throws Exception {
+      Plan plan = OperatorsFile.read(file, Plan::read);
+      LoadRun.Replayed replayed = LoadRun.replay(plan, trace, speed, output.live(plan.seconds()));
+      if (replayed.damage() != null) {
+        System.out.println("the trace is damaged: " + replayed.damage());
+      }
+      return output.finish(replayed.results(), trace.toString());
+    }
+  }
+
+  @Command(name = "compare", mixinStandardHelpOptions = true,
+      description = "Two runs side by side, from their --json files, with the noise that chance alone makes.")
+  static final class Compare implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "A")
+    private Path a;
+
+    @Parameters(index = "1", paramLabel = "B")
+    private Path b;
+
+    @Override
+    public Integer call() throws IOException {
+      System.out.print(Comparison.of(Files.readString(a), Files.readString(b)).text());
+      return 0;
+    }
+  }
+}
--- a/extproc/src/main/java/cloverpulley/extproc/ExternalProcessor.java
+++ b/extproc/src/main/java/cloverpulley/extproc/ExternalProcessor.java
@@ -21,5 +21,9 @@
           .setResponseMarshaller(ProtoUtils.marshaller(ProcessingResponse.getDefaultInstance()))
           .build();
 
+  /** The same method for a server that encodes its replies itself. */
+  public static final MethodDescriptor<ProcessingRequest, Encoded> PROCESS_ENCODED =
+      PROCESS.toBuilder(PROCESS.getRequestMarshaller(), Encoded.MARSHALLER).build();
+
   private ExternalProcessor() {}
 }
--- /dev/null
+++ b/load/src/main/java/cloverpulley/load/LoadRun.java
@@ -0,0 +1,60 @@
+package cloverpulley.load;
+
+import cloverpulley.load.Draw.Planned;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/** Runs a plan, or a trace by a plan, against what the plan names as its target. */
+public final class LoadRun {
+
+  private LoadRun() {}
+
+  /** Plays a plan; {@code everySecond} is told while it goes on. */
+  public static Results play(Plan plan, Consumer<Results> everySecond) throws InterruptedException {
+    Draw draw = new Draw(plan);
+    return play(plan, draw::next, everySecond);
+  }
+
+  /** What came of a replay, and where the trace was damaged; null where it was not. */
+  public record Replayed(Results results, String damage) {}
+
+  /** Plays a trace at so many times its speed. */
+  public static Replayed replay(Plan plan, Path trace, double speed, Consumer<Results> everySecond)
+      throws IOException, InterruptedException {
+    Checks.require(speed > 0, "the speed must be above 0");
+    Plan whole;
+    try (Trace.Reader reader = open(trace)) {
+      whole = Replay.plan(plan, reader, speed);
+    }
+    try (Trace.Reader reader = open(trace)) {
+      Results results = play(whole, new Replay(reader, whole, speed), everySecond);
+      return new Replayed(results, reader.damage());
+    }
+  }
+
+  private static Trace.Reader open(Path trace) throws IOException {
+    return new Trace.Reader(new BufferedInputStream(Files.newInputStream(trace)));
+  }
+
+  private static Results play(Plan plan, Supplier<Planned> source, Consumer<Results> everySecond) throws InterruptedException {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    EventLoop loop = group.next();
+    Driver driver = plan.target().protocol() == Plan.Protocol.HTTP ? new HttpDriver(plan, loop) : new ExtProcDriver(plan, loop);
+    try {
+      // Two runs of one plan against one server have ids of their own: a server may remember them.
+      String prefix = "l" + Long.toString(System.nanoTime(), 36) + "-";
+      return new Runner(plan, loop, driver, prefix).everySecond(everySecond).run(source);
+    } finally {
+      loop.submit(driver::close).syncUninterruptibly();
+      group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/load/src/main/java/cloverpulley/load/Plan.java
@@ -0,0 +1,170 @@
+package cloverpulley.load;
+
+import cloverpulley.config.Section;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What a run is to be, as a plan file says: {@code [load]} and the tables in it.
+ *
+ * @param rate requests a second at factor 1
+ * @param lateMillis the p99 of the generator's own lateness above which a run counts as fallen behind
+ */
+public record Plan(long seed, double seconds, double rate, Arrivals.Process process, Arrivals.Bursts bursts, Shape shape,
+    List<Type> types, List<Tenant> tenants, Keys keys, Target target, Clients clients, double lateMillis) {
+
+  /** Whether a request may run again, which is what its headers and method say. */
+  public enum Effect { SAFE, KEYED, UNSAFE }
+
+  /**
+   * A class of requests.
+   *
+   * @param share part of the requests; the shares are taken as parts of their sum
+   * @param hintLeast work hinted at in microseconds, drawn evenly between least and most; 0 and 0 for no hint
+   */
+  public record Type(String name, Effect effect, double share, double worth, double aimMillis, double deadlineMillis, int bytes,
+      long hintLeast, long hintMost) {}
+
+  /** A tenant: its part of the requests, and of the fleet that it has paid for. */
+  public record Tenant(String name, double share, double portion) {}
+
+  /** Keys of Zipf popularity: the k-th is asked for in proportion to 1/k^exponent. */
+  public record Keys(int count, double exponent) {}
+
+  /** How it is reached. */
+  public enum Protocol { HTTP, EXT_PROC }
+
+  /** Where the load goes; {@code connections} bounds those open at one time. */
+  public record Target(Protocol protocol, InetSocketAddress address, String path, int connections, long connectMillis) {}
+
+  /**
+   * How clients behave.
+   *
+   * @param retries tries after the first
+   * @param backOffMillis before a retry, drawn from half of it to the whole and doubled each time
+   * @param honour part of the clients that wait as Retry-After says
+   * @param patienceLeast a try is given up after this part of the class's deadline, drawn up to the whole
+   */
+  public record Clients(int retries, double backOffMillis, double honour, double patienceLeast) {}
+
+  private static final Map<String, Arrivals.Process> PROCESSES = Map.of("poisson", Arrivals.Process.POISSON, "constant",
+      Arrivals.Process.CONSTANT, "bursty", Arrivals.Process.BURSTY);
+  private static final Map<String, Effect> EFFECTS =
+      Map.of("safe", Effect.SAFE, "keyed", Effect.KEYED, "unsafe", Effect.UNSAFE);
+  private static final Map<String, Protocol> PROTOCOLS = Map.of("http", Protocol.HTTP, "ext_proc", Protocol.EXT_PROC);
+  private static final List<String> SHAPES = List.of("flash", "month_end", "ramp", "season", "wave");
+  private static final double DAY_S = 86_400;
+  private static final double DAY_MS = DAY_S * 1000;
+
+  /** Reads a plan file. */
+  public static Plan read(Section file) {
+    Section s = file.table("load");
+    double seconds = s.number("seconds", 0.1, DAY_S, 30);
+    Arrivals.Process process = s.word("process", PROCESSES, Arrivals.Process.POISSON);
+    Arrivals.Bursts bursts = null;
+    if (process == Arrivals.Process.BURSTY) {
+      Section b = s.table("bursts");
+      double factor = b.number("factor", 1.001, 1000, 4);
+      double part = b.number("part", 0.0001, 0.9999, 0.1);
+      if (part * factor >= 1) {
+        b.wrong("part", "expected less than 1/factor, got " + part);
+        part = 0.5 / factor;
+      }
+      bursts = new Arrivals.Bursts(factor, part, b.number("mean_s", 0.001, DAY_S, 1));
+    }
+    return new Plan(s.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 1), seconds, s.number("rate", 0.01, 1e6, 100), process,
+        bursts, shape(s, seconds), types(s), tenants(s), keys(s.table("keys")), target(s.table("target")),
+        clients(s.table("clients")), s.number("late_ms", 0.01, 10_000, 10));
+  }
+
+  private static Shape shape(Section s, double length) {
+    List<Shape> parts = new ArrayList<>();
+    for (Section p : s.tables("shape")) {
+      String kind = p.text("kind");
+      try {
+        switch (kind) {
+          case "ramp" -> parts.add(new Shape.Ramp(p.number("from", 0, 1000, 0), p.number("to", 0, 1000, 1),
+              p.number("start_s", 0, DAY_S, 0), p.number("end_s", 0, DAY_S, length)));
+          case "wave" -> parts.add(new Shape.Wave(p.number("amplitude", 0, 1, 0.5), p.number("period_s", 0.01, DAY_S, length),
+              p.number("phase", 0, 1, 0)));
+          case "month_end" -> parts.add(new Shape.MonthEnd((int) p.whole("days", 1, 31, 3), p.number("rise", 1, 100, 2),
+              p.number("peak", 1, 100, 1.5), length));
+          case "season" -> parts.add(new Shape.Season(p.number("top", 1, 100, 2), length));
+          case "flash" -> parts.add(new Shape.Flash(p.number("start_s", 0, DAY_S, length / 2), p.number("factor", 1, 1000, 5),
+              p.number("half_life_s", 0.01, DAY_S, length / 10)));
+          default -> p.wrong("kind", "expected one of " + String.join(", ", SHAPES) + ", got \"" + kind + "\"");
+        }
+      } catch (IllegalArgumentException e) {
+        p.wrong("kind", e.getMessage());
+      }
+    }
+    return parts.isEmpty() ? new Shape.Flat() : parts.size() == 1 ? parts.get(0) : new Shape.Product(List.copyOf(parts));
+  }
+
+  private static List<Type> types(Section s) {
+    List<Type> types = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Section c : s.tables("class")) {
+      String name = c.text("name");
+      if (!names.add(name)) {
+        c.wrong("name", "two classes are called \"" + name + "\"");
+      }
+      Effect effect = c.word("effect", EFFECTS, null);
+      double aim = c.number("aim_ms", 0.1, DAY_MS, 1000);
+      double deadline = c.number("deadline_ms", 0.1, DAY_MS, Math.max(aim, 3000));
+      if (deadline < aim) {
+        c.wrong("deadline_ms", "expected no less than aim_ms, got " + deadline);
+      }
+      long least = c.whole("hint_least_us", 0, 100_000_000, 0);
+      long most = c.whole("hint_most_us", 0, 100_000_000, least);
+      if (most < least) {
+        c.wrong("hint_most_us", "expected no less than hint_least_us, got " + most);
+        most = least;
+      }
+      types.add(new Type(name, effect == null ? Effect.UNSAFE : effect, c.number("share", 0.0001, 1e6, 1),
+          c.number("worth", 0, 1e6, 1), aim, deadline, (int) c.whole("bytes", 0, 65536, effect == Effect.SAFE ? 0 : 200), least,
+          most));
+    }
+    if (types.isEmpty()) {
+      s.wrong("class", "expected at least one [[load.class]], got nothing");
+      types.add(new Type("none", Effect.SAFE, 1, 1, 1, 1, 0, 0, 0));
+    }
+    return List.copyOf(types);
+  }
+
+  private static List<Tenant> tenants(Section s) {
+    List<Tenant> tenants = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Section t : s.tables("tenant")) {
+      String name = t.text("name");
+      if (!names.add(name)) {
+        t.wrong("name", "two tenants are called \"" + name + "\"");
+      }
+      double share = t.number("share", 0.0001, 1e6, 1);
+      tenants.add(new Tenant(name, share, t.number("portion", 0, 1, 0)));
+    }
+    return tenants.isEmpty() ? List.of(new Tenant("", 1, 1)) : List.copyOf(tenants);
+  }
+
+  private static Keys keys(Section k) {
+    return new Keys((int) k.whole("count", 0, 1_000_000, 1000), k.number("zipf", 0, 4, 1));
+  }
+
+  private static Target target(Section t) {
+    String path = t.text("path", "/api");
+    if (!path.matches("/[!-~]*")) {
+      t.wrong("path", "expected a path such as /api, got \"" + path + "\"");
+    }
+    return new Target(t.word("protocol", PROTOCOLS, Protocol.HTTP), t.address("address", null), path,
+        (int) t.whole("connections", 1, 60_000, 256), t.whole("connect_ms", 1, 60_000, 1000));
+  }
+
+  private static Clients clients(Section c) {
+    return new Clients((int) c.whole("retries", 0, 10, 0), c.number("back_off_ms", 0, DAY_MS, 200),
+        c.number("honour_retry_after", 0, 1, 1), c.number("patience_least", 0.01, 1, 1));
+  }
+}
--- a/processor/src/main/java/cloverpulley/processor/Calls.java
+++ b/processor/src/main/java/cloverpulley/processor/Calls.java
@@ -126,7 +126,7 @@
     x.timeout.cancel(false);
     counts.outcome(status);
     if (x.call.id() != null) {
-      repeats.ended(clock.now(), x.call.id(), x.attempt.upstream(), status.provesNotRun());
+      repeats.ended(clock.now(), x.call.id(), x.attempt.upstream(), status);
     }
     x.end();
     engine.attemptEnded(x.attempt, status, load, () -> { });
--- a/processor/src/main/java/cloverpulley/processor/Headers.java
+++ b/processor/src/main/java/cloverpulley/processor/Headers.java
@@ -20,11 +20,12 @@
     return map.getHeadersCount();
   }
 
-  /** Bytes of names and values. */
+  /** Letters of names and values, as many bytes as there are for any header that means something here. */
   long bytes() {
     long bytes = 0;
     for (HeaderValue h : map.getHeadersList()) {
-      bytes += h.getKeyBytes().size() + h.getValueBytes().size() + h.getRawValue().size();
+      // Not the bytes themselves: asked for, each would be made of its text anew.
+      bytes += h.getKey().length() + h.getValue().length() + h.getRawValue().size();
     }
     return bytes;
   }
--- a/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
@@ -42,6 +42,8 @@
   /** Files in PEM form; {@code clientCa} null where callers need no certificate. */
   public record Tls(Path certificate, Path key, Path clientCa) {}
 
+  /** Records are kept for the longest deadline and dedup window together unless told, and for no less than this. */
+  private static final long LEAST_KEPT_MS = 10_000;
   private static final long DAY_MS = 86_400_000;
 
   /**
@@ -60,7 +62,7 @@
         l.whole("stream_idle_ms", 1, DAY_MS, 60_000), l.whole("connection_idle_ms", 1, DAY_MS, 300_000),
         l.whole("connection_age_ms", 1000, 30 * DAY_MS, DAY_MS));
     Section r = s.table("repeats");
-    long keep = r.whole("keep_ms", 1, DAY_MS, Math.max(60_000, TimeUnit.NANOSECONDS.toMillis(longestNanos)));
+    long keep = r.whole("keep_ms", 1, DAY_MS, Math.max(LEAST_KEPT_MS, TimeUnit.NANOSECONDS.toMillis(longestNanos)));
     if (TimeUnit.MILLISECONDS.toNanos(keep) < longestNanos) {
       r.wrong("keep_ms", "expected no less than the longest deadline and dedup window together, "
           + TimeUnit.NANOSECONDS.toMillis(longestNanos) + ", got " + keep);
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -10,7 +10,7 @@
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList;
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
-import cloverpulley.extproc.ExtProc.ProcessingResponse;
+import cloverpulley.extproc.Encoded;
 import cloverpulley.extproc.ExternalProcessor;
 import cloverpulley.repeats.Repeats;
 import io.grpc.Metadata;
@@ -160,7 +160,7 @@
         .maxConnectionAgeGrace(config.drainMillis(), TimeUnit.MILLISECONDS)
         .permitKeepAliveTime(1, TimeUnit.SECONDS).permitKeepAliveWithoutCalls(true)
         .addService(ServerServiceDefinition.builder(ExternalProcessor.SERVICE)
-            .addMethod(ExternalProcessor.PROCESS, (call, headers) -> open(shared, call, headers)).build())
+            .addMethod(ExternalProcessor.PROCESS_ENCODED, (call, headers) -> open(shared, call, headers)).build())
         .addService(health.getHealthService());
     if (config.reusePort()) {
       // A successor may listen before its predecessor has gone.
@@ -184,7 +184,7 @@
   }
 
   private ServerCall.Listener<ProcessingRequest> open(ProcessorStream.Shared shared,
-      ServerCall<ProcessingRequest, ProcessingResponse> call, Metadata headers) {
+      ServerCall<ProcessingRequest, Encoded> call, Metadata headers) {
     StreamLoop loop = ownLoop();
     if (!loop.mayEnter()) {
       call.close(Status.RESOURCE_EXHAUSTED.withDescription("too many streams"), new Metadata());
--- a/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
@@ -9,7 +9,7 @@
 import cloverpulley.extproc.ExtProc.ProcessingMode.BodySendMode;
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.ExtProc.ProcessingRequest.RequestCase;
-import cloverpulley.extproc.ExtProc.ProcessingResponse;
+import cloverpulley.extproc.Encoded;
 import cloverpulley.extproc.ExtProc.ProtocolConfiguration;
 import io.grpc.Metadata;
 import io.grpc.ServerCall;
@@ -36,7 +36,7 @@
   private static final double DECIDE_PART = 0.7;
 
   private final Shared shared;
-  private final ServerCall<ProcessingRequest, ProcessingResponse> call;
+  private final ServerCall<ProcessingRequest, Encoded> call;
   private final StreamLoop loop;
   private State state = State.NEW;
   private ProtocolConfiguration protocol = ProtocolConfiguration.getDefaultInstance();
@@ -48,6 +48,7 @@
   private boolean observing;
   /** The caller has been told a destination: from here on the attempt may run. */
   private boolean told;
+  private boolean begun;
   private boolean halfClosed;
   /** The engine holds something for this stream, and has not been told that it is over. */
   private boolean held;
@@ -61,11 +62,10 @@
   private long heardAt = System.nanoTime();
   private long receivedAt;
 
-  ProcessorStream(Shared shared, ServerCall<ProcessingRequest, ProcessingResponse> call, StreamLoop loop) {
+  ProcessorStream(Shared shared, ServerCall<ProcessingRequest, Encoded> call, StreamLoop loop) {
     this.shared = shared;
     this.call = call;
     this.loop = loop;
-    call.sendHeaders(new Metadata());
     call.request(1);
   }
 
@@ -285,21 +285,30 @@
   // ---- Replies -------------------------------------------------------------------------------------------
 
   /** An answer in the upstream's place: the last word on the stream. */
-  private void finish(ProcessingResponse last) {
+  private void finish(Encoded last) {
     if (!closed) {
       state = State.ENDED;
-      call.sendMessage(last);
+      write(last);
       close(io.grpc.Status.OK);
     }
   }
 
-  private void reply(ProcessingResponse reply) {
+  private void reply(Encoded reply) {
     if (!closed) {
-      call.sendMessage(reply);
+      write(reply);
       askForMore();
     }
   }
 
+  /** The stream's own headers leave with its first message: by themselves they would cost a packet of their own. */
+  private void write(Encoded reply) {
+    if (!begun) {
+      begun = true;
+      call.sendHeaders(new Metadata());
+    }
+    call.sendMessage(reply);
+  }
+
   private void askForMore() {
     if (call.isReady()) {
       call.request(1);
--- a/processor/src/main/java/cloverpulley/processor/StreamLoop.java
+++ b/processor/src/main/java/cloverpulley/processor/StreamLoop.java
@@ -1,6 +1,6 @@
 package cloverpulley.processor;
 
-import cloverpulley.extproc.ExtProc.ProcessingResponse;
+import cloverpulley.extproc.Encoded;
 import cloverpulley.extproc.ExtProc.ProtocolConfiguration;
 import io.netty.util.concurrent.EventExecutor;
 import java.net.SocketAddress;
@@ -43,11 +43,11 @@
   /** All wait equally long, so that the first is the first to be due. */
   private final ArrayDeque<Awaited> awaited = new ArrayDeque<>();
   private final Set<ProcessorStream> streams = new LinkedHashSet<>();
-  private final Map<Said, ProcessingResponse> said = new LinkedHashMap<>(64, 0.75f, true) {
+  private final Map<Said, Encoded> said = new LinkedHashMap<>(64, 0.75f, true) {
     private static final long serialVersionUID = 1L;
 
     @Override
-    protected boolean removeEldestEntry(Map.Entry<Said, ProcessingResponse> eldest) {
+    protected boolean removeEldestEntry(Map.Entry<Said, Encoded> eldest) {
       return size() > MOST_REPLIES;
     }
   };
@@ -119,7 +119,7 @@
   }
 
   /** {@link Replies#send}, made once for all that want the same. */
-  ProcessingResponse send(SocketAddress address, boolean inBody, ProtocolConfiguration protocol) {
+  Encoded send(SocketAddress address, boolean inBody, ProtocolConfiguration protocol) {
     return said.computeIfAbsent(new Said(address, protocol.getRequestBodyModeValue(), protocol.getResponseBodyModeValue(),
         inBody), s -> replies.send(address, inBody, protocol));
   }
