Records of the processor, and traces made of them: ashdeck load record and replay

Need: what a front saw is to be played again with the same spacing. Change: processor.records_file (off by default): a line of JSON a call, written by a thread of its own within a bound; ashdeck load record makes a trace of it, as it stands or while it is written, in the order of coming.

--- a/dist/src/main/java/cloverpulley/cli/LoadCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -6,8 +6,10 @@
 import cloverpulley.load.LoadRun;
 import cloverpulley.load.Plan;
 import cloverpulley.load.PlanPicture;
+import cloverpulley.load.RecordsReader;
 import cloverpulley.load.Report;
 import cloverpulley.load.Results;
+import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -23,7 +25,8 @@
 
 @Command(name = "load", mixinStandardHelpOptions = true,
     description = "Puts a planned load on a server and measures honestly: open loop, latencies from each request's intended start.",
-    subcommands = {LoadCommand.Run.class, LoadCommand.Show.class, LoadCommand.Replay.class, LoadCommand.Compare.class},
+    subcommands = {LoadCommand.Run.class, LoadCommand.Show.class, LoadCommand.Replay.class, LoadCommand.Record.class,
+      LoadCommand.Compare.class},
     footer = {"", "Exit status of run and replay: 3 where the generator itself fell behind."})
 final class LoadCommand implements Callable<Integer> {
 
@@ -142,6 +145,34 @@
     }
   }
 
+  @Command(name = "record", mixinStandardHelpOptions = true,
+      description = "Writes a trace from a front's own records (processor.records_file), as they stand or while they are written.")
+  static final class Record implements Callable<Integer> {
+    @Parameters(index = "0", paramLabel = "RECORDS")
+    private Path records;
+
+    @Option(names = "--out", paramLabel = "TRACE", required = true)
+    private Path out;
+
+    @Option(names = "--seconds", paramLabel = "N", defaultValue = "0",
+        description = "follows the file for so long from now; 0 takes what is in it (default: ${DEFAULT-VALUE})")
+    private double seconds;
+
+    @Override
+    public Integer call() throws Exception {
+      if (seconds == 0 && !Files.exists(records)) {
+        throw new IOException("no records at " + records);
+      }
+      try (var to = new BufferedOutputStream(Files.newOutputStream(out))) {
+        RecordsReader.Count count =
+            seconds > 0 ? RecordsReader.follow(records, to, seconds) : RecordsReader.convert(records, to);
+        System.out.println(out + ": " + count.requests() + " requests, " + count.unreadable() + " lines that can't be read, "
+            + count.dropped() + " dropped by the front");
+      }
+      return 0;
+    }
+  }
+
   @Command(name = "compare", mixinStandardHelpOptions = true,
       description = "Two runs side by side, from their --json files, with the noise that chance alone makes.")
   static final class Compare implements Callable<Integer> {
--- /dev/null
+++ b/load/src/test/java/cloverpulley/load/RecordReplayTest.java
@@ -0,0 +1,122 @@
+package cloverpulley.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.config.ServiceSection;
+import cloverpulley.load.Driver.Outcome;
+import cloverpulley.processor.FleetSource;
+import cloverpulley.processor.ProcessorConfig;
+import cloverpulley.processor.ProcessorServer;
+import cloverpulley.standins.ScriptedHttp;
+import cloverpulley.standins.ScriptedHttp.Manner;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A processor under load keeps records, a trace is made of them, and the trace is played again with the same spacing. */
+@Timeout(value = 2, unit = TimeUnit.MINUTES)
+class RecordReplayTest {
+
+  @TempDir
+  Path folder;
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+  @AfterEach
+  void end() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  private ProcessorServer processor(Path records) throws Exception {
+    return OperatorsFile.parse("test", "[[class]]\nname = \"safe\"\neffect = \"safe\"\naim_ms = 20000\ndeadline_ms = 40000\n"
+        + "[[class]]\nname = \"unsafe\"\neffect = \"unsafe\"\naim_ms = 20000\ndeadline_ms = 40000\n[processor]\nlisten = "
+        + "\"127.0.0.1:0\"\nrecords_file = \"" + records + "\"\n[[fleet.server]]\nid = \"s\"\naddress = \"127.0.0.1:1\"\n",
+        f -> {
+          var settings = ServiceSection.read(f);
+          var config = ProcessorConfig.read(f.table("processor"), 1);
+          var fleet = FleetSource.read(f.table("fleet"));
+          return (java.util.concurrent.Callable<ProcessorServer>) () -> ProcessorServer.start(config, settings, fleet, 1);
+        }).call();
+  }
+
+  private static final String TYPES = "[[load.class]]\nname = \"safe\"\neffect = \"safe\"\naim_ms = 400\ndeadline_ms = 20000\n"
+      + "hint_least_us = 5\nhint_most_us = 50\n[[load.class]]\nname = \"unsafe\"\neffect = \"unsafe\"\naim_ms = 400\n"
+      + "deadline_ms = 20000\n[[load.tenant]]\nname = \"a\"\n[[load.tenant]]\nname = \"b\"\n";
+
+  @Test
+  void recordsBecomeATraceAndTheTraceIsPlayedAgain() throws Exception {
+    Path records = folder.resolve("records");
+    Results first;
+    try (ProcessorServer server = processor(records)) {
+      Plan plan = OperatorsFile.parse("plan", "[load]\nrate = 200\nseconds = 2\n" + TYPES + "[load.target]\nprotocol = \"ext_proc\""
+          + "\nconnections = 2\naddress = \"127.0.0.1:" + server.address().getPort() + "\"", Plan::read);
+      first = LoadRun.play(plan, r -> { });
+      assertEquals(first.all.asked, first.all.outcomes[Outcome.SERVED.ordinal()]);
+      assertEquals(first.all.asked, server.counts().calls());
+    }
+    Files.writeString(records, Files.readString(records) + "{\"at_us\":\"x\"}\nnonsense\n");
+    Path trace = folder.resolve("trace");
+    try (var out = Files.newOutputStream(trace)) {
+      assertEquals(new RecordsReader.Count(first.all.asked, 2, 0), RecordsReader.convert(records, out));
+    }
+    List<Trace.Entry> entries = new ArrayList<>();
+    try (Trace.Reader reader = new Trace.Reader(Files.newInputStream(trace))) {
+      for (Trace.Entry e = reader.next(); e != null; e = reader.next()) {
+        entries.add(e);
+      }
+      assertNull(reader.damage());
+    }
+    assertEquals(first.types.get(0).asked, entries.stream().filter(e -> e.className().equals("safe")).count());
+    assertEquals(first.tenants.get(1).asked, entries.stream().filter(e -> e.tenant().equals("b")).count());
+    assertTrue(entries.stream().allMatch(e -> e.outcome() == Outcome.SERVED && e.keyHash() != 0));
+    try (ScriptedHttp server = new ScriptedHttp(group, Manner.SERVE)) {
+      Plan plan = OperatorsFile.parse("plan", "[load]\n" + TYPES + "[load.target]\naddress = \"127.0.0.1:"
+          + server.address().getPort() + "\"", Plan::read);
+      LoadRun.Replayed again = LoadRun.replay(plan, trace, 4, r -> { });
+      assertNull(again.damage());
+      assertEquals(first.all.asked, again.results().all.outcomes[Outcome.SERVED.ordinal()]);
+      assertEquals(first.types.get(0).asked, again.results().types.get(0).asked);
+      assertEquals(first.all.asked, server.began());
+      assertEquals(entries.get(entries.size() - 1).atMicros() / 4e6, again.results().plan().seconds(), 1e-9);
+      // One that is cut off is played up to there, and where that was is said.
+      byte[] bytes = Files.readAllBytes(trace);
+      Files.write(trace, Arrays.copyOf(bytes, bytes.length - 5));
+      LoadRun.Replayed part = LoadRun.replay(plan, trace, 10, r -> { });
+      assertNotNull(part.damage());
+      assertTrue(part.results().all.asked < first.all.asked);
+    }
+  }
+
+  /** Records end when their calls do; a trace is in the order of their coming. */
+  @Test
+  void recordsThatOvertookEachOtherArePutInOrder() throws Exception {
+    Path records = folder.resolve("records");
+    String line = "{\"at_us\":%d,\"class\":\"c\",\"tenant\":\"\",\"key\":\"%x\",\"hint_us\":0,\"%s\":\"%s\",\"latency_us\":1%s}\n";
+    Files.writeString(records, String.format(line, 3_000_000, 3, "outcome", "served", "") + String.format(line, 1_000_000, 1, "reason",
+        "over_rate", "") + String.format(line, 2_000_000, 2, "reason", "may_have_run", ",\"dropped_before\":7"));
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    assertEquals(new RecordsReader.Count(3, 0, 7), RecordsReader.convert(records, out));
+    try (Trace.Reader reader = new Trace.Reader(new ByteArrayInputStream(out.toByteArray()))) {
+      assertEquals(new Trace.Entry(0, "c", "", 1, 0, 0, 1, Outcome.REFUSED), reader.next());
+      assertEquals(new Trace.Entry(1_000_000, "c", "", 2, 0, 0, 1, Outcome.FAILED), reader.next());
+      assertEquals(new Trace.Entry(2_000_000, "c", "", 3, 0, 0, 1, Outcome.SERVED), reader.next());
+      assertNull(reader.next());
+    }
+  }
+}
--- a/processor/src/main/java/cloverpulley/processor/Calls.java
+++ b/processor/src/main/java/cloverpulley/processor/Calls.java
@@ -14,6 +14,7 @@
 import cloverpulley.repeats.Repeats.Finding;
 import java.net.SocketAddress;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -30,14 +31,17 @@
   private final Fleet fleet;
   private final Repeats repeats;
   private final Counts counts;
+  private final RecordsFile records;
 
-  Calls(ScheduledExecutorService loop, Clock clock, Engine engine, Fleet fleet, Repeats repeats, Counts counts) {
+  Calls(ScheduledExecutorService loop, Clock clock, Engine engine, Fleet fleet, Repeats repeats, Counts counts,
+      RecordsFile records) {
     this.loop = loop;
     this.clock = clock;
     this.engine = engine;
     this.fleet = fleet;
     this.repeats = repeats;
     this.counts = counts;
+    this.records = records;
   }
 
   /**
@@ -106,9 +110,18 @@
   /** The module has ended a call without an attempt. */
   void answered(CallExchange x, Verdict verdict) {
     counts.count(verdict.reason());
+    record(x, verdict.reason().word(), false);
     over(x);
   }
 
+  private void record(CallExchange x, String word, boolean sent) {
+    if (records.isKept()) {
+      long took = (clock.now() - (x.facts().deadline() - x.call.waitNanos())) / 1000;
+      records.add(new RecordsFile.Call(RecordsFile.nowMicros() - took, x.call.type().name(), x.call.tenant(),
+          RecordsFile.hash(x.call.key()), x.call.hintNanos() / 1000, word, sent, sent ? x.attempt.upstream() : 0, took));
+    }
+  }
+
   private void over(CallExchange x) {
     if (x.call.id() != null) {
       repeats.answered(clock.now(), x.call.id());
@@ -125,6 +138,7 @@
     }
     x.timeout.cancel(false);
     counts.outcome(status);
+    record(x, status.name().toLowerCase(Locale.ROOT), true);
     if (x.call.id() != null) {
       repeats.ended(clock.now(), x.call.id(), x.attempt.upstream(), status);
     }
--- a/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
@@ -19,15 +19,17 @@
  * @param lameMillis how long new connections are still taken after SIGTERM, for a successor to come up
  * @param drainMillis how long after that what is open may go on
  * @param warmUpCalls calls made of itself before it listens
+ * @param recordsFile where a line for each call is written; null for nowhere
  */
 public record ProcessorConfig(InetSocketAddress listen, long messageTimeoutNanos, int ioThreads, boolean askForResponses,
     boolean reflection, boolean reusePort, long lameMillis, long drainMillis, int warmUpCalls, Names names, Limits limits,
-    Repeats.Config repeats, boolean countRequired, Tls tls) {
+    Repeats.Config repeats, boolean countRequired, Tls tls,
+    Path recordsFile, long recordsMostBytes) {
 
   /** The same for a processor beside this one, at a port of its own on loopback and without certificates. */
   ProcessorConfig aside() {
     return new ProcessorConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), messageTimeoutNanos, 1,
-        askForResponses, false, false, 0, 0, 0, names, limits, repeats, countRequired, null);
+        askForResponses, false, false, 0, 0, 0, names, limits, repeats, countRequired, null, null, 0);
   }
 
   /** What a caller sends under which name; header names are lower case, as HTTP/2 has them. */
@@ -73,7 +75,13 @@
         s.flag("ask_for_responses", true), s.flag("reflection", false), s.flag("reuse_port", true),
         s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 10_000),
         (int) s.whole("warm_up_calls", 0, 100_000, 500), names(s.table("headers")), limits, repeats,
-        r.flag("count_required", false), tls(s, listen));
+        r.flag("count_required", false), tls(s, listen),
+        records(s), s.whole("records_most_mb", 1, 100_000, 256) << 20);
+  }
+
+  private static Path records(Section s) {
+    String file = s.text("records_file", "");
+    return file.isEmpty() ? null : Path.of(file);
   }
 
   private static Names names(Section h) {
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -69,12 +69,14 @@
   private final Clock clock = new Clock();
   private final Fleet fleet = new Fleet(clock);
   private final HeldList held;
+  private final RecordsFile records;
   private Engine engine;
   private Server server;
 
   private ProcessorServer(ProcessorConfig config, FleetSource source) {
     this.config = config;
     held = new HeldList(source.stateFile());
+    records = config.recordsFile() == null ? RecordsFile.NONE : new RecordsFile(config.recordsFile(), config.recordsMostBytes());
     // One thread accepts and serves: a second would only pass connections on.
     ioGroup = new MultiThreadIoEventLoopGroup(config.ioThreads(), NioIoHandler.newFactory());
     acceptors = config.ioThreads() == 1 ? ioGroup : new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -145,7 +147,7 @@
   }
 
   private void listen(Settings settings) throws IOException {
-    Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts);
+    Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts, records);
     Replies replies = new Replies(config);
     ProcessorStream.Shared shared = new ProcessorStream.Shared(config, new Mapping(config, settings), replies, engineLoop,
         calls, clock, counts);
@@ -278,6 +280,7 @@
       }
     }
     held.close();
+    records.close();
     ioGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     acceptors.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     engineGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
