--- a/dist/src/main/java/cloverpulley/cli/LoadCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -98,6 +98,7 @@
     @Override
     public Integer call() throws Exception {
       Plan plan = OperatorsFile.read(file, Plan::read);
+      LoadRun.warmUp(plan);
       return output.finish(LoadRun.play(plan, output.live(plan.seconds())), file.toString());
     }
   }
@@ -137,6 +138,7 @@
     @Override
     public Integer call() throws Exception {
       Plan plan = OperatorsFile.read(file, Plan::read);
+      LoadRun.warmUp(plan);
       LoadRun.Replayed replayed = LoadRun.replay(plan, trace, speed, output.live(plan.seconds()));
       if (replayed.damage() != null) {
         System.out.println("the trace is damaged: " + replayed.damage());
--- a/load/src/main/java/cloverpulley/load/LoadRun.java
+++ b/load/src/main/java/cloverpulley/load/LoadRun.java
@@ -17,6 +17,11 @@
 
   private LoadRun() {}
 
+  /** Makes the generator ready: a short load against a server of its own, by the plan's protocol. */
+  public static void warmUp(Plan plan) throws IOException, InterruptedException {
+    WarmUp.run(plan);
+  }
+
   /** Plays a plan; {@code everySecond} is told while it goes on. */
   public static Results play(Plan plan, Consumer<Results> everySecond) throws InterruptedException {
     Draw draw = new Draw(plan);
--- /dev/null
+++ b/load/src/main/java/cloverpulley/load/WarmUp.java
@@ -0,0 +1,116 @@
+package cloverpulley.load;
+
+import cloverpulley.extproc.ExtProc.HeadersResponse;
+import cloverpulley.extproc.ExtProc.ProcessingRequest;
+import cloverpulley.extproc.ExtProc.ProcessingResponse;
+import cloverpulley.extproc.ExternalProcessor;
+import io.grpc.Metadata;
+import io.grpc.Server;
+import io.grpc.ServerCall;
+import io.grpc.ServerServiceDefinition;
+import io.grpc.Status;
+import io.grpc.netty.NettyServerBuilder;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Plays a short load against a server of its own on loopback before a run. Guards the run's first second: a generator whose code
+ * is not loaded yet is late by hundreds of milliseconds, and its figures would be its own.
+ */
+final class WarmUp {
+
+  private static final double RATE = 1000;
+  private static final double SECONDS = 2;
+
+  private WarmUp() {}
+
+  /** Plays it by the plan's protocol, and says how much was served. */
+  static Results run(Plan plan) throws IOException, InterruptedException {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      InetSocketAddress address = plan.target().protocol() == Plan.Protocol.HTTP ? http(group) : processor(group);
+      Plan.Target target = new Plan.Target(plan.target().protocol(), address, plan.target().path(), plan.target().connections(),
+          plan.target().connectMillis());
+      Plan brief = new Plan(plan.seed(), SECONDS, RATE, Arrivals.Process.POISSON, null, new Shape.Flat(), plan.types(),
+          plan.tenants(), new Plan.Keys(Math.min(100, plan.keys().count()), plan.keys().exponent()), target, plan.clients(),
+          plan.lateMillis());
+      return LoadRun.play(brief, r -> { });
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(1, TimeUnit.SECONDS);
+    }
+  }
+
+  private static InetSocketAddress here() {
+    return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+  }
+
+  private static InetSocketAddress http(EventLoopGroup group) {
+    return (InetSocketAddress) new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(1 << 20), new Serve());
+          }
+        }).bind(here()).syncUninterruptibly().channel().localAddress();
+  }
+
+  private static final class Serve extends SimpleChannelInboundHandler<FullHttpRequest> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      FullHttpResponse ok = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.EMPTY_BUFFER);
+      ok.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+      context.writeAndFlush(ok);
+    }
+  }
+
+  private static InetSocketAddress processor(EventLoopGroup group) throws IOException {
+    Server server = NettyServerBuilder.forAddress(here()).bossEventLoopGroup(group).workerEventLoopGroup(group)
+        .channelType(NioServerSocketChannel.class).directExecutor()
+        .addService(ServerServiceDefinition.builder(ExternalProcessor.SERVICE)
+            .addMethod(ExternalProcessor.PROCESS, (call, headers) -> new GoOn(call)).build()).build().start();
+    return (InetSocketAddress) List.copyOf(server.getListenSockets()).get(0);
+  }
+
+  private static final class GoOn extends ServerCall.Listener<ProcessingRequest> {
+    private final ServerCall<ProcessingRequest, ProcessingResponse> call;
+
+    GoOn(ServerCall<ProcessingRequest, ProcessingResponse> call) {
+      this.call = call;
+      call.request(2);
+      call.sendHeaders(new Metadata());
+    }
+
+    @Override
+    public void onMessage(ProcessingRequest message) {
+      ProcessingResponse.Builder reply = ProcessingResponse.newBuilder();
+      call.sendMessage(message.hasRequestHeaders() ? reply.setRequestHeaders(HeadersResponse.getDefaultInstance()).build()
+          : reply.setResponseHeaders(HeadersResponse.getDefaultInstance()).build());
+    }
+
+    @Override
+    public void onHalfClose() {
+      call.close(Status.OK, new Metadata());
+    }
+  }
+}
--- a/load/src/test/java/cloverpulley/load/RecordReplayTest.java
+++ b/load/src/test/java/cloverpulley/load/RecordReplayTest.java
@@ -103,6 +103,18 @@
     }
   }
 
+  /** What makes the generator ready is served whole, and by the plan's own protocol. */
+  @Test
+  void theWarmUpIsServed() throws Exception {
+    for (String protocol : List.of("http", "ext_proc")) {
+      Plan plan = OperatorsFile.parse("plan", "[load]\n" + TYPES + "[load.target]\nprotocol = \"" + protocol
+          + "\"\naddress = \"127.0.0.1:1\"", Plan::read);
+      Results r = WarmUp.run(plan);
+      assertTrue(r.all.asked > 1000);
+      assertEquals(r.all.asked, r.all.outcomes[Outcome.SERVED.ordinal()], protocol);
+    }
+  }
+
   /** Records end when their calls do; a trace is in the order of their coming. */
   @Test
   void recordsThatOvertookEachOtherArePutInOrder() throws Exception {
