--- a/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
@@ -134,7 +134,7 @@
     Mapping.Read read = shared.mapping.read(headers);
     if (read instanceof Mapping.Bad bad) {
       shared.counts.count(Reason.BAD_REQUEST);
-      bad(bad.status(), bad.what(), Reason.BAD_REQUEST.word());
+      finish(shared.replies.bad(bad.status(), bad.what(), Reason.BAD_REQUEST.word(), grpc));
       return;
     }
     request = (Mapping.Call) read;
@@ -268,18 +268,20 @@
 
   @Override
   public void end(Verdict verdict) {
-    loop.execute(() -> {
-      held = false;
-      finish(shared.replies.end(verdict, grpc));
-    });
+    loop.execute(() -> endedBy(shared.replies.end(verdict, grpc)));
   }
 
   @Override
   public void bad(int status, String what, String reason) {
-    loop.execute(() -> {
-      held = false;
-      finish(shared.replies.bad(status, what, reason, grpc));
-    });
+    loop.execute(() -> endedBy(shared.replies.bad(status, what, reason, grpc)));
+  }
+
+  /** Guards rule 1: a call that has its verdict gets no second one, whatever the engine comes to say of it. */
+  private void endedBy(Encoded last) {
+    held = false;
+    if (state == State.ASKED || state == State.RECHECKING) {
+      finish(last);
+    }
   }
 
   // ---- Replies -------------------------------------------------------------------------------------------
