bench/run processor counts destinations only, and prints the part that was sent

Need: refusals counted as verdicts made a processor with a full record look fast. Change: throughput is that of destinations; sent_at_saturation and sent_at_5000 are among the figures.

--- a/bench/src/main/java/cloverpulley/bench/ProcessorBench.java
+++ b/bench/src/main/java/cloverpulley/bench/ProcessorBench.java
@@ -60,7 +60,9 @@
       for (int round = 0; round < rounds; round++) {
         for (int fleet : FLEETS) {
           Result full = callers.get(fleet).closed(AT_ONCE, seconds);
-          note(figures, fleet + " rate", full.rate());
+          // Refusals are cheap verdicts: counted as work done they would flatter a processor that is full.
+          note(figures, fleet + " rate", full.rate() * full.destinations() / full.calls());
+          note(figures, fleet + " full sent", (double) full.destinations() / full.calls());
           lost += full.lost();
           for (int rate : RATES) {
             double before = children.get(fleet).cpuMicros();
@@ -98,9 +100,16 @@
         "cpu_ratio", Child.figure(of(figures, "100 cpu 5000") / of(figures, "0 cpu 5000")),
         "fleet_growth", Child.figure(of(figures, "1000 cpu 5000") / of(figures, "10 cpu 5000")),
         "fleet_growth_rate", Child.figure(of(figures, "10 rate") / of(figures, "1000 rate")),
+        "sent_at_saturation", Child.figure(least(figures, " full sent")), "sent_at_5000", Child.figure(least(figures, " sent 5000")),
         "lost", Long.toString(lost), "late", Long.toString(late)));
   }
 
+  /** The least of a figure over all fleets and rounds. */
+  private static double least(Map<String, List<Double>> figures, String name) {
+    return figures.entrySet().stream().filter(e -> e.getKey().endsWith(name)).flatMap(e -> e.getValue().stream())
+        .mapToDouble(v -> v).min().orElseThrow();
+  }
+
   private static void note(Map<String, List<Double>> figures, String name, double value) {
     figures.computeIfAbsent(name, n -> new ArrayList<>()).add(value);
   }
