--- a/balancer/src/test/java/cloverpulley/JarIT.java
+++ b/balancer/src/test/java/cloverpulley/JarIT.java
@@ -64,8 +64,9 @@
   void thePlatformsJarIsLean() throws IOException {
     try (JarFile jar = new JarFile(System.getProperty("jar"))) {
       List<String> names = jar.stream().map(JarEntry::getName).toList();
-      for (String other : List.of("cloverpulley/repeats/", "cloverpulley/config/", "cloverpulley/processor/",
-          "cloverpulley/load/", "io/grpc/", "com/google/", "org/tomlj/", "picocli/", "org/HdrHistogram/")) {
+      for (String other : List.of("cloverpulley/repeats/", "cloverpulley/names/", "cloverpulley/dns/",
+          "cloverpulley/fleet/", "cloverpulley/config/", "cloverpulley/processor/", "cloverpulley/load/", "org/xbill/", "com/github/",
+          "io/grpc/", "com/google/", "org/tomlj/", "picocli/", "org/HdrHistogram/")) {
         assertTrue(names.stream().noneMatch(n -> n.startsWith(other)), other);
       }
     }
--- a/bench/src/main/java/cloverpulley/bench/Child.java
+++ b/bench/src/main/java/cloverpulley/bench/Child.java
@@ -40,6 +40,12 @@
     return Integer.parseInt(line.substring(5));
   }
 
+  /** Tells it a line. */
+  void say(String line) throws IOException {
+    process.getOutputStream().write((line + "\n").getBytes(StandardCharsets.UTF_8));
+    process.getOutputStream().flush();
+  }
+
   /** The next line that it prints; null at its end. */
   String line() throws IOException {
     return out.readLine();
--- /dev/null
+++ b/bench/src/main/java/cloverpulley/bench/DnsServers.java
@@ -0,0 +1,189 @@
+package cloverpulley.bench;
+
+import cloverpulley.Balancer.State;
+import cloverpulley.config.BadFileException;
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.dns.DnsConfig;
+import cloverpulley.dns.DnsServer;
+import cloverpulley.dns.wire.Edns;
+import cloverpulley.dns.wire.MalformedException;
+import cloverpulley.dns.wire.Message;
+import cloverpulley.engine.ServerList;
+import cloverpulley.engine.ServerList.Server;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** What {@link DnsBench} measures, in processes of their own: the front, and the null responder on the same library. */
+public final class DnsServers {
+
+  private static final int READS = 256;
+  private static final int MOST_DATAGRAM = 4096;
+  private static final int BUFFER = 1 << 20;
+  private static final byte[] OPT = new Edns.Writer(1232, 0, false).bytes();
+
+  private DnsServers() {}
+
+  /**
+   * {@code null TTL}: answers every question with one address at once; or {@code front MB PORT...}: the front before servers at these
+   * ports. Prints its port; then does what each line of its input says: {@code count}, {@code drain}, {@code report}.
+   */
+  public static void main(String[] args) throws IOException, BadFileException {
+    BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    if (args[0].equals("null")) {
+      Null server = new Null(Integer.parseInt(args[1]));
+      System.out.println("port " + server.port());
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        System.out.println(server.questions);
+      }
+    } else {
+      List<Server> servers = new ArrayList<>();
+      StringBuilder text = new StringBuilder(CONFIG.replace("MB", args[1]));
+      for (int i = 2; i < args.length; i++) {
+        text.append("[[dns.fleet.server]]\nid = \"d").append(i).append("\"\naddress = \"127.0.0.1:").append(args[i]).append("\"\nzone = \"a\"\n");
+      }
+      DnsConfig config = OperatorsFile.parse("bench", text.toString(), f -> DnsConfig.read(f.table("dns"), null));
+      DnsServer server = DnsServer.start(config, null, 1);
+      System.out.println("port " + server.address().getPort());
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        if (line.equals("drain")) {
+          for (Server s : config.fleet().list().members()) {
+            servers.add(new Server(s.id(), s.address(), s.zone(), s.cell(), servers.isEmpty() ? State.DRAINING : s.state(), s.size(),
+                s.upSinceMillis()));
+          }
+          server.listed(new ServerList(0, true, servers), null);
+        }
+        System.out.println(server.report());
+      }
+    }
+    System.exit(0);
+  }
+
+  private static final String CONFIG = """
+      [dns]
+      listen = "127.0.0.1:0"
+      [dns.service]
+      zone = "a"
+      most_in_hand = 100000
+      [[dns.class]]
+      name = "query"
+      effect = "safe"
+      aim_ms = 300
+      deadline_ms = 1500
+      [dns.limits]
+      udp_per_prefix_per_s = 0
+      tcp_per_client = 1000
+      tcp_pipelined = 1000
+      [dns.cache]
+      mb = MB
+      [dns.upstream]
+      pipelined = 10000
+      attempt_ms = 400
+      """;
+
+  /** Reads each question strictly, as the front does, and answers it from nothing. */
+  private static final class Null {
+
+    private final int ttl;
+    private final Channel udp;
+    final AtomicLong questions = new AtomicLong();
+
+    Null(int ttl) {
+      this.ttl = ttl;
+      EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+      InetAddress here = InetAddress.getLoopbackAddress();
+      udp = new Bootstrap().group(group).channel(NioDatagramChannel.class).option(ChannelOption.SO_RCVBUF, BUFFER)
+          .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MOST_DATAGRAM).maxMessagesPerRead(READS))
+          .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+              byte[] answer = answer(packet.content());
+              if (answer != null) {
+                context.write(new DatagramPacket(context.alloc().directBuffer(answer.length).writeBytes(answer), packet.sender()),
+                    context.voidPromise());
+              }
+            }
+
+            @Override
+            public void channelReadComplete(ChannelHandlerContext context) {
+              context.flush();
+            }
+          }).bind(here, 0).syncUninterruptibly().channel();
+      new ServerBootstrap().group(group).channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, 1024)
+          .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel channel) {
+              channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(Message.MOST + 2, 0, 2, 0, 2),
+                  new SimpleChannelInboundHandler<ByteBuf>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+                      byte[] answer = answer(frame);
+                      if (answer != null) {
+                        context.write(context.alloc().directBuffer(2 + answer.length).writeShort(answer.length).writeBytes(answer),
+                            context.voidPromise());
+                      }
+                    }
+
+                    @Override
+                    public void channelReadComplete(ChannelHandlerContext context) {
+                      context.flush();
+                    }
+                  });
+            }
+          }).bind(here, port()).syncUninterruptibly();
+    }
+
+    int port() {
+      return ((InetSocketAddress) udp.localAddress()).getPort();
+    }
+
+    private byte[] answer(ByteBuf content) {
+      byte[] octets = new byte[content.readableBytes()];
+      content.readBytes(octets);
+      try {
+        Message m = Message.read(octets);
+        questions.incrementAndGet();
+        int end = m.questionEnd();
+        byte[] to = new byte[end + 16 + (m.edns() == null ? 0 : OPT.length)];
+        System.arraycopy(octets, 0, to, 0, end);
+        Message.put16(to, 2, 0x8000 | m.flags() & Message.RD | Message.RA);
+        to[7] = 1;
+        to[11] = (byte) (m.edns() == null ? 0 : 1);
+        Message.put16(to, end, 0xC000 | Message.HEADER);
+        Message.put16(to, end + 2, 1);
+        Message.put16(to, end + 4, Message.IN);
+        Message.put32(to, end + 6, ttl);
+        Message.put16(to, end + 10, 4);
+        to[end + 12] = 10;
+        if (m.edns() != null) {
+          System.arraycopy(OPT, 0, to, end + 16, OPT.length);
+        }
+        return to;
+      } catch (MalformedException e) {
+        return null;
+      }
+    }
+  }
+}
--- a/bench/src/main/java/cloverpulley/bench/Servers.java
+++ b/bench/src/main/java/cloverpulley/bench/Servers.java
@@ -10,7 +10,7 @@
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.ExtProc.ProcessingResponse;
 import cloverpulley.extproc.ExternalProcessor;
-import cloverpulley.processor.FleetSource;
+import cloverpulley.fleet.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
 import cloverpulley.processor.ProcessorServer;
 import cloverpulley.standins.ScriptedHttp;
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/names/FreshnessTest.java
@@ -0,0 +1,63 @@
+package cloverpulley.names;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Status;
+import cloverpulley.names.Freshness.Config;
+import cloverpulley.names.Freshness.Use;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class FreshnessTest {
+
+  private static final long SECOND = 1_000_000_000L;
+  private final Freshness freshness = new Freshness(new Config(3600, 60, 100, 0.1, 2));
+
+  @Test
+  void ttlsAreBounded() {
+    assertEquals(3600, freshness.kept(1_000_000, false));
+    assertEquals(60, freshness.kept(1_000_000, true));
+    assertEquals(0, freshness.kept(-1, false));
+  }
+
+  @Test
+  void anAnswerIsFreshThenStaleThenGone() {
+    assertEquals(Use.FRESH, freshness.use(5 * SECOND, 0, 10, 0));
+    assertEquals(Use.FRESH, freshness.use(10 * SECOND - 1, 0, 10, 1), "asked for once only");
+    assertEquals(Use.REFRESH, freshness.use(9 * SECOND, 0, 10, 2));
+    assertEquals(Use.STALE, freshness.use(10 * SECOND, 0, 10, 2));
+    assertEquals(Use.STALE, freshness.use(110 * SECOND - 1, 0, 10, 2));
+    assertEquals(Use.GONE, freshness.use(110 * SECOND, 0, 10, 2));
+  }
+
+  @Test
+  void whatAServerDoesNotDoIsBelievedForATime() {
+    ServerTraits traits = new ServerTraits(10);
+    assertTrue(traits.mayUseEdns(0, 1) && traits.mayMixCase(0, 1));
+    traits.speaksNoEdns(0, 1);
+    traits.losesCase(5, 1);
+    assertFalse(traits.mayUseEdns(9, 1));
+    assertTrue(traits.mayUseEdns(10, 1));
+    assertFalse(traits.mayMixCase(14, 1));
+    assertTrue(traits.mayMixCase(0, 2));
+    traits.keepOnly(Set.of(2L));
+    assertTrue(traits.mayMixCase(14, 1));
+  }
+
+  @Test
+  void onlyRefusedProvesThatNothingRanAndOnlyWhereTheOperatorsSaySo() {
+    for (int rcode = 0; rcode < 24; rcode++) {
+      for (Effect effect : Effect.values()) {
+        assertFalse(Wording.of(effect, rcode, false).provesNotRun());
+        assertEquals(rcode == 5, Wording.of(effect, rcode, true).provesNotRun());
+      }
+    }
+    assertEquals(Status.ERROR, Wording.of(Effect.SAFE, 2, false));
+    assertEquals(Status.ERROR, Wording.of(Effect.UNSAFE, 2, false));
+    assertEquals(Status.SERVED, Wording.of(Effect.UNSAFE, 6, false), "YXDOMAIN is the server's word");
+    assertEquals(Status.SERVED, Wording.of(Effect.SAFE, 3, false));
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/CheckCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/CheckCommand.java
@@ -16,9 +16,10 @@
   @Override
   public Integer call() throws BadFileException {
     Operators read = Operators.read(file);
+    String servers = read.fleet() == null ? "DNS alone" : read.fleet().discovery() == null
+        ? read.fleet().list().members().size() + " servers" : "servers from discovery";
     System.out.println(file + ": ok, " + read.settings().classes().size() + " classes, "
-        + read.settings().tenants().size() + " tenants, "
-        + (read.fleet().discovery() == null ? read.fleet().list().members().size() + " servers" : "servers from discovery"));
+        + read.settings().tenants().size() + " tenants, " + servers);
     return 0;
   }
 }
--- a/dist/src/main/java/cloverpulley/cli/ChildProcessor.java
+++ b/dist/src/main/java/cloverpulley/cli/ChildFront.java
@@ -8,27 +8,27 @@
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 
-/** A processor in a process of its own, so that it can be stopped and killed as in service. */
-final class ChildProcessor implements AutoCloseable {
+/** A front in a process of its own, so that it can be stopped and killed as in service. */
+final class ChildFront implements AutoCloseable {
 
-  private static final String LISTENING = "process listening on ";
+  private static final String LISTENING = " listening on ";
   private static final long STOP_LIMIT_S = 30;
 
   private final Process process;
   private final InetSocketAddress address;
 
-  /** Starts it and returns once it serves; its log goes to {@code log}. */
-  ChildProcessor(Path config, Path log) throws IOException {
+  /** Starts {@code ashdeck COMMAND} and returns once it serves; its log goes to {@code log}. */
+  ChildFront(String command, Path config, Path log) throws IOException {
     process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(), "process", "--config",
+        "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Main.class.getName(), command, "--config",
         config.toString()).redirectError(ProcessBuilder.Redirect.appendTo(log.toFile())).start();
     String line = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)).readLine();
-    if (line == null || !line.startsWith(LISTENING)) {
+    if (line == null || !line.startsWith(command + LISTENING)) {
       process.destroyForcibly();
-      throw new IOException("the processor did not start, see " + log);
+      throw new IOException(command + " did not start, see " + log);
     }
     int colon = line.lastIndexOf(':');
-    address = new InetSocketAddress(line.substring(LISTENING.length(), colon), Integer.parseInt(line.substring(colon + 1)));
+    address = new InetSocketAddress(line.substring(command.length() + LISTENING.length(), colon), Integer.parseInt(line.substring(colon + 1)));
   }
 
   InetSocketAddress address() {
--- a/dist/src/main/java/cloverpulley/cli/Demo.java
+++ b/dist/src/main/java/cloverpulley/cli/Demo.java
@@ -90,7 +90,7 @@
   private final AtomicInteger wrong = new AtomicInteger();
   private long drainedAt;
   private volatile int restartStatus = -1;
-  private volatile ChildProcessor restarted;
+  private volatile ChildFront restarted;
   private StandInProxy.Tally tally;
 
   Demo(int seconds, int rate) {
@@ -110,7 +110,7 @@
       String text = CONFIG.replace("DISCOVERY", discovery.address()).replace("STATE", folder.resolve("held.json").toString());
       Path config = Files.writeString(folder.resolve("operators.toml"), text.replace("PORT", "0"));
       out.println("ashdeck demo: " + SERVERS + " servers, " + rate + " requests a second for " + seconds + " s, seed " + SEED);
-      try (ChildProcessor first = new ChildProcessor(config, log)) {
+      try (ChildFront first = new ChildFront("process", config, log)) {
         warm(first);
         try (StandInProxy proxy = new StandInProxy(first.address(), StandInProxy.Config.of(4))) {
           play(out, discovery, first, proxy, Files.writeString(folder.resolve("successor.toml"),
@@ -125,7 +125,7 @@
   }
 
   /** Through a proxy that is thrown away: what the stand-ins need for their own start is not to be taken for the processor's. */
-  private void warm(ChildProcessor processor) throws InterruptedException {
+  private void warm(ChildFront processor) throws InterruptedException {
     HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
     CountDownLatch open = new CountDownLatch(WARM_UP);
     try (StandInProxy proxy = new StandInProxy(processor.address(), StandInProxy.Config.of(1))) {
@@ -147,7 +147,7 @@
     discovery.set(id, made.address(), cell, "ready", started);
   }
 
-  private void play(PrintStream out, StandInDiscovery discovery, ChildProcessor first, StandInProxy proxy, Path successor,
+  private void play(PrintStream out, StandInDiscovery discovery, ChildFront first, StandInProxy proxy, Path successor,
       Path log, SplittableRandom random) throws IOException, InterruptedException {
     tally = proxy.tally();
     HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
@@ -186,7 +186,7 @@
             restart = new Thread(() -> {
               // The successor listens on the same port before its predecessor has gone.
               try {
-                ChildProcessor next = new ChildProcessor(successor, log);
+                ChildFront next = new ChildFront("process", successor, log);
                 first.terminate();
                 restartStatus = first.await();
                 restarted = next;
@@ -289,7 +289,7 @@
     return kept;
   }
 
-  private static boolean rule(PrintStream out, String rule, boolean kept, String figures) {
+  static boolean rule(PrintStream out, String rule, boolean kept, String figures) {
     out.printf("%-48s %-7s %s%n", rule, kept ? "kept" : "BROKEN", figures);
     return kept;
   }
--- a/dist/src/main/java/cloverpulley/cli/DemoCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DemoCommand.java
@@ -6,7 +6,7 @@
 
 @Command(name = "demo", mixinStandardHelpOptions = true,
     description = "Starts stand-in servers, a stand-in proxy and the processor on loopback, plays a bounded load with a drain, a "
-        + "death and a restart, and prints what happened.")
+        + "death and a restart, and prints what happened; then the same with DNS.")
 final class DemoCommand implements Callable<Integer> {
 
   @Option(names = "--seconds", paramLabel = "N", defaultValue = "12", description = "length, 8 to 120 (default: ${DEFAULT-VALUE})")
@@ -21,6 +21,8 @@
     if (seconds < 8 || seconds > 120 || rate < 10 || rate > 1000) {
       throw new IllegalArgumentException("--seconds has to be 8 to 120 and --rate 10 to 1000");
     }
-    return new Demo(seconds, rate).run(System.out) ? 0 : 1;
+    boolean kept = new Demo(seconds, rate).run(System.out);
+    System.out.println();
+    return new DnsDemo(seconds / 2, rate).run(System.out) && kept ? 0 : 1;
   }
 }
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -0,0 +1,53 @@
+package cloverpulley.cli;
+
+import cloverpulley.config.BadFileException;
+import cloverpulley.dns.DnsServer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Logger;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+@Command(name = "dns", mixinStandardHelpOptions = true,
+    description = "Answers and forwards DNS over UDP and TCP, as [dns] of the operators' file says.",
+    footer = {"", "Prints 'dns listening on HOST:PORT' once it serves. SIGTERM stops it in order, SIGHUP reads the lists of servers",
+      "again where the file holds them."})
+final class DnsCommand implements Callable<Integer> {
+
+  private static final Logger LOG = Logger.getLogger(DnsCommand.class.getName());
+
+  @Option(names = "--config", paramLabel = "FILE", required = true, description = "the operators' file")
+  private Path config;
+
+  @Override
+  public Integer call() throws BadFileException, IOException, InterruptedException {
+    Operators operators = Operators.read(config);
+    if (operators.dns() == null) {
+      throw new IOException(config + ": dns: expected a table [dns], got nothing");
+    }
+    DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong());
+    CountDownLatch term = Signals.term();
+    Signals.onHup(() -> reload(server));
+    System.out.println("dns listening on " + server.address().getAddress().getHostAddress() + ":" + server.address().getPort());
+    term.await();
+    server.stop();
+    return 0;
+  }
+
+  private void reload(DnsServer server) {
+    try {
+      Operators read = Operators.read(config);
+      if (read.dns() != null) {
+        boolean servers = read.dns().fleet() != null && read.dns().fleet().discovery() == null;
+        boolean shown = read.fleet() != null && read.fleet().discovery() == null;
+        server.listed(servers ? read.dns().fleet().list() : null, shown ? read.fleet().list() : null);
+        LOG.info("lists of servers read again");
+      }
+    } catch (BadFileException e) {
+      LOG.warning("not taken, the lists before stay: " + e.getMessage());
+    }
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -13,7 +13,6 @@
 import java.util.logging.Logger;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
-import sun.misc.Signal;
 
 @Command(name = "process", mixinStandardHelpOptions = true,
     description = "Runs the external processor: proxies call it for each attempt of a request (ext_proc over gRPC).",
@@ -33,6 +32,9 @@
   @Override
   public Integer call() throws BadFileException, IOException, InterruptedException {
     Operators operators = Operators.read(config);
+    if (operators.processor() == null) {
+      throw new IOException(config + ": processor: expected [[class]] and [fleet] for it, got [dns] alone");
+    }
     // Guards the log: what a caller sends that can't be read would write a stack into it each time.
     QUIET.forEach(logger -> logger.setLevel(Level.OFF));
     ProcessorServer server;
@@ -43,11 +45,8 @@
     } catch (IOException e) {
       throw new IOException("can't listen at " + operators.processor().listen() + ": " + cause(e), e);
     }
-    CountDownLatch term = new CountDownLatch(1);
-    // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
-    Signal.handle(new Signal("TERM"), signal -> term.countDown());
-    Signal.handle(new Signal("INT"), signal -> term.countDown());
-    Signal.handle(new Signal("HUP"), signal -> reload(server));
+    CountDownLatch term = Signals.term();
+    Signals.onHup(() -> reload(server));
     System.out.println("process listening on " + server.address().getAddress().getHostAddress() + ":"
         + server.address().getPort());
     term.await();
@@ -66,7 +65,7 @@
   private void reload(ProcessorServer server) {
     try {
       Operators read = Operators.read(config);
-      if (read.fleet().discovery() == null) {
+      if (read.fleet() != null && read.fleet().discovery() == null) {
         server.listed(read.fleet().list());
         LOG.info(() -> "list of servers read again: " + read.fleet().list().members().size());
       }
--- a/dist/src/test/java/cloverpulley/cli/CommandIT.java
+++ b/dist/src/test/java/cloverpulley/cli/CommandIT.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.standins.StandInCaller;
+import cloverpulley.standins.StandInDns;
 import cloverpulley.standins.StandInProxy;
 import cloverpulley.standins.StandInUpstream;
 import cloverpulley.standins.StandInUpstream.Answer;
@@ -31,6 +32,12 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.SimpleResolver;
+import org.xbill.DNS.Type;
 
 /** The packaged command, in processes of its own. */
 @Timeout(value = 3, unit = TimeUnit.MINUTES)
@@ -77,7 +84,7 @@
     String line =
         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8)).readLine();
     assertNotNull(line, "it serves");
-    assertTrue(line.matches("process listening on 127\\.0\\.0\\.1:\\d+"), line);
+    assertTrue(line.matches("(process|dns) listening on 127\\.0\\.0\\.1:\\d+"), line);
     return new InetSocketAddress("127.0.0.1", Integer.parseInt(line.substring(line.lastIndexOf(':') + 1)));
   }
 
@@ -101,11 +108,51 @@
     assertTrue(lastErr().contains("bad.toml: line 13: fleet.server[0].odd: unknown key"), lastErr());
     assertEquals(0, status("check", "deploy/operators.toml"));
     assertEquals(0, status("--help"));
-    for (String command : List.of("process", "check", "demo")) {
+    for (String command : List.of("process", "dns", "check", "demo")) {
       assertEquals(0, status(command, "--help"));
     }
   }
 
+  /** A file that speaks of DNS alone is whole; a file without DNS starts none; the front forwards, and ends with status 0. */
+  @Test
+  void dnsIsACommandOfItsOwn() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (StandInDns server = new StandInDns(group, StandInDns.addresses("10.0.0.1"))) {
+      Path file = Files.writeString(folder.resolve("dns.toml"), """
+          [dns]
+          listen = "127.0.0.1:0"
+          lame_ms = 10
+          [[dns.class]]
+          name = "query"
+          effect = "safe"
+          aim_ms = 2000
+          deadline_ms = 10000
+          [[dns.fleet.server]]
+          id = "d"
+          address = "ADDRESS"
+          """.replace("ADDRESS", server.hostPort()));
+      assertEquals(0, status("check", file.toString()));
+      assertEquals(1, status("process", "--config", file.toString()));
+      Path without = Files.writeString(folder.resolve("without.toml"), config(0, "127.0.0.1:1"));
+      assertEquals(1, status("dns", "--config", without.toString()));
+      assertTrue(lastErr().contains("expected a table [dns]"), lastErr());
+      Path bad = Files.writeString(folder.resolve("bad-dns.toml"), Files.readString(file) + "[dns.cache]\nmb = -1\nsize = 3\n");
+      assertEquals(1, status("dns", "--config", bad.toString()));
+      assertEquals(2, lastErr().lines().count(), lastErr());
+      assertTrue(lastErr().contains("line 13: dns.cache.mb: expected a whole number"), lastErr());
+      Process front = start("dns", "--config", file.toString());
+      SimpleResolver resolver = new SimpleResolver(listening(front));
+      resolver.setTimeout(java.time.Duration.ofSeconds(LIMIT_S));
+      Message m = resolver.send(Message.newQuery(Record.newRecord(Name.fromString("www.example."), Type.A, 1)));
+      assertEquals("10.0.0.1", m.getSection(Section.ANSWER).get(0).rdataToString());
+      signal(front, "-TERM");
+      assertTrue(front.waitFor(LIMIT_S, TimeUnit.SECONDS));
+      assertEquals(0, front.exitValue());
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
   @Test
   void aPortThatIsTakenIsOneLine() throws Exception {
     try (var taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
--- /dev/null
+++ b/dns/src/main/java/cloverpulley/dns/DnsConfig.java
@@ -0,0 +1,240 @@
+package cloverpulley.dns;
+
+import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Balancer.Settings;
+import cloverpulley.Balancer.Tenant;
+import cloverpulley.config.Section;
+import cloverpulley.config.ServiceSection;
+import cloverpulley.dns.client.ClientConfig;
+import cloverpulley.dns.wire.Message;
+import cloverpulley.dns.wire.Names;
+import cloverpulley.fleet.FleetSource;
+import cloverpulley.names.Freshness;
+import cloverpulley.names.ResponseLimit;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.xbill.DNS.TSIG;
+import org.xbill.DNS.TextParseException;
+import org.xbill.DNS.Type;
+
+/**
+ * What the DNS front is told in {@code [dns]} of the operators' file. Times are nanoseconds here unless the name says otherwise.
+ *
+ * @param fleet the DNS servers that queries are passed on to; null for none: then only zones of our own are answered
+ * @param tenantOption code of the EDNS option that names a tenant; 0 for none
+ * @param marginNanos so long before its deadline a query without an answer gets one of ours
+ * @param attemptNanos how long one server may take, all legs together, where the query may go to another
+ * @param cookieSecret 16 octets, the same on all that answer under one address
+ */
+public record DnsConfig(InetSocketAddress listen, int udpSize, boolean reusePort, long lameMillis, long drainMillis,
+    Settings settings, FleetSource fleet, List<Match> matches, List<Clients> clients, List<Key> keys, int tenantOption,
+    byte[] cookieSecret, long marginNanos, long attemptNanos, boolean refusedIsFull, boolean unsafeOverTcp, Limits limits,
+    Caching caching, ClientConfig upstream, List<ZoneFile> zones, FleetNames fleetNames) {
+
+  /** Which class a message is of: the first that fits. Without types, all. */
+  public record Match(int opcode, List<Integer> types, RequestClass type) {}
+
+  /** Clients by their addresses. */
+  record Clients(Prefix prefix, String tenant) {}
+
+  /** A TSIG key: what is signed by it is its tenant's. */
+  public record Key(String name, TSIG tsig, String tenant) {}
+
+  /** A zone of our own, in a master file (RFC 1035, 5). */
+  public record ZoneFile(String origin, Path file) {}
+
+  /** The zone made of the fleet. {@code ttl} is in seconds. */
+  public record FleetNames(String origin, String service, long ttl, InetSocketAddress server, long coldNanos, double coldFrom) {}
+
+  /** Bounds on what clients can make us keep and do. Times in milliseconds, sizes in octets. */
+  public record Limits(int connections, int connectionsPerClient, int pipelined, long idleMillis, long messageMillis,
+      long stallMillis, int queryBytes, int updateBytes, ResponseLimit.Config responses, int prefix4, int prefix6) {}
+
+  /** {@code staleTtl} in seconds. */
+  public record Caching(long bytes, Freshness.Config freshness, long staleTtl, long staleWaitNanos) {}
+
+  private static final long DAY_MS = 86_400_000;
+  private static final long WEEK_S = 604_800;
+  private static final Map<String, Integer> OPCODES =
+      Map.of("query", Message.QUERY, "notify", Message.NOTIFY, "update", Message.UPDATE);
+  private static final Map<Integer, Effect> NEEDED =
+      Map.of(Message.QUERY, Effect.SAFE, Message.NOTIFY, Effect.KEYED, Message.UPDATE, Effect.UNSAFE);
+
+  /**
+   * Reads the section.
+   *
+   * @param service the settings of the fleet that is shown as a zone; null for those of the DNS servers
+   */
+  public static DnsConfig read(Section s, Settings service) {
+    InetSocketAddress listen = s.address("listen", "127.0.0.1:5300");
+    Settings settings = ServiceSection.read(s);
+    FleetSource fleet = s.has("fleet") ? FleetSource.read(s.table("fleet")) : null;
+    Section u = s.table("upstream");
+    ClientConfig upstream = new ClientConfig((int) u.whole("ports", 1, 1024, 8), (int) u.whole("port_uses", 1, 1_000_000, 2000),
+        (int) u.whole("pending_per_port", 1, 32_768, 4096), (int) u.whole("wrong_most", 1, 1_000_000, 20),
+        (int) u.whole("udp_size", 512, 4096, 1232), (int) u.whole("connections", 1, 256, 2),
+        (int) u.whole("pipelined", 1, 32_768, 100), settings.limits().connectTimeoutNanos(),
+        nanos(u, "late_ms", 1, DAY_MS, 5000), nanos(u, "idle_ms", 100, DAY_MS, 10_000), nanos(u, "drain_ms", 1, DAY_MS, 5000),
+        u.flag("mix_case", true), TimeUnit.SECONDS.toNanos(u.whole("traits_s", 1, WEEK_S, 900)));
+    return new DnsConfig(listen, (int) s.whole("udp_size", 512, 4096, 1232), s.flag("reuse_port", true),
+        s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 5000), settings, fleet, matches(s, settings),
+        clients(s, settings), keys(s, settings), (int) s.whole("tenant_option", 0, 65_534, 0), secret(s),
+        nanos(s, "answer_margin_ms", 0, 10_000, 20), nanos(u, "attempt_ms", 1, DAY_MS, 800), u.flag("refused_is_full", false),
+        u.flag("unsafe_over_tcp", true), limits(s.table("limits")), caching(s.table("cache")), upstream, zones(s),
+        fleetNames(s, listen, service == null ? settings : service));
+  }
+
+  private static long nanos(Section s, String key, long least, long most, long absent) {
+    return TimeUnit.MILLISECONDS.toNanos(s.whole(key, least, most, absent));
+  }
+
+  private static Limits limits(Section l) {
+    ResponseLimit.Config responses = new ResponseLimit.Config(l.number("udp_per_prefix_per_s", 0, 1e9, 1000),
+        (int) l.whole("slip", 0, 100, 2), (int) l.whole("prefixes", 1, 10_000_000, 100_000));
+    return new Limits((int) l.whole("tcp_connections", 1, 1_000_000, 2000), (int) l.whole("tcp_per_client", 1, 1_000_000, 100),
+        (int) l.whole("tcp_pipelined", 1, 65_535, 100), l.whole("tcp_idle_ms", 1, DAY_MS, 10_000),
+        l.whole("tcp_message_ms", 1, DAY_MS, 3000), l.whole("tcp_stall_ms", 1, DAY_MS, 5000),
+        (int) l.whole("query_bytes", 512, Message.MOST, 4096), (int) l.whole("update_bytes", 512, Message.MOST, Message.MOST),
+        responses, (int) l.whole("prefix_ipv4", 8, 32, 24), (int) l.whole("prefix_ipv6", 8, 128, 56));
+  }
+
+  private static Caching caching(Section c) {
+    Freshness.Config freshness = new Freshness.Config(c.whole("ttl_most_s", 0, WEEK_S, 86_400),
+        c.whole("negative_most_s", 0, WEEK_S, 3600), c.whole("stale_s", 0, WEEK_S, 86_400), c.number("prefetch_part", 0, 0.9, 0.1),
+        (int) c.whole("prefetch_hits", 0, 1_000_000, 3));
+    return new Caching(c.whole("mb", 0, 1 << 20, 64) << 20, freshness, c.whole("stale_ttl_s", 1, WEEK_S, 30),
+        nanos(c, "stale_wait_ms", 1, DAY_MS, 1800));
+  }
+
+  private static byte[] secret(Section s) {
+    String text = s.text("cookie_secret", "");
+    if (text.isEmpty()) {
+      byte[] drawn = new byte[16];
+      new java.security.SecureRandom().nextBytes(drawn);
+      return drawn;
+    } else if (!text.matches("[0-9a-fA-F]{32}")) {
+      s.wrong("cookie_secret", "expected 32 hexadecimal figures");
+      return new byte[16];
+    }
+    return HexFormat.of().parseHex(text);
+  }
+
+  private static List<Match> matches(Section s, Settings settings) {
+    List<Match> matches = new ArrayList<>();
+    for (Section m : s.tables("match")) {
+      Integer opcode = m.word("opcode", OPCODES, Message.QUERY);
+      List<Integer> types = new ArrayList<>();
+      for (String name : m.texts("types", List.of())) {
+        int type = Type.value(name.toUpperCase(Locale.ROOT));
+        if (type < 0) {
+          m.wrong("types", "expected types such as A, SRV or TYPE65, got \"" + name + "\"");
+        }
+        types.add(type);
+      }
+      String name = m.text("class");
+      RequestClass type = settings.classes().stream().filter(c -> c.name().equals(name)).findFirst().orElse(null);
+      if (type == null) {
+        m.wrong("class", "expected the name of a [[dns.class]], got \"" + name + "\"");
+      } else if (type.effect() != NEEDED.get(opcode)) {
+        m.wrong("class", "expected a class whose effect is " + NEEDED.get(opcode).name().toLowerCase(Locale.ROOT)
+            + " for this opcode, got \"" + name + "\"");
+      } else {
+        matches.add(new Match(opcode, List.copyOf(types), type));
+      }
+    }
+    // What no entry speaks of goes to the first class of the effect that its opcode has; without one it is not served.
+    NEEDED.forEach((opcode, effect) -> settings.classes().stream().filter(c -> c.effect() == effect).findFirst()
+        .ifPresent(c -> matches.add(new Match(opcode, List.of(), c))));
+    return List.copyOf(matches);
+  }
+
+  private static String tenant(Section s, Settings settings) {
+    String name = s.text("tenant");
+    if (settings.tenants().stream().map(Tenant::name).noneMatch(name::equals)) {
+      s.wrong("tenant", "expected the name of a [[dns.tenant]], got \"" + name + "\"");
+    }
+    return name;
+  }
+
+  private static List<Clients> clients(Section s, Settings settings) {
+    List<Clients> clients = new ArrayList<>();
+    for (Section c : s.tables("client")) {
+      String text = c.text("prefix");
+      Prefix prefix = Prefix.of(text);
+      String tenant = tenant(c, settings);
+      if (prefix == null) {
+        c.wrong("prefix", "expected a range of addresses such as 10.0.0.0/8, got \"" + text + "\"");
+      } else {
+        clients.add(new Clients(prefix, tenant));
+      }
+    }
+    return List.copyOf(clients);
+  }
+
+  private static List<Key> keys(Section s, Settings settings) {
+    List<Key> keys = new ArrayList<>();
+    Map<String, org.xbill.DNS.Name> algorithms = new HashMap<>(Map.of("hmac-sha256", TSIG.HMAC_SHA256, "hmac-sha384",
+        TSIG.HMAC_SHA384, "hmac-sha512", TSIG.HMAC_SHA512));
+    for (Section k : s.tables("tsig")) {
+      String name = k.text("name");
+      org.xbill.DNS.Name algorithm = k.word("algorithm", algorithms, TSIG.HMAC_SHA256);
+      String secret = k.text("secret");
+      String tenant = tenant(k, settings);
+      try {
+        byte[] octets = Base64.getDecoder().decode(secret);
+        org.xbill.DNS.Name full = org.xbill.DNS.Name.fromString(name, org.xbill.DNS.Name.root);
+        keys.add(new Key(full.toString().toLowerCase(Locale.ROOT), new TSIG(algorithm, full, octets), tenant));
+      } catch (IllegalArgumentException e) {
+        k.wrong("secret", "expected a key in Base64");
+      } catch (TextParseException e) {
+        k.wrong("name", "expected a domain name, got \"" + name + "\"");
+      }
+    }
+    return List.copyOf(keys);
+  }
+
+  private static String origin(Section s) {
+    String origin = s.text("origin").toLowerCase(Locale.ROOT);
+    if (!origin.isEmpty() && Names.of(origin) == null) {
+      s.wrong("origin", "expected a domain name, got \"" + origin + "\"");
+      return "invalid.";
+    }
+    return origin.endsWith(".") ? origin : origin + ".";
+  }
+
+  private static List<ZoneFile> zones(Section s) {
+    List<ZoneFile> zones = new ArrayList<>();
+    for (Section z : s.tables("zone")) {
+      Path file = Path.of(z.text("file"));
+      if (!file.toFile().isFile()) {
+        z.wrong("file", "expected a file, found none at \"" + file + "\"");
+      }
+      zones.add(new ZoneFile(origin(z), file));
+    }
+    return List.copyOf(zones);
+  }
+
+  private static FleetNames fleetNames(Section s, InetSocketAddress listen, Settings service) {
+    if (!s.has("fleet_zone")) {
+      return null;
+    }
+    Section f = s.table("fleet_zone");
+    String type = f.text("service", "_quote._tcp");
+    if (!type.matches("_[a-z0-9-]{1,15}\\._(tcp|udp)")) {
+      f.wrong("service", "expected a service such as _quote._tcp, got \"" + type + "\""); // RFC 6763, 7
+    }
+    return new FleetNames(origin(f), type, f.whole("ttl_s", 1, 3600, 5),
+        f.address("name_server", listen.getAddress().getHostAddress().contains(":")
+            ? "[" + listen.getAddress().getHostAddress() + "]:53" : listen.getAddress().getHostAddress() + ":53"),
+        service.contract().warmWithinNanos(), service.contract().coldFrom());
+  }
+}
--- /dev/null
+++ b/dns/src/main/java/cloverpulley/dns/Passing.java
@@ -0,0 +1,45 @@
+package cloverpulley.dns;
+
+import cloverpulley.dns.client.Ask;
+import cloverpulley.dns.wire.Message;
+import cloverpulley.engine.Verdict;
+
+/** An UPDATE or a NOTIFY on its way: passed on untouched, and its answer as well. */
+final class Passing extends DnsExchange {
+
+  private final Query query;
+  /** Under which a client's repeat of it is known; null over TCP, where clients don't repeat. */
+  private final Repeated.Key key;
+
+  Passing(Facts facts, Resolver resolver, Ask.Asked asked, Query query, Repeated.Key key) {
+    super(facts, resolver, asked);
+    this.query = query;
+    this.key = key;
+  }
+
+  @Override
+  void served(Message answer, Body body) {
+    byte[] octets = answer.bytes().clone();
+    Message.put16(octets, 0, query.message.id());
+    reply(octets);
+  }
+
+  @Override
+  protected void answer(Verdict verdict) {
+    reply(resolver.failure(query, verdict));
+  }
+
+  private void reply(byte[] octets) {
+    if (key != null) {
+      resolver.repeated.answered(key, octets.clone(), resolver.clock.now());
+    }
+    resolver.reply(query, octets);
+  }
+
+  @Override
+  void gone(Query gone) {
+    if (!isEnded()) {
+      resolver.engine.clientGone(this);
+    }
+  }
+}
--- /dev/null
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -0,0 +1,422 @@
+package cloverpulley.dns;
+
+import cloverpulley.Balancer.RequestClass;
+import cloverpulley.Reason;
+import cloverpulley.dns.DnsConfig.Match;
+import cloverpulley.dns.client.Ask;
+import cloverpulley.dns.client.DnsClient;
+import cloverpulley.dns.wire.Edns;
+import cloverpulley.dns.wire.MalformedException;
+import cloverpulley.dns.wire.Message;
+import cloverpulley.dns.wire.Names;
+import cloverpulley.dns.wire.Question;
+import cloverpulley.engine.Clock;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Exchange;
+import cloverpulley.engine.Verdict;
+import cloverpulley.names.Freshness;
+import cloverpulley.names.ResponseLimit;
+import io.netty.channel.EventLoop;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What becomes of a client's message: an answer of our own, one from the cache, or an exchange that the engine takes. Which server
+ * is asked, whether again and what is refused, the module decides. All of it runs on one loop.
+ */
+final class Resolver {
+
+  /** Extended errors, RFC 8914, 4. */
+  private static final int OTHER = 0;
+  private static final int STALE = 3;
+  private static final int NOT_READY = 14;
+  private static final int NOT_AUTHORITATIVE = 20;
+  private static final int NOT_SUPPORTED = 21;
+  private static final int NO_REACHABLE = 22;
+
+  private static final int IXFR = 251;
+  private static final int AXFR = 252;
+  private static final int NXNAME = 128;
+  private static final int HINFO = 13;
+  /** RFC 8482, 4.2: an answer to ANY that says no more than that. */
+  private static final byte[] ANY_DATA = {7, 'R', 'F', 'C', '8', '4', '8', '2', 0};
+  private static final int ANY_TTL_S = 3789;
+  private static final int MOST_KEY = 128;
+  private static final int MOST_REPEATS = 100_000;
+  /** Longer than clients go on repeating (RFC 2136 names no time; resolvers give up after some 5 to 10 s). */
+  private static final long REPEATS_KEPT = TimeUnit.SECONDS.toNanos(15);
+  private static final long NANOS = 1_000_000_000L;
+
+  final EventLoop loop;
+  final Clock clock;
+  final DnsConfig config;
+  final Engine engine;
+  final DnsClient client;
+  final DnsCounts counts;
+  final Query.Replies replies;
+  final Repeated repeated = new Repeated(MOST_REPEATS, REPEATS_KEPT);
+  private final Cache cache;
+  private final Cookies cookies;
+  private final ResponseLimit limit;
+  private final List<OwnZone> zones = new ArrayList<>();
+  private final Map<Cache.Key, Flight> flights = new HashMap<>();
+  private final Set<String> tenants = new HashSet<>();
+  private boolean stopping;
+
+  Resolver(EventLoop loop, Clock clock, DnsConfig config, Engine engine, DnsClient client, DnsCounts counts) {
+    this.loop = loop;
+    this.clock = clock;
+    this.config = config;
+    this.engine = engine;
+    this.client = client;
+    this.counts = counts;
+    replies = new Query.Replies(config.udpSize(), (int) (config.limits().idleMillis() / 100));
+    cache = new Cache(config.caching().bytes(), new Freshness(config.caching().freshness()));
+    cookies = new Cookies(config.cookieSecret());
+    limit = new ResponseLimit(config.limits().responses());
+    config.settings().tenants().forEach(t -> tenants.add(t.name()));
+  }
+
+  void add(OwnZone zone) {
+    zones.add(zone);
+  }
+
+  Cache cache() {
+    return cache;
+  }
+
+  // ---- A message has come --------------------------------------------------------------------------------
+
+  /** Takes a client's message; the octets are kept. */
+  void take(byte[] octets, Query.Client from) {
+    if (!Message.hasHeader(octets) || Message.isResponse(octets)) {
+      counts.silent++; // An answer to that could go round for ever.
+      return;
+    }
+    counts.queries++;
+    Message m;
+    try {
+      m = Message.read(octets, config.tenantOption());
+    } catch (MalformedException e) {
+      malformed(octets, from);
+      return;
+    }
+    Query q = new Query(m, from, clock.now());
+    if (!mayAnswer(q)) {
+      return;
+    }
+    if (m.opcode() != Message.QUERY && m.opcode() != Message.NOTIFY && m.opcode() != Message.UPDATE) {
+      reply(q, q.empty(replies, 0, Message.NOTIMP, -1, null));
+    } else if (q.speaksEdns() && m.edns().version() > 0) {
+      reply(q, q.empty(replies, 0, Message.BADVERS, -1, null));
+    } else if (m.question() == null) {
+      // A question for a cookie alone (RFC 7873, 5.4).
+      boolean cookie = q.cookie != null && m.opcode() == Message.QUERY && m.answers() + m.authorities() == 0;
+      reply(q, q.empty(replies, 0, cookie ? Message.NOERROR : Message.FORMERR, -1, null));
+    } else if (octets.length > (m.opcode() == Message.QUERY ? config.limits().queryBytes() : config.limits().updateBytes())) {
+      reply(q, q.empty(replies, 0, Message.FORMERR, OTHER, "too long"));
+    } else if (m.question().dnsClass() != Message.IN) {
+      reply(q, q.empty(replies, 0, Message.REFUSED, NOT_SUPPORTED, "class IN only"));
+    } else if (knowsSender(q)) {
+      if (m.opcode() == Message.QUERY) {
+        query(q);
+      } else {
+        pass(q);
+      }
+    }
+  }
+
+  private void malformed(byte[] octets, Query.Client from) {
+    counts.malformed++;
+    if (from.isTcp() || limit(from.address()) == ResponseLimit.Finding.ANSWER) {
+      counts.answers++;
+      from.answer(Message.empty(Message.get16(octets, 0), Message.opcode(octets) << 11 | Message.get16(octets, 2) & Message.RD,
+          Message.FORMERR, null, null));
+    }
+  }
+
+  private ResponseLimit.Finding limit(InetAddress address) {
+    return limit.query(clock.now(), Prefix.number(address, config.limits().prefix4(), config.limits().prefix6()));
+  }
+
+  /** Whether a sender whose address may be forged is answered in full; gives the cookie that proves it next time. */
+  private boolean mayAnswer(Query q) {
+    byte[] given = q.speaksEdns() ? q.message.edns().cookie() : null;
+    boolean proven = q.client.isTcp();
+    if (given != null) {
+      byte[] address = q.client.address().getAddress();
+      long seconds = System.currentTimeMillis() / 1000;
+      proven |= cookies.isOurs(given, address, seconds);
+      q.cookie = cookies.make(given, address, seconds);
+    }
+    if (proven) {
+      return true;
+    }
+    ResponseLimit.Finding finding = limit(q.client.address());
+    if (finding == ResponseLimit.Finding.SLIP) {
+      counts.slipped++;
+      reply(q, q.empty(replies, Message.TC, Message.NOERROR, -1, null));
+    } else if (finding == ResponseLimit.Finding.DROP) {
+      counts.dropped++;
+    }
+    return finding == ResponseLimit.Finding.ANSWER;
+  }
+
+  /** Finds whose message it is; false where it was answered because its signature is wrong. */
+  private boolean knowsSender(Query q) {
+    if (q.message.tsigName() != null) {
+      String name = Names.text(Names.lower(q.message.tsigName()));
+      for (DnsConfig.Key key : config.keys()) {
+        if (key.name().equals(name)) {
+          if (!isSigned(q, key)) {
+            reply(q, q.empty(replies, 0, Message.NOTAUTH, OTHER, "the signature is not that of its key"));
+            return false;
+          }
+          q.tenant = key.tenant();
+          return true;
+        }
+      }
+    }
+    byte[] named = q.speaksEdns() ? q.message.edns().tenant() : null;
+    if (named != null) {
+      String text = new String(named, StandardCharsets.UTF_8);
+      q.tenant = tenants.contains(text) ? text : null;
+    }
+    for (int i = 0; i < config.clients().size() && q.tenant == null; i++) {
+      DnsConfig.Clients c = config.clients().get(i);
+      q.tenant = c.prefix().contains(q.client.address()) ? c.tenant() : null;
+    }
+    return true;
+  }
+
+  private static boolean isSigned(Query q, DnsConfig.Key key) {
+    try {
+      return key.tsig().verify(new org.xbill.DNS.Message(q.message.bytes()), q.message.bytes(), null) == 0;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  // ---- Questions -----------------------------------------------------------------------------------------
+
+  private void query(Query q) {
+    Message m = q.message;
+    int type = q.question().type();
+    if (m.answers() + m.authorities() > 0 && type != IXFR) {
+      reply(q, q.empty(replies, 0, Message.FORMERR, OTHER, "records in a question"));
+    } else if (type == AXFR || type == IXFR) {
+      reply(q, q.empty(replies, 0, Message.REFUSED, NOT_SUPPORTED, "no transfers"));
+    } else if (type == 0 || type == Edns.OPT || type >= NXNAME && type != Message.ANY && type < 256) {
+      reply(q, q.empty(replies, 0, Message.NOTIMP, OTHER, "a type that is not asked for"));
+    } else if (type == Message.ANY) {
+      any(q);
+    } else {
+      for (OwnZone zone : zones) {
+        if (zone.holds(q.question())) {
+          counts.own++;
+          OwnZone.Answer a = zone.answer(q.question());
+          reply(q, q.filled(replies, a.body(), 0, Integer.MAX_VALUE, a.authoritative(), -1, null));
+          return;
+        }
+      }
+      cached(q);
+    }
+  }
+
+  private void any(Query q) {
+    counts.own++;
+    int start = q.message.questionEnd();
+    byte[] octets = new byte[start + 12 + ANY_DATA.length];
+    Message.put16(octets, 2, 0x8000);
+    octets[5] = 1;
+    octets[7] = 1;
+    q.question().write(octets, Message.HEADER);
+    Message.put16(octets, start, 0xC000 | Message.HEADER);
+    Message.put16(octets, start + 2, HINFO);
+    Message.put16(octets, start + 4, Message.IN);
+    Message.put32(octets, start + 6, ANY_TTL_S);
+    Message.put16(octets, start + 10, ANY_DATA.length);
+    System.arraycopy(ANY_DATA, 0, octets, start + 12, ANY_DATA.length);
+    Body body = new Body(octets, new int[0], octets.length, start, Message.NOERROR);
+    reply(q, q.filled(replies, body, 0, ANY_TTL_S, false, -1, null));
+  }
+
+  private void cached(Query q) {
+    if (config.fleet() == null) {
+      reply(q, q.empty(replies, 0, Message.REFUSED, NOT_AUTHORITATIVE, "no zone of ours"));
+      return;
+    }
+    Cache.Key key = Cache.Key.of(q);
+    Cache.Entry e = cache.get(key, q.arrivedAt);
+    Freshness.Use use = e == null ? Freshness.Use.GONE : cache.use(e, q.arrivedAt);
+    if (use == Freshness.Use.FRESH || use == Freshness.Use.REFRESH) {
+      e.hits++;
+      counts.cached++;
+      long age = (q.arrivedAt - e.at) / NANOS;
+      reply(q, q.filled(replies, e.body, age, e.ttl - age, false, -1, null));
+      if (use == Freshness.Use.REFRESH && !flights.containsKey(key)) {
+        counts.prefetched++;
+        launch(key, q, e, true);
+      }
+    } else if (stopping && !q.client.isTcp() && !flights.containsKey(key)) {
+      counts.dropped++; // Not taken: asked again, it comes to the successor.
+    } else {
+      fly(q);
+    }
+  }
+
+  /** From now on nothing that comes over UDP is sent on its way. */
+  void stopping() {
+    stopping = true;
+  }
+
+  /** Sends a question on its way, or lets it join one that is under way. */
+  void fly(Query q) {
+    Cache.Key key = Cache.Key.of(q);
+    Flight flight = flights.get(key);
+    if (flight == null) {
+      Cache.Entry e = cache.get(key, clock.now());
+      flight = launch(key, q, e, false);
+    } else {
+      counts.joined++;
+    }
+    if (flight != null) {
+      q.client.waits(q, flight);
+      flight.join(q);
+    }
+  }
+
+  private Flight launch(Cache.Key key, Query q, Cache.Entry stale, boolean prefetch) {
+    RequestClass type = type(q);
+    if (type == null) {
+      reply(q, q.empty(replies, 0, Message.NOTIMP, NOT_SUPPORTED, "no class for it"));
+      return null;
+    }
+    // AD says that we know what it means in the answer (RFC 6840, 5.7); each client gets it as he asked.
+    int flags = q.message.flags() & (Message.RD | Message.CD) | Message.AD;
+    Ask.Asked asked = new Ask.Asked(null, q.question(), flags, q.wantsDnssec(), false);
+    long deadline = prefetch ? clock.now() + type.deadlineNanos() : deadline(q, type);
+    Flight flight = new Flight(new Exchange.Facts(type, q.tenant, name(q.question()), 0, false, deadline, 0, List.of()), this,
+        asked, key, stale, prefetch);
+    flights.put(key, flight);
+    counts.flights++;
+    engine.take(flight);
+    if (stale != null) {
+      loop.schedule(flight::waitedLong, config.caching().staleWaitNanos(), TimeUnit.NANOSECONDS);
+    }
+    return flight;
+  }
+
+  long deadline(Query q, RequestClass type) {
+    return q.arrivedAt + Math.max(type.deadlineNanos() / 2, type.deadlineNanos() - config.marginNanos());
+  }
+
+  /** Affinity: the same name goes to the same server, which has it cached. */
+  private static String name(Question q) {
+    String name = new String(q.name(), StandardCharsets.ISO_8859_1);
+    return name.length() <= MOST_KEY ? name : Integer.toHexString(name.hashCode());
+  }
+
+  private RequestClass type(Query q) {
+    for (Match match : config.matches()) {
+      if (match.opcode() == q.message.opcode() && (match.types().isEmpty() || match.types().contains(q.question().type()))) {
+        return match.type();
+      }
+    }
+    return null;
+  }
+
+  void landed(Flight flight) {
+    flights.remove(flight.key, flight);
+  }
+
+  void keep(Cache.Key key, Message answer, Body body, long now) {
+    boolean negative = answer.answers() == 0 || answer.rcode() != Message.NOERROR;
+    cache.put(key, body, answer.ttl(), negative, now);
+  }
+
+  // ---- Messages that are passed on -----------------------------------------------------------------------
+
+  private void pass(Query q) {
+    RequestClass type = type(q);
+    if (type == null || config.fleet() == null) {
+      reply(q, q.empty(replies, 0, Message.NOTIMP, NOT_SUPPORTED, "no class for it"));
+      return;
+    }
+    for (OwnZone zone : zones) {
+      if (zone.holds(q.question())) {
+        reply(q, q.empty(replies, 0, Message.REFUSED, NOT_SUPPORTED, "a zone of ours is not changed so"));
+        return;
+      }
+    }
+    if (stopping && !q.client.isTcp()) {
+      counts.dropped++;
+      return;
+    }
+    Repeated.Key key = q.client.isTcp() ? null : new Repeated.Key(q);
+    if (key != null && repeated.isKnown(key)) {
+      counts.repeated++;
+      byte[] answer = repeated.answer(key);
+      if (answer != null) {
+        reply(q, answer.clone());
+      }
+      return;
+    } else if (key != null && !repeated.taken(key, q.arrivedAt)) {
+      fail(q, new Verdict(true, Reason.RECORD_FULL, NANOS));
+      return;
+    }
+    boolean tcp = config.unsafeOverTcp() || q.message.bytes().length > config.udpSize();
+    Ask.Asked asked = new Ask.Asked(q.message.bytes(), q.question(), 0, false, tcp);
+    Passing passing = new Passing(new Exchange.Facts(type, q.tenant, name(q.question()), 0, false, deadline(q, type), 0, List.of()),
+        this, asked, q, key);
+    q.client.waits(q, passing);
+    engine.take(passing);
+  }
+
+  // ---- Answers -------------------------------------------------------------------------------------------
+
+  void reply(Query q, byte[] octets) {
+    counts.answers++;
+    q.answer(octets);
+  }
+
+  /** What was held past its TTL, marked as such. */
+  void stale(Query q, Cache.Entry e) {
+    counts.stale++;
+    reply(q, q.filled(replies, e.body, 0, config.caching().staleTtl(), false, STALE, "no server answers"));
+  }
+
+  void fail(Query q, Verdict verdict) {
+    reply(q, failure(q, verdict));
+  }
+
+  /**
+   * REFUSED where there is too much to do, SERVFAIL where the servers do not answer; both tell why, and when to come back where the
+   * module says so.
+   */
+  byte[] failure(Query q, Verdict verdict) {
+    counts.end(verdict.reason());
+    String word = verdict.reason().name().toLowerCase(Locale.ROOT);
+    long millis = TimeUnit.NANOSECONDS.toMillis(verdict.retryAfterNanos());
+    String text = millis > 0 ? word + ", come back in " + millis + " ms" : word;
+    int rcode = switch (verdict.reason()) {
+      case OVER_RATE, TABLE_FULL, RECORD_FULL -> Message.REFUSED;
+      default -> Message.SERVFAIL;
+    };
+    int code = switch (verdict.reason()) {
+      case STOPPING -> NOT_READY;
+      case NO_UPSTREAM, NO_ROOM, DEADLINE, ATTEMPTS, RETRY_BUDGET -> NO_REACHABLE;
+      default -> OTHER;
+    };
+    return q.empty(replies, 0, rcode, code, text);
+  }
+}
--- /dev/null
+++ b/dns/src/main/java/cloverpulley/dns/UdpFront.java
@@ -0,0 +1,80 @@
+package cloverpulley.dns;
+
+import cloverpulley.dns.client.Flusher;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+/** The clients' datagrams. */
+final class UdpFront extends ChannelInboundHandlerAdapter {
+
+  private final Resolver resolver;
+  private final Flusher flusher;
+  private final NioDatagramChannel channel;
+
+  UdpFront(Resolver resolver, Flusher flusher, NioDatagramChannel channel) {
+    this.resolver = resolver;
+    this.flusher = flusher;
+    this.channel = channel;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object read) {
+    DatagramPacket packet = (DatagramPacket) read;
+    byte[] octets;
+    try {
+      ByteBuf content = packet.content();
+      octets = new byte[content.readableBytes()];
+      content.readBytes(octets);
+    } finally {
+      packet.release();
+    }
+    if (packet.sender().getPort() != 0) { // Nobody can be answered there.
+      resolver.take(octets, new Sender(packet.sender()));
+    }
+  }
+
+  /** A datagram that can't be sent concerns nobody but whoever it was for. */
+  @Override
+  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {}
+
+  private final class Sender implements Query.Client {
+
+    private final InetSocketAddress from;
+
+    Sender(InetSocketAddress from) {
+      this.from = from;
+    }
+
+    @Override
+    public InetAddress address() {
+      return from.getAddress();
+    }
+
+    @Override
+    public int port() {
+      return from.getPort();
+    }
+
+    @Override
+    public boolean isTcp() {
+      return false;
+    }
+
+    @Override
+    public boolean isGone() {
+      return !channel.isOpen();
+    }
+
+    @Override
+    public void answer(byte[] octets) {
+      ByteBuf buffer = channel.alloc().directBuffer(octets.length).writeBytes(octets);
+      channel.write(new DatagramPacket(buffer, from), channel.voidPromise());
+      flusher.wrote(channel);
+    }
+  }
+}
--- /dev/null
+++ b/dns/src/main/java/cloverpulley/dns/wire/Message.java
@@ -0,0 +1,440 @@
+package cloverpulley.dns.wire;
+
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.Set;
+
+/**
+ * A DNS message (RFC 1035, 4.1), read strictly and kept as the octets that came: what is passed on is passed on untouched. The
+ * work for one message is bounded by its length.
+ */
+public final class Message {
+
+  public static final int HEADER = 12;
+  public static final int MOST = 65_535;
+
+  public static final int QUERY = 0;
+  public static final int NOTIFY = 4;
+  public static final int UPDATE = 5;
+
+  public static final int NOERROR = 0;
+  public static final int FORMERR = 1;
+  public static final int SERVFAIL = 2;
+  public static final int NXDOMAIN = 3;
+  public static final int NOTIMP = 4;
+  public static final int REFUSED = 5;
+  public static final int NOTAUTH = 9;
+  public static final int BADVERS = 16;
+
+  public static final int ANY = 255;
+  public static final int IN = 1;
+  private static final int A = 1;
+  private static final int NS = 2;
+  private static final int CNAME = 5;
+  private static final int SOA = 6;
+  private static final int PTR = 12;
+  private static final int MX = 15;
+  private static final int AAAA = 28;
+  private static final int DNAME = 39;
+  private static final int RRSIG = 46;
+  private static final int TSIG = 250;
+  /** Octets of a record after its name: type, class, TTL, length. */
+  private static final int FIXED = 10;
+  /** A chain of aliases longer than this is no answer. */
+  private static final int MOST_ALIASES = 16;
+
+  private static final int QR = 0x8000;
+  public static final int AA = 0x0400;
+  public static final int TC = 0x0200;
+  public static final int RD = 0x0100;
+  public static final int RA = 0x0080;
+  public static final int AD = 0x0020;
+  public static final int CD = 0x0010;
+
+  private final byte[] b;
+  private final Question question;
+  private final int questionEnd;
+  private final Edns edns;
+  private final byte[] tsigName;
+  /** Where the answer, authority and additional sections end. */
+  private final int[] ends;
+  private final int records;
+  private final boolean optLast;
+
+  private Message(byte[] b, Question question, int questionEnd, Edns edns, byte[] tsigName, int[] ends, int records,
+      boolean optLast) {
+    this.b = b;
+    this.question = question;
+    this.questionEnd = questionEnd;
+    this.edns = edns;
+    this.tsigName = tsigName;
+    this.ends = ends;
+    this.records = records;
+    this.optLast = optLast;
+  }
+
+  /** Whether the octets begin as a message does, which is enough to tell the sender that the rest is wrong. */
+  public static boolean hasHeader(byte[] b) {
+    return b.length >= HEADER;
+  }
+
+  /** The same without an EDNS option of ours. */
+  public static Message read(byte[] b) throws MalformedException {
+    return read(b, 0);
+  }
+
+  /**
+   * Reads a message; the octets are kept, not copied.
+   *
+   * @param tenantOption the code of the EDNS option that names a tenant; 0 for none
+   * @throws MalformedException where counts, lengths or names lie, more than one question is asked, or octets are left over
+   */
+  public static Message read(byte[] b, int tenantOption) throws MalformedException {
+    if (b.length < HEADER) {
+      throw new MalformedException("shorter than a header");
+    }
+    int questions = get16(b, 4);
+    if (questions > 1) {
+      throw new MalformedException("several questions");
+    }
+    Question question = null;
+    int at = HEADER;
+    if (questions == 1) {
+      byte[] name = Names.read(b, at);
+      at = Names.skip(b, at);
+      if (at != HEADER + name.length) {
+        throw new MalformedException("a question's name in parts");
+      }
+      need(b, at, 4);
+      question = new Question(name, get16(b, at), get16(b, at + 2));
+      at += 4;
+    }
+    int questionEnd = at;
+    Edns edns = null;
+    byte[] tsig = null;
+    boolean optLast = true;
+    int[] ends = new int[3];
+    int records = 0;
+    for (int section = 0; section < 3; section++) {
+      for (int left = get16(b, 6 + 2 * section); left > 0; left--) {
+        int owner = at;
+        at = Names.skip(b, at);
+        need(b, at, FIXED);
+        int type = get16(b, at);
+        int data = at + FIXED;
+        int end = data + get16(b, at + 8);
+        need(b, data, end - data);
+        optLast = edns == null;
+        if (tsig != null) {
+          throw new MalformedException("a record after the signature"); // RFC 8945, 5.1
+        }
+        if (type == Edns.OPT) {
+          if (section != 2 || edns != null || b[owner] != 0) {
+            throw new MalformedException("an OPT record where there may be none"); // RFC 6891, 6.1.1
+          }
+          edns = Edns.read(b, owner, end, tenantOption);
+          optLast = true;
+        } else if (type == TSIG && section == 2) {
+          tsig = Names.read(b, owner);
+        } else {
+          checkData(b, type, get16(b, at + 2), data, end);
+        }
+        records++;
+        at = end;
+      }
+      ends[section] = at;
+    }
+    if (at != b.length) {
+      throw new MalformedException("octets after the end");
+    }
+    return new Message(b, question, questionEnd, edns, tsig, ends, records, optLast);
+  }
+
+  private static void need(byte[] b, int at, int octets) throws MalformedException {
+    if (at + octets > b.length) {
+      throw new MalformedException("a record runs over the end");
+    }
+  }
+
+  /** The types whose data may hold compressed names, and the addresses: what others are, their readers know. */
+  private static void checkData(byte[] b, int type, int dnsClass, int data, int end) throws MalformedException {
+    if (dnsClass != IN || data == end) {
+      return; // An empty one stands for none in an UPDATE (RFC 2136, 2.4).
+    }
+    int after = end;
+    if (type == CNAME || type == NS || type == PTR || type == DNAME) {
+      Names.read(b, data);
+      after = Names.skip(b, data);
+    } else if (type == MX) {
+      need(b, data, 3);
+      Names.read(b, data + 2);
+      after = Names.skip(b, data + 2);
+    } else if (type == SOA) {
+      Names.read(b, data);
+      int mailbox = Names.skip(b, data);
+      Names.read(b, mailbox);
+      after = Names.skip(b, mailbox) + 20;
+    } else if (type == A) {
+      after = data + 4;
+    } else if (type == AAAA) {
+      after = data + 16;
+    }
+    if (after != end) {
+      throw new MalformedException("the data of a record does not fill its length");
+    }
+  }
+
+  // ---- What it says --------------------------------------------------------------------------------------
+
+  /** The octets themselves. */
+  public byte[] bytes() {
+    return b;
+  }
+
+  public int id() {
+    return get16(b, 0);
+  }
+
+  public int flags() {
+    return get16(b, 2);
+  }
+
+  public boolean has(int flag) {
+    return (flags() & flag) != 0;
+  }
+
+  public boolean isResponse() {
+    return isResponse(b);
+  }
+
+  /** The same for octets that have a header. */
+  public static boolean isResponse(byte[] b) {
+    return (get16(b, 2) & QR) != 0;
+  }
+
+  public int opcode() {
+    return opcode(b);
+  }
+
+  /** The same for octets that have a header. */
+  public static int opcode(byte[] b) {
+    return b[2] >> 3 & 0xF;
+  }
+
+  /** The response code, with the upper bits that EDNS brings. */
+  public int rcode() {
+    return b[3] & 0xF | (edns == null ? 0 : edns.extended() << 4);
+  }
+
+  /** Null where none is asked. */
+  public Question question() {
+    return question;
+  }
+
+  /** Null where the sender speaks no EDNS. */
+  public Edns edns() {
+    return edns;
+  }
+
+  /** The name of the key that signed it, as it was written; null where none did. */
+  public byte[] tsigName() {
+    return tsigName;
+  }
+
+  public int answers() {
+    return get16(b, 6);
+  }
+
+  public int authorities() {
+    return get16(b, 8);
+  }
+
+  public int additionals() {
+    return get16(b, 10);
+  }
+
+  /** Where the question ends. */
+  public int questionEnd() {
+    return questionEnd;
+  }
+
+  /** Where a section ends: 0 the answer, 1 the authority, 2 the additional one. */
+  public int end(int section) {
+    return ends[section];
+  }
+
+  /** Whether its OPT record, if any, is its last: what is before it can be passed on as it is. */
+  public boolean isOptLast() {
+    return optLast;
+  }
+
+  /** Told of each record but OPT. */
+  private interface Visitor {
+    /** The record's name is at {@code owner}, its type at {@code fixed}; false ends the walk. */
+    boolean record(int section, int owner, int fixed) throws MalformedException;
+  }
+
+  private void walk(Visitor visitor) throws MalformedException {
+    int at = questionEnd;
+    for (int section = 0; section < 3; section++) {
+      for (int left = get16(b, 6 + 2 * section); left > 0; left--) {
+        int fixed = Names.skip(b, at);
+        if (get16(b, fixed) != Edns.OPT && !visitor.record(section, at, fixed)) {
+          return;
+        }
+        at = fixed + FIXED + get16(b, fixed + 8);
+      }
+    }
+  }
+
+  /** Where the TTLs are. */
+  public int[] ttls() {
+    int[] at = new int[records];
+    int[] count = {0};
+    try {
+      walk((section, owner, fixed) -> {
+        at[count[0]++] = fixed + 4;
+        return true;
+      });
+    } catch (MalformedException e) {
+      throw new IllegalStateException(e); // It has been read before.
+    }
+    return Arrays.copyOf(at, count[0]);
+  }
+
+  /**
+   * How long the answer may be kept, in seconds: the least TTL of its records, or for one that says that there is nothing what
+   * RFC 2308, 5 says; -1 where it may not be kept.
+   */
+  public long ttl() {
+    long[] least = {Long.MAX_VALUE};
+    boolean[] soa = {false};
+    boolean positive = answers() > 0 && rcode() == NOERROR;
+    try {
+      walk((section, owner, fixed) -> {
+        long ttl = ttlAt(b, fixed + 4);
+        int type = get16(b, fixed);
+        if (section == 1 && type == SOA && !positive) {
+          int end = fixed + FIXED + get16(b, fixed + 8);
+          ttl = Math.min(ttl, ttlAt(b, end - 4));
+          soa[0] = true;
+        }
+        if (section < 2) {
+          least[0] = Math.min(least[0], ttl);
+        }
+        return section < 2;
+      });
+    } catch (MalformedException e) {
+      return -1;
+    }
+    return !positive && !soa[0] ? -1 : least[0];
+  }
+
+  /** A TTL; with its first bit set it counts as 0 (RFC 2181, 8). */
+  private static long ttlAt(byte[] b, int at) {
+    long ttl = (long) get16(b, at) << 16 | get16(b, at + 2);
+    return ttl > Integer.MAX_VALUE ? 0 : ttl;
+  }
+
+  /**
+   * Whether each record of the answer is of the name asked or of one that an alias there leads to (RFC 5452, 6; RFC 6672 for
+   * DNAME): anything else nobody asked for.
+   */
+  public boolean isInBailiwick() {
+    Set<String> names = new HashSet<>();
+    names.add(key(question.name()));
+    try {
+      // Aliases may stand in any order; each round adds those that the one before has led to.
+      for (int before = 0; before != names.size() && names.size() <= MOST_ALIASES; ) {
+        before = names.size();
+        walk((section, owner, fixed) -> {
+          if (section == 0 && get16(b, fixed) == CNAME && names.contains(nameAt(owner))) {
+            names.add(nameAt(fixed + FIXED));
+          }
+          return section == 0;
+        });
+      }
+      boolean[] within = {names.size() <= MOST_ALIASES};
+      walk((section, owner, fixed) -> {
+        if (section == 0 && !names.contains(nameAt(owner))) {
+          int type = get16(b, fixed);
+          byte[] above = Names.lower(Names.read(b, owner));
+          within[0] &= (type == DNAME || type == RRSIG && get16(b, fixed + FIXED) == DNAME)
+              && names.stream().anyMatch(n -> Names.isWithin(n.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1), above));
+        }
+        return section == 0 && within[0];
+      });
+      return within[0];
+    } catch (MalformedException e) {
+      return false;
+    }
+  }
+
+  private String nameAt(int at) throws MalformedException {
+    return key(Names.lower(Names.read(b, at)));
+  }
+
+  private static String key(byte[] name) {
+    return new String(name, java.nio.charset.StandardCharsets.ISO_8859_1);
+  }
+
+  // ---- Octets --------------------------------------------------------------------------------------------
+
+  /** A number of two octets. */
+  public static int get16(byte[] b, int at) {
+    return (b[at] & 0xFF) << 8 | b[at + 1] & 0xFF;
+  }
+
+  public static void put16(byte[] b, int at, int value) {
+    b[at] = (byte) (value >> 8);
+    b[at + 1] = (byte) value;
+  }
+
+  public static void put32(byte[] b, int at, long value) {
+    put16(b, at, (int) (value >> 16));
+    put16(b, at + 2, (int) value);
+  }
+
+  // ---- Making messages -----------------------------------------------------------------------------------
+
+  /**
+   * A question to a server.
+   *
+   * @param flags those that the asker may set, such as {@link #RD}
+   * @param opt the OPT record; null to speak no EDNS
+   */
+  public static byte[] query(int id, int flags, Question question, byte[] opt) {
+    byte[] to = new byte[HEADER + question.length() + (opt == null ? 0 : opt.length)];
+    put16(to, 0, id);
+    put16(to, 2, flags);
+    to[5] = 1;
+    int at = question.write(to, HEADER);
+    if (opt != null) {
+      to[11] = 1;
+      System.arraycopy(opt, 0, to, at, opt.length);
+    }
+    return to;
+  }
+
+  /**
+   * An answer without records.
+   *
+   * @param question null where what was asked can't be read
+   * @param opt null for none
+   */
+  public static byte[] empty(int id, int flags, int rcode, Question question, byte[] opt) {
+    int length = question == null ? HEADER : HEADER + question.length();
+    byte[] to = new byte[length + (opt == null ? 0 : opt.length)];
+    put16(to, 0, id);
+    put16(to, 2, QR | flags | rcode & 0xF);
+    if (question != null) {
+      to[5] = 1;
+      question.write(to, HEADER);
+    }
+    if (opt != null) {
+      to[11] = 1;
+      System.arraycopy(opt, 0, to, length, opt.length);
+    }
+    return to;
+  }
+}
--- /dev/null
+++ b/dns/src/test/java/cloverpulley/dns/CacheTest.java
@@ -0,0 +1,223 @@
+package cloverpulley.dns;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.names.Freshness;
+import cloverpulley.standins.StandInDns;
+import cloverpulley.standins.StandInDns.Asked;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Section;
+
+/** What is kept, for how long, and what it is good for when no server answers. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class CacheTest {
+
+  private static final int STALE = 3;
+
+  private final Rig rig = new Rig();
+
+  @AfterEach
+  void close() throws Exception {
+    rig.close();
+  }
+
+  private Rig.Udp udp() throws Exception {
+    return rig.keep(new Rig.Udp(rig.server.address()));
+  }
+
+  @Test
+  void anAnswerIsKeptForItsTtlAndAges() throws Exception {
+    StandInDns server = rig.dns(StandInDns.addresses("10.0.0.1"));
+    rig.start("", "", server);
+    Rig.Udp client = udp();
+    for (int i = 0; i < 20; i++) {
+      Message m = client.ask(Rig.question(i, "www.example."));
+      long ttl = m.getSection(Section.ANSWER).get(0).getTTL();
+      assertTrue(ttl <= 60 && ttl > 0, "TTL " + ttl);
+    }
+    assertEquals(1, server.seen().size());
+    assertEquals(19, rig.server.onLoop(() -> rig.server.counts().cached));
+  }
+
+  @Test
+  void aNameThatIsNotThereIsRememberedAsItsSoaSays() throws Exception {
+    StandInDns server = rig.dns(a -> {
+      Message m = a.answer(Rcode.NXDOMAIN);
+      try {
+        m.addRecord(StandInDns.record("example. 600 SOA ns.example. h.example. 1 2 3 4 30"), Section.AUTHORITY);
+      } catch (java.io.IOException e) {
+        throw new IllegalStateException(e);
+      }
+      a.reply(m);
+    });
+    rig.start("", "", server);
+    for (int i = 0; i < 5; i++) {
+      assertEquals(Rcode.NXDOMAIN, udp().ask(Rig.question(i, "no.example.")).getRcode());
+    }
+    assertEquals(1, server.seen().size());
+  }
+
+  @Test
+  void whatMayNotBeKeptIsNot() throws Exception {
+    AtomicInteger n = new AtomicInteger();
+    StandInDns server = rig.dns(a -> a.reply(n.getAndIncrement() % 2 == 0 ? a.address(0, "10.0.0.1") : a.answer(Rcode.NXDOMAIN)));
+    rig.start("", "", server);
+    for (int i = 0; i < 6; i++) {
+      udp().ask(Rig.question(i, "www.example."));
+    }
+    assertEquals(6, server.seen().size());
+  }
+
+  @Test
+  void manyClientsOfOneQuestionAreOneFlight() throws Exception {
+    List<Asked> held = new ArrayList<>();
+    StandInDns server = rig.dns(held::add);
+    rig.start("upstream.attempt_ms = 15000", "", server);
+    List<Rig.Udp> clients = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      clients.add(udp().send(Rig.question(i, i % 2 == 0 ? "www.example." : "WWW.example.")));
+    }
+    Rig.await("all have joined", () -> rig.server.onLoop(() -> rig.server.counts().joined) == 29);
+    held.get(0).reply(held.get(0).address(60, "10.0.0.1"));
+    for (int i = 0; i < 30; i++) {
+      Message m = clients.get(i).answer();
+      assertEquals(i, m.getHeader().getID());
+      assertEquals(i % 2 == 0 ? "www.example." : "WWW.example.", m.getQuestion().getName().toString());
+    }
+    assertEquals(1, server.seen().size());
+  }
+
+  /** A client that joined late has time left when the first one's is up: it is not failed with it. */
+  @Test
+  void whoJoinsLaterHasItsOwnTime() throws Exception {
+    AtomicBoolean answers = new AtomicBoolean();
+    StandInDns server = rig.dns(a -> {
+      if (answers.get()) {
+        a.reply(a.address(60, "10.0.0.1"));
+      }
+    });
+    rig.start("upstream.attempt_ms = 15000", "", server);
+    Rig.Udp first = udp().send(Rig.question(1, "www.example.", org.xbill.DNS.Type.MX));
+    Rig.await("the first is on its way", () -> server.seen().size() == 1);
+    TimeUnit.MILLISECONDS.sleep(200); // A third of the first one's time, so that the second has so much more.
+    Rig.Udp second = udp().send(Rig.question(2, "www.example.", org.xbill.DNS.Type.MX));
+    Rig.await("the second has joined", () -> rig.server.onLoop(() -> rig.server.counts().joined) == 1);
+    answers.set(true);
+    assertEquals(Rcode.SERVFAIL, first.answer().getRcode());
+    Message m = second.answer();
+    assertEquals(2, m.getHeader().getID());
+    assertEquals(2L, rig.server.onLoop(() -> rig.server.counts().flights), "it was put to the module anew");
+    rig.awaitNothingInHand();
+  }
+
+  /** All servers are silent: there is a stale answer, marked as such; elsewhere a SERVFAIL in time; and then all is well again. */
+  @Test
+  void staleAnswersBridgeAnOutage() throws Exception {
+    AtomicBoolean out = new AtomicBoolean();
+    StandInDns server = rig.dns(a -> {
+      if (!out.get()) {
+        a.reply(a.address(1, "10.0.0.1"));
+      }
+    });
+    rig.start("upstream.attempt_ms = 100\ncache.stale_wait_ms = 10000", "", server);
+    assertEquals("10.0.0.1", Rig.text(udp().ask(Rig.question(1, "www.example.", org.xbill.DNS.Type.A))));
+    out.set(true);
+    Message[] stale = new Message[1];
+    Rig.Udp client = udp();
+    Rig.await("the answer is past its TTL", () -> {
+      try {
+        Message m = client.ask(Rig.edns(Rig.question(2, "www.example."), 1232, 0));
+        stale[0] = m;
+        return Rig.error(m) == STALE;
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    assertEquals("10.0.0.1", Rig.text(stale[0]));
+    assertEquals(1, stale[0].getSection(Section.ANSWER).get(0).getTTL(), "no longer than it was good for when it came");
+    assertEquals(Rcode.SERVFAIL, udp().ask(Rig.question(3, "other.example.", org.xbill.DNS.Type.MX)).getRcode());
+    out.set(false);
+    Rig.await("it is fresh again", () -> {
+      try {
+        return Rig.error(client.ask(Rig.edns(Rig.question(4, "www.example."), 1232, 0))) == -1;
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    rig.awaitNothingInHand();
+  }
+
+  /** A server that is merely slow: who has waited long enough gets the stale answer, and the flight fills the cache. */
+  @Test
+  void aSlowServerDoesNotKeepPeopleWaitingWhereThereIsAStaleAnswer() throws Exception {
+    List<Asked> held = java.util.Collections.synchronizedList(new ArrayList<>());
+    AtomicBoolean slow = new AtomicBoolean();
+    StandInDns server = rig.dns(a -> {
+      if (slow.get()) {
+        held.add(a);
+      } else {
+        a.reply(a.address(1, "10.0.0.1"));
+      }
+    });
+    rig.start("upstream.attempt_ms = 15000\ncache.stale_wait_ms = 100", "", server);
+    udp().ask(Rig.question(1, "www.example."));
+    slow.set(true);
+    Rig.Udp client = udp();
+    Rig.await("a stale answer", () -> {
+      try {
+        return Rig.error(client.ask(Rig.edns(Rig.question(2, "www.example."), 1232, 0))) == STALE;
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    held.get(0).reply(held.get(0).address(60, "10.0.0.2"));
+    Rig.await("the cache has the new one", () -> {
+      try {
+        return Rig.text(client.ask(Rig.question(3, "www.example."))).equals("10.0.0.2");
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+  }
+
+  @Test
+  void popularNamesAreAskedForBeforeTheyExpire() throws Exception {
+    StandInDns server = rig.dns(a -> a.reply(a.address(2, "10.0.0.1")));
+    rig.start("cache.prefetch_part = 0.9\ncache.prefetch_hits = 2\nlimits.udp_per_prefix_per_s = 0", "", server);
+    Rig.Udp client = udp();
+    Rig.await("it was asked for ahead", () -> {
+      try {
+        client.ask(Rig.question(1, "www.example."));
+        return rig.server.onLoop(() -> rig.server.counts().prefetched) >= 2;
+      } catch (Exception e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    rig.awaitNothingInHand();
+    assertEquals(server.seen().size() - 1L, rig.server.onLoop(() -> rig.server.counts().prefetched), "nobody waited but the first");
+  }
+
+  /** Whatever is kept, its octets stay under the ceiling. */
+  @Test
+  void theCacheStaysUnderItsCeiling() throws Exception {
+    Cache cache = new Cache(100_000, new Freshness(new Freshness.Config(1000, 1000, 1000, 0.1, 3)));
+    for (int i = 0; i < 5000; i++) {
+      Message m = Rig.question(1, "n" + i + ".example.");
+      m.addRecord(StandInDns.record("n" + i + ".example. 600 A 10.0.0.1"), Section.ANSWER);
+      cloverpulley.dns.wire.Message read = cloverpulley.dns.wire.Message.read(m.toWire(512));
+      cache.put(new Cache.Key(read.question(), false, false, true), Body.of(read), read.ttl(), false, i);
+    }
+    assertTrue(cache.weight() <= 100_000 && cache.weight() > 50_000, "octets " + cache.weight());
+    assertTrue(cache.size() < 300, "entries " + cache.size());
+  }
+}
--- /dev/null
+++ b/dns/src/test/java/cloverpulley/dns/FrontTest.java
@@ -0,0 +1,357 @@
+package cloverpulley.dns;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.standins.StandInDns;
+import java.io.ByteArrayOutputStream;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xbill.DNS.CookieOption;
+import org.xbill.DNS.EDNSOption;
+import org.xbill.DNS.Flags;
+import org.xbill.DNS.GenericEDNSOption;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.TcpKeepaliveOption;
+import org.xbill.DNS.Type;
+
+/** What clients see of the front, over both transports, whatever they send. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class FrontTest {
+
+  private final Rig rig = new Rig();
+
+  @AfterEach
+  void close() throws Exception {
+    rig.close();
+  }
+
+  private Rig.Udp udp() throws Exception {
+    return rig.keep(new Rig.Udp(rig.server.address()));
+  }
+
+  private Rig.Tcp tcp() throws Exception {
+    return rig.keep(new Rig.Tcp(rig.server.address()));
+  }
+
+  private void start(String dns, String rest) throws Exception {
+    rig.start(dns, rest, rig.dns(StandInDns.addresses("10.0.0.1")));
+  }
+
+  @Test
+  void bothTransportsAnswer() throws Exception {
+    start("", "");
+    Message over = udp().ask(Rig.question(4711, "Www.Example."));
+    assertEquals(4711, over.getHeader().getID());
+    assertEquals("10.0.0.1", Rig.text(over));
+    assertEquals("Www.Example.", over.getQuestion().getName().toString(), "the letters as the client wrote them");
+    assertTrue(over.getHeader().getFlag(Flags.RA) && over.getHeader().getFlag(Flags.RD) && !over.getHeader().getFlag(Flags.AA));
+    assertNull(over.getOPT(), "no EDNS for one that speaks none");
+    Message stream = tcp().ask(Rig.edns(Rig.question(4712, "www.example."), 4096, 0));
+    assertEquals("10.0.0.1", Rig.text(stream));
+    assertEquals(1232, stream.getOPT().getPayloadSize());
+  }
+
+  @Test
+  void whatIsNoMessageGetsAFormerrAndWhatIsNoQueryNothing() throws Exception {
+    start("limits.udp_per_prefix_per_s = 0", "");
+    Rig.Udp client = udp();
+    byte[] good = Rig.question(1, "www.example.").toWire(512);
+    byte[] trailing = Arrays.copyOf(good, good.length + 3);
+    assertEquals(Rcode.FORMERR, client.send(trailing).answer().getRcode());
+    byte[] two = good.clone();
+    two[5] = 2;
+    assertEquals(Rcode.FORMERR, client.send(two).answer().getRcode());
+    byte[] response = good.clone();
+    response[2] |= (byte) 0x80;
+    client.send(response).send(new byte[] {1, 2, 3}).send(new byte[0]);
+    client.assertNothingElse(rig.server.address());
+    for (int opcode : new int[] {1, 2, 3, 6, 7, 15}) {
+      byte[] other = good.clone();
+      other[2] = (byte) (opcode << 3);
+      Message m = client.send(other).answer();
+      assertEquals(Rcode.NOTIMP, m.getRcode());
+      assertEquals(opcode, m.getHeader().getOpcode());
+    }
+    assertEquals(Rcode.REFUSED, client.ask(Rig.question(1, "www.example.", Type.AXFR)).getRcode());
+    assertEquals(Rcode.NOTIMP, client.ask(Rig.question(1, "www.example.", Type.MAILB)).getRcode());
+    Message chaos = Rig.question(1, "version.bind.", Type.TXT);
+    byte[] octets = chaos.toWire(512);
+    octets[octets.length - 1] = 3;
+    assertEquals(Rcode.REFUSED, client.send(octets).answer().getRcode());
+    Message filled = Rig.question(1, "www.example.");
+    filled.addRecord(StandInDns.record("a. 1 A 10.0.0.1"), Section.ANSWER);
+    assertEquals(Rcode.FORMERR, client.ask(filled).getRcode());
+    rig.awaitNothingInHand();
+  }
+
+  @Test
+  void ednsIsAnsweredAsItIsSpoken() throws Exception {
+    start("", "");
+    Rig.Udp client = udp();
+    byte[] next = Rig.edns(Rig.question(1, "www.example."), 1232, 0).toWire(512);
+    next[next.length - 5] = 1; // Version 1.
+    Message bad = client.send(next).answer();
+    assertEquals(Rcode.BADVERS, bad.getRcode());
+    assertEquals(0, bad.getOPT().getVersion());
+    // An option that nobody knows is passed over, and keepalive over UDP is no matter (RFC 7828, 3.2.1).
+    Message odd = client.ask(Rig.edns(Rig.question(2, "www.example."), 1232, 0,
+        new GenericEDNSOption(65_001, new byte[] {1, 2, 3}), new TcpKeepaliveOption()));
+    assertEquals("10.0.0.1", Rig.text(odd));
+    assertEquals(List.of(), odd.getOPT().getOptions());
+  }
+
+  @Test
+  void aLargeAnswerIsCutWithTcAndWholeOverTcp() throws Exception {
+    String[] records = new String[60];
+    for (int i = 0; i < records.length; i++) {
+      records[i] = "big.example. 60 A 10.0.1." + i;
+    }
+    StandInDns server = rig.dns(a -> a.reply(a.answer(0, records)));
+    rig.start("", "", server);
+    Message cut = udp().ask(Rig.question(1, "big.example."));
+    assertTrue(cut.getHeader().getFlag(Flags.TC));
+    assertEquals(0, cut.getSection(Section.ANSWER).size());
+    assertEquals(Rcode.NOERROR, cut.getRcode());
+    Message fits = udp().ask(Rig.edns(Rig.question(2, "big.example."), 1232, 0));
+    assertFalse(fits.getHeader().getFlag(Flags.TC));
+    assertEquals(60, fits.getSection(Section.ANSWER).size());
+    assertEquals(60, tcp().ask(Rig.question(3, "big.example.")).getSection(Section.ANSWER).size());
+  }
+
+  @Test
+  void additionalRecordsGoFirstAndThatIsNoTruncation() throws Exception {
+    StandInDns server = rig.dns(a -> {
+      Message m = a.answer(0, "s.example. 60 A 10.0.0.9");
+      for (int i = 0; i < 40; i++) {
+        try {
+          m.addRecord(StandInDns.record("host" + i + ".example. 60 A 10.0.2." + i), Section.ADDITIONAL);
+        } catch (java.io.IOException e) {
+          throw new IllegalStateException(e);
+        }
+      }
+      a.reply(m);
+    });
+    rig.start("", "", server);
+    Message m = udp().ask(Rig.question(1, "s.example."));
+    assertFalse(m.getHeader().getFlag(Flags.TC));
+    assertEquals(1, m.getSection(Section.ANSWER).size());
+    assertEquals(0, m.getSection(Section.ADDITIONAL).size());
+    assertEquals(40, tcp().ask(Rig.question(2, "s.example.")).getSection(Section.ADDITIONAL).size());
+  }
+
+  @Test
+  void anyIsKeptSmall() throws Exception {
+    start("", "");
+    Message m = udp().ask(Rig.question(1, "www.example.", Type.ANY));
+    assertEquals(1, m.getSection(Section.ANSWER).size());
+    assertEquals(Type.HINFO, m.getSection(Section.ANSWER).get(0).getType());
+  }
+
+  @Test
+  void cookiesAreGivenAndFreeTheirBringerFromTheLimit() throws Exception {
+    start("limits.udp_per_prefix_per_s = 2\nlimits.slip = 1", "");
+    Rig.Udp client = udp();
+    CookieOption own = new CookieOption(HexFormat.of().parseHex("0102030405060708"));
+    Message first = client.ask(Rig.edns(Rig.question(1, "www.example."), 1232, 0, own));
+    CookieOption given = (CookieOption) first.getOPT().getOptions().get(0);
+    assertArrayEquals(own.getClientCookie(), given.getClientCookie());
+    assertEquals(16, given.getServerCookie().orElseThrow().length);
+    for (int i = 0; i < 20; i++) { // Ten times the rate.
+      Message m = client.ask(Rig.edns(Rig.question(i, "www.example."), 1232, 0, given));
+      assertEquals("10.0.0.1", Rig.text(m));
+    }
+    byte[] forged = given.getServerCookie().orElseThrow().clone();
+    forged[15] ^= 1;
+    int slipped = 0;
+    for (int i = 0; i < 10; i++) {
+      Message m = client.ask(Rig.edns(Rig.question(i, "www.example."), 1232, 0,
+          new CookieOption(own.getClientCookie(), forged)));
+      slipped += m.getHeader().getFlag(Flags.TC) ? 1 : 0;
+    }
+    assertTrue(slipped >= 7, "past the rate only short answers: " + slipped);
+  }
+
+  @Test
+  void aQuestionForACookieAloneIsAnswered() throws Exception {
+    start("", "");
+    Message m = new Message(7);
+    Rig.edns(m, 1232, 0, new CookieOption(new byte[8]));
+    Message answer = udp().ask(m);
+    assertEquals(Rcode.NOERROR, answer.getRcode());
+    assertEquals(1, answer.getOPT().getOptions().size());
+    assertEquals(Rcode.FORMERR, udp().ask(new Message(8)).getRcode());
+  }
+
+  @Test
+  void pastItsRateAPrefixGetsShortAnswersAndTcpGoesOn() throws Exception {
+    start("limits.udp_per_prefix_per_s = 3\nlimits.slip = 2", "");
+    Rig.Udp client = udp();
+    for (int i = 0; i < 40; i++) {
+      client.send(Rig.question(i, "www.example."));
+    }
+    Rig.await("all were seen", () -> rig.server.onLoop(() -> rig.server.counts().queries) == 40);
+    rig.awaitNothingInHand();
+    long answered = rig.server.onLoop(() -> rig.server.counts().answers);
+    long dropped = rig.server.onLoop(() -> rig.server.counts().dropped);
+    long slipped = rig.server.onLoop(() -> rig.server.counts().slipped);
+    assertTrue(dropped >= 15 && slipped >= 15, "dropped " + dropped + ", slipped " + slipped);
+    assertEquals(40, answered + dropped);
+    assertEquals("10.0.0.1", Rig.text(tcp().ask(Rig.question(1, "www.example."))));
+  }
+
+  // ---- TCP -----------------------------------------------------------------------------------------------
+
+  @Test
+  void severalQueriesInOneSegmentAreAnsweredOutOfOrder() throws Exception {
+    StandInDns server = rig.dns(a -> {
+      if (a.name().startsWith("slow")) {
+        a.replyAfter(300, a.address(60, "10.0.0.2"));
+      } else {
+        a.reply(a.address(60, "10.0.0.3"));
+      }
+    });
+    rig.start("", "", server);
+    ByteArrayOutputStream segment = new ByteArrayOutputStream();
+    segment.write(Rig.Tcp.framed(Rig.question(1, "slow.example.").toWire(512)));
+    for (int i = 2; i <= 30; i++) {
+      segment.write(Rig.Tcp.framed(Rig.question(i, "n" + i + ".example.").toWire(512)));
+    }
+    Rig.Tcp client = tcp().write(segment.toByteArray());
+    Set<Integer> ids = new HashSet<>();
+    for (int i = 0; i < 29; i++) {
+      Message m = client.answer();
+      assertEquals("10.0.0.3", Rig.text(m));
+      assertTrue(ids.add(m.getHeader().getID()));
+    }
+    assertFalse(ids.contains(1));
+    assertEquals("10.0.0.2", Rig.text(client.answer()));
+  }
+
+  @Test
+  void aMessageInSingleOctetsIsOneMessage() throws Exception {
+    start("", "");
+    Rig.Tcp client = tcp();
+    byte[] framed = Rig.Tcp.framed(Rig.question(9, "www.example.").toWire(512));
+    for (byte b : framed) {
+      client.write(new byte[] {b});
+    }
+    assertEquals("10.0.0.1", Rig.text(client.answer()));
+  }
+
+  @Test
+  void keepaliveIsGrantedWhereItIsAskedFor() throws Exception {
+    start("limits.tcp_idle_ms = 7000", "");
+    Message m = tcp().ask(Rig.edns(Rig.question(1, "www.example."), 1232, 0, new TcpKeepaliveOption()));
+    EDNSOption option = m.getOPT().getOptions().get(0);
+    assertEquals(70, ((TcpKeepaliveOption) option).getTimeout().orElseThrow(), "units of 100 ms");
+  }
+
+  @Test
+  void idleSlowAndSilentConnectionsAreClosed() throws Exception {
+    start("limits.tcp_idle_ms = 200\nlimits.tcp_message_ms = 300", "");
+    assertTrue(tcp().ends(), "one that says nothing");
+    Rig.Tcp half = tcp().write(new byte[] {0, 40, 1});
+    assertTrue(half.ends(), "one that stops in mid-message");
+    Rig.Tcp bad = tcp().write(new byte[] {0, 3, 1, 2, 3});
+    assertTrue(bad.ends(), "one whose lengths can't be");
+    Rig.await("all are gone", () -> rig.server.connections() == 0);
+  }
+
+  @Test
+  void connectionsAreBoundedByClientAndInAll() throws Exception {
+    start("limits.tcp_per_client = 3\nlimits.tcp_idle_ms = 60000", "");
+    Rig.Tcp first = tcp();
+    assertEquals("10.0.0.1", Rig.text(first.ask(Rig.question(1, "www.example."))));
+    tcp().ask(Rig.question(1, "www.example."));
+    tcp().ask(Rig.question(1, "www.example."));
+    assertTrue(tcp().ends(), "the fourth of one client");
+    assertEquals("10.0.0.1", Rig.text(first.ask(Rig.question(2, "www.example."))));
+  }
+
+  @Test
+  void theConnectionIdleLongestGoesForANewOne() throws Exception {
+    start("limits.tcp_connections = 2\nlimits.tcp_idle_ms = 60000", "");
+    Rig.Tcp first = tcp();
+    first.ask(Rig.question(1, "www.example."));
+    Rig.Tcp second = tcp();
+    second.ask(Rig.question(1, "www.example."));
+    Rig.Tcp third = tcp();
+    assertEquals("10.0.0.1", Rig.text(third.ask(Rig.question(1, "www.example."))));
+    assertTrue(first.ends());
+    assertEquals("10.0.0.1", Rig.text(second.ask(Rig.question(1, "www.example."))));
+  }
+
+  /** Whoever asks without reading is not read either, and goes in the end; what is kept for it stays bounded. */
+  @Test
+  void aClientThatDoesNotReadItsAnswersIsCutOff() throws Exception {
+    String[] records = new String[200];
+    for (int i = 0; i < records.length; i++) {
+      records[i] = "big.example. 600 A 10.0.1." + i;
+    }
+    rig.start("limits.tcp_stall_ms = 400", "", rig.dns(a -> a.reply(a.answer(0, records))));
+    Rig.Tcp good = tcp();
+    good.ask(Rig.question(1, "big.example."));
+    Rig.Tcp bad = tcp();
+    byte[] one = Rig.Tcp.framed(Rig.question(2, "big.example.").toWire(512));
+    byte[] many = new byte[one.length * 1000];
+    for (int i = 0; i < 1000; i++) {
+      System.arraycopy(one, 0, many, i * one.length, one.length);
+    }
+    Thread writer = new Thread(() -> {
+      try {
+        while (true) {
+          bad.write(many);
+        }
+      } catch (java.io.IOException e) {
+        // Cut off, as it has to be.
+      }
+    });
+    writer.start();
+    Rig.await("it is cut off", () -> rig.server.onLoop(() -> rig.server.counts().turnedAway) >= 1);
+    assertEquals(200, good.ask(Rig.question(3, "big.example.")).getSection(Section.ANSWER).size());
+    writer.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+    assertFalse(writer.isAlive());
+  }
+
+  /** No more than so many of one connection's queries are open; the rest wait unread and are all answered. */
+  @Test
+  void pipeliningIsBoundedAndNothingIsLost() throws Exception {
+    StandInDns server = rig.dns(a -> a.replyAfter(50, a.address(60, "10.0.0.3")));
+    rig.start("limits.tcp_pipelined = 5", "", server);
+    ByteArrayOutputStream segment = new ByteArrayOutputStream();
+    for (int i = 0; i < 40; i++) {
+      segment.write(Rig.Tcp.framed(Rig.question(i, "p" + i + ".example.").toWire(512)));
+    }
+    Rig.Tcp client = tcp().write(segment.toByteArray());
+    Set<Integer> ids = new HashSet<>();
+    for (int i = 0; i < 40; i++) {
+      assertTrue(rig.server.inHand() <= 5);
+      ids.add(client.answer().getHeader().getID());
+    }
+    assertEquals(40, ids.size());
+  }
+
+  @Test
+  void aClientThatHangsUpIsForgotten() throws Exception {
+    rig.start("", "", rig.dns(a -> { }));
+    Rig.Tcp client = tcp().send(Rig.question(1, "www.example."));
+    Rig.await("in hand", () -> rig.server.inHand() == 1);
+    client.close();
+    rig.awaitNothingInHand();
+    assertNotNull(rig.server.report());
+  }
+}
--- /dev/null
+++ b/dns/src/test/java/cloverpulley/dns/RealClientTest.java
@@ -0,0 +1,131 @@
+package cloverpulley.dns;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.standins.StandInDns;
+import java.time.Duration;
+import java.util.Hashtable;
+import java.util.concurrent.TimeUnit;
+import javax.naming.NameNotFoundException;
+import javax.naming.directory.Attributes;
+import javax.naming.directory.InitialDirContext;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.SimpleResolver;
+import org.xbill.DNS.TSIG;
+import org.xbill.DNS.Type;
+import org.xbill.DNS.Update;
+
+/** Clients that were written elsewhere: dnsjava's resolver and the JDK's own naming provider. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class RealClientTest {
+
+  private final Rig rig = new Rig();
+
+  @AfterEach
+  void close() throws Exception {
+    rig.close();
+  }
+
+  private SimpleResolver resolver(boolean tcp) throws Exception {
+    SimpleResolver r = new SimpleResolver(rig.server.address());
+    r.setTCP(tcp);
+    r.setTimeout(Duration.ofSeconds(Rig.LIMIT_S));
+    return r;
+  }
+
+  @Test
+  void dnsjavaIsAnsweredOverBoth() throws Exception {
+    rig.start("", "", rig.dns(StandInDns.addresses("10.0.0.1")));
+    for (boolean tcp : new boolean[] {false, true}) {
+      SimpleResolver r = resolver(tcp);
+      r.setEDNS(0, 1232, 0x8000);
+      Message m = r.send(Rig.question(1, "www" + tcp + ".example."));
+      assertEquals("10.0.0.1", Rig.text(m));
+      assertTrue((m.getOPT().getFlags() & 0x8000) != 0);
+    }
+  }
+
+  /** It goes over to TCP by itself when it sees TC. */
+  @Test
+  void dnsjavaFollowsATruncationToTcp() throws Exception {
+    String[] records = new String[100];
+    for (int i = 0; i < records.length; i++) {
+      records[i] = "big.example. 60 A 10.0.1." + i;
+    }
+    rig.start("", "", rig.dns(a -> a.reply(a.answer(0, records))));
+    assertEquals(100, resolver(false).send(Rig.question(1, "big.example.")).getSection(Section.ANSWER).size());
+  }
+
+  @Test
+  void theJdksProviderIsAnswered() throws Exception {
+    rig.start("", "", rig.dns(a -> {
+      if (a.name().startsWith("no.")) {
+        a.reply(a.answer(Rcode.NXDOMAIN));
+      } else if (a.message().getQuestion().getType() == Type.TXT) {
+        a.reply(a.answer(0, a.name() + " 60 TXT \"hello\""));
+      } else {
+        a.reply(a.address(60, "10.0.0.1"));
+      }
+    }));
+    Hashtable<String, String> environment = new Hashtable<>();
+    environment.put("java.naming.factory.initial", "com.sun.jndi.dns.DnsContextFactory");
+    environment.put("java.naming.provider.url", "dns://127.0.0.1:" + rig.server.address().getPort());
+    InitialDirContext context = new InitialDirContext(environment);
+    Attributes found = context.getAttributes("www.example", new String[] {"A"});
+    assertEquals("10.0.0.1", found.get("A").get());
+    assertEquals("hello", context.getAttributes("www.example", new String[] {"TXT"}).get("TXT").get());
+    assertThrows(NameNotFoundException.class, () -> context.getAttributes("no.example", new String[] {"A"}));
+    context.close();
+  }
+
+  private static final String TSIG_TABLES = """
+      [[dns.tenant]]
+      name = "steppe-auto"
+      share = 0.5
+      [[dns.tsig]]
+      name = "partner.key"
+      secret = "c2VjcmV0c2VjcmV0c2VjcmV0"
+      tenant = "steppe-auto"
+      """;
+
+  /** A signed update passes with its signature whole, so that the server can check it with the same key. */
+  @Test
+  void aSignedUpdatePassesAndAForgedOneDoesNot() throws Exception {
+    TSIG key = new TSIG(TSIG.HMAC_SHA256, Name.fromString("partner.key."), "secretsecretsecret".getBytes());
+    int[] verified = {-1};
+    rig.start("", TSIG_TABLES, rig.dns(a -> {
+      // The id of each hop is its own; signed was the original one, which the signature names (RFC 8945, 5.3).
+      byte[] octets = a.octets();
+      int original = a.message().getTSIG().getOriginalID();
+      octets[0] = (byte) (original >> 8);
+      octets[1] = (byte) original;
+      try {
+        verified[0] = key.verify(new Message(octets), octets, null);
+      } catch (java.io.IOException e) {
+        throw new IllegalStateException(e);
+      }
+      a.reply(a.answer(0));
+    }));
+    Update u = new Update(Name.fromString("example."));
+    u.add(StandInDns.record("h.example. 60 A 10.9.9.9"));
+    try (Rig.Udp client = new Rig.Udp(rig.server.address())) {
+      key.apply(u, null);
+      assertEquals(Rcode.NOERROR, client.send(u.toWire(65_535)).answer().getRcode());
+      assertEquals(Rcode.NOERROR, verified[0]);
+      Update forged = new Update(Name.fromString("example."));
+      forged.add(StandInDns.record("evil.example. 60 A 10.6.6.6"));
+      new TSIG(TSIG.HMAC_SHA256, Name.fromString("partner.key."), "anothersecretthanours".getBytes()).apply(forged, null);
+      assertEquals(Rcode.NOTAUTH, client.send(forged.toWire(65_535)).answer().getRcode());
+    }
+    assertNotEquals(-1, verified[0]);
+  }
+}
--- /dev/null
+++ b/dns/src/test/java/cloverpulley/dns/Rig.java
@@ -0,0 +1,315 @@
+package cloverpulley.dns;
+
+import cloverpulley.config.BadFileException;
+import cloverpulley.config.OperatorsFile;
+import cloverpulley.config.Section;
+import cloverpulley.config.ServiceSection;
+import cloverpulley.fleet.FleetSource;
+import cloverpulley.standins.StandInDns;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.ExtendedErrorCodeOption;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.OPTRecord;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.TextParseException;
+import org.xbill.DNS.Type;
+
+/** A DNS front on an ephemeral port, made from an operators' file, with stand-in servers behind it and clients before it. */
+final class Rig implements AutoCloseable {
+
+  /** A generous limit for what has to happen: no test passes by its running out. */
+  static final int LIMIT_S = 20;
+
+  static final String CLASSES = """
+      [[class]]
+      name = "rate-lookup"
+      effect = "safe"
+      aim_ms = 400
+      deadline_ms = 2000
+      [dns.service]
+      zone = "a"
+      [[dns.class]]
+      name = "query"
+      effect = "safe"
+      aim_ms = 10000
+      deadline_ms = 20000
+      [[dns.class]]
+      name = "brief"
+      effect = "safe"
+      aim_ms = 300
+      deadline_ms = 600
+      [[dns.class]]
+      name = "update"
+      effect = "unsafe"
+      aim_ms = 10000
+      deadline_ms = 20000
+      [[dns.class]]
+      name = "notify"
+      effect = "keyed"
+      dedup_window_ms = 4000
+      aim_ms = 10000
+      deadline_ms = 20000
+      [[dns.match]]
+      types = ["MX"]
+      class = "brief"
+      """;
+
+  /** What a file says, read. */
+  record Told(DnsConfig dns, FleetSource shown) {
+    static Told read(Section file) {
+      var service = ServiceSection.read(file);
+      return new Told(DnsConfig.read(file.table("dns"), service), file.has("fleet") ? FleetSource.read(file.table("fleet")) : null);
+    }
+  }
+
+  final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final List<AutoCloseable> closing = new java.util.concurrent.CopyOnWriteArrayList<>();
+  DnsServer server;
+
+  static Told told(String dns, String rest) throws BadFileException {
+    // Tables with a list inside come first and the keys of [dns] before them.
+    return OperatorsFile.parse("test", "[dns]\nlisten = \"127.0.0.1:0\"\n" + dns + "\n" + CLASSES + rest, Told::read);
+  }
+
+  /** Starts a front; {@code dns} are lines of its own section, {@code rest} further tables. */
+  DnsServer start(String dns, String rest) throws BadFileException, IOException {
+    Told told = told(dns, rest);
+    server = keep(DnsServer.start(told.dns, told.shown, 7));
+    return server;
+  }
+
+  /** The same before these servers. */
+  DnsServer start(String dns, String rest, StandInDns... servers) throws BadFileException, IOException {
+    return start(dns, rest + servers(servers));
+  }
+
+  /** Starts one on the port of another, which may still listen there. */
+  DnsServer startBeside(InetSocketAddress same, String dns, String rest) throws BadFileException, IOException {
+    Told told = OperatorsFile.parse("test", "[dns]\nlisten = \"127.0.0.1:" + same.getPort() + "\"\n" + dns + "\n" + CLASSES + rest,
+        Told::read);
+    return keep(DnsServer.start(told.dns, told.shown, 8));
+  }
+
+  static String servers(StandInDns... servers) {
+    StringBuilder text = new StringBuilder("[dns.fleet]\n");
+    for (int i = 0; i < servers.length; i++) {
+      text.append(server("d" + i, servers[i].hostPort(), "ready"));
+    }
+    return text.toString();
+  }
+
+  static String server(String id, String address, String phase) {
+    return "[[dns.fleet.server]]\nid = \"" + id + "\"\naddress = \"" + address + "\"\nzone = \"a\"\nphase = \"" + phase + "\"\n";
+  }
+
+  StandInDns dns(Consumer<StandInDns.Asked> script) {
+    return keep(new StandInDns(group, script));
+  }
+
+  <T extends AutoCloseable> T keep(T closeable) {
+    closing.add(0, closeable);
+    return closeable;
+  }
+
+  /** The same from a thread of its own. */
+  void keepQuietly(AutoCloseable closeable) {
+    closing.add(0, closeable);
+  }
+
+  /** Waits for something that has to come about. */
+  static void await(String what, BooleanSupplier condition) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_S);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > until) {
+        throw new AssertionError("never: " + what);
+      }
+      TimeUnit.MILLISECONDS.sleep(2);
+    }
+  }
+
+  void awaitNothingInHand() throws InterruptedException {
+    await("nothing in hand", () -> server.inHand() == 0);
+  }
+
+  @Override
+  public void close() throws Exception {
+    for (AutoCloseable c : closing) {
+      c.close();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  // ---- Messages ------------------------------------------------------------------------------------------
+
+  /** A question with recursion wanted, without EDNS. */
+  static Message question(int id, String name, int type) {
+    try {
+      Message m = Message.newQuery(Record.newRecord(Name.fromString(name), type, DClass.IN));
+      m.getHeader().setID(id);
+      return m;
+    } catch (TextParseException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  static Message question(int id, String name) {
+    return question(id, name, Type.A);
+  }
+
+  /** The same with EDNS. */
+  static Message edns(Message m, int size, int flags, org.xbill.DNS.EDNSOption... options) {
+    m.addRecord(new OPTRecord(size, 0, 0, flags, Arrays.asList(options)), org.xbill.DNS.Section.ADDITIONAL);
+    return m;
+  }
+
+  static String text(Message answer) {
+    List<Record> records = answer.getSection(org.xbill.DNS.Section.ANSWER);
+    return records.isEmpty() ? "" : records.get(0).rdataToString();
+  }
+
+  /** The extended error of an answer; -1 for none. */
+  static int error(Message answer) {
+    if (answer.getOPT() != null) {
+      for (var option : answer.getOPT().getOptions()) {
+        if (option instanceof ExtendedErrorCodeOption e) {
+          return e.getErrorCode();
+        }
+      }
+    }
+    return -1;
+  }
+
+  // ---- Clients -------------------------------------------------------------------------------------------
+
+  /** A client over UDP, with a port of its own. */
+  static final class Udp implements AutoCloseable {
+
+    private final DatagramSocket socket;
+
+    Udp(InetSocketAddress to) throws IOException {
+      this(to, "127.0.0.1");
+    }
+
+    Udp(InetSocketAddress to, String from) throws IOException {
+      socket = new DatagramSocket(0, InetAddress.getByName(from));
+      socket.connect(to);
+      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
+    }
+
+    Udp send(byte[] octets) throws IOException {
+      socket.send(new DatagramPacket(octets, octets.length));
+      return this;
+    }
+
+    Udp send(Message m) throws IOException {
+      return send(m.toWire(65_535));
+    }
+
+    void timeout(int millis) throws IOException {
+      socket.setSoTimeout(millis);
+    }
+
+    byte[] octets() throws IOException {
+      DatagramPacket p = new DatagramPacket(new byte[65_535], 65_535);
+      socket.receive(p);
+      return Arrays.copyOf(p.getData(), p.getLength());
+    }
+
+    Message answer() throws IOException {
+      return new Message(octets());
+    }
+
+    Message ask(Message m) throws IOException {
+      return send(m).answer();
+    }
+
+    /** Whether nothing more is there: told by an answer to a question of another kind that was sent after. */
+    void assertNothingElse(InetSocketAddress server) throws IOException {
+      byte[] last = question(0xFFFF, "marker.example.").toWire(512);
+      last[2] |= 0x10; // Opcode STATUS, which is answered at once.
+      send(last);
+      Message m = answer();
+      if (m.getHeader().getID() != 0xFFFF) {
+        throw new AssertionError("one more answer: " + m);
+      }
+    }
+
+    @Override
+    public void close() {
+      socket.close();
+    }
+  }
+
+  /** A client over TCP. */
+  static final class Tcp implements AutoCloseable {
+
+    final Socket socket = new Socket();
+    private final DataInputStream in;
+
+    Tcp(InetSocketAddress to) throws IOException {
+      socket.setTcpNoDelay(true);
+      socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
+      socket.connect(to);
+      in = new DataInputStream(socket.getInputStream());
+    }
+
+    static byte[] framed(byte[] octets) {
+      byte[] framed = new byte[2 + octets.length];
+      framed[0] = (byte) (octets.length >> 8);
+      framed[1] = (byte) octets.length;
+      System.arraycopy(octets, 0, framed, 2, octets.length);
+      return framed;
+    }
+
+    Tcp write(byte[] raw) throws IOException {
+      socket.getOutputStream().write(raw);
+      return this;
+    }
+
+    Tcp send(Message m) throws IOException {
+      return write(framed(m.toWire(65_535)));
+    }
+
+    Message answer() throws IOException {
+      byte[] octets = new byte[in.readUnsignedShort()];
+      in.readFully(octets);
+      return new Message(octets);
+    }
+
+    Message ask(Message m) throws IOException {
+      return send(m).answer();
+    }
+
+    /** Whether the server ends the connection, without a further answer. */
+    boolean ends() throws IOException {
+      try {
+        return in.read() < 0;
+      } catch (EOFException | java.net.SocketException e) {
+        return true;
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+}
--- a/processor/src/main/java/cloverpulley/processor/FleetSource.java
+++ b/fleet/src/main/java/cloverpulley/fleet/FleetSource.java
@@ -1,4 +1,4 @@
-package cloverpulley.processor;
+package cloverpulley.fleet;
 
 import cloverpulley.Balancer.State;
 import cloverpulley.config.Section;
--- a/processor/src/main/java/cloverpulley/processor/HeldList.java
+++ b/fleet/src/main/java/cloverpulley/fleet/HeldList.java
@@ -1,4 +1,4 @@
-package cloverpulley.processor;
+package cloverpulley.fleet;
 
 import cloverpulley.Balancer.State;
 import cloverpulley.discovery.ListDecoder;
@@ -24,7 +24,7 @@
  * The list last held, kept in a file in discovery's form: a successor starts with it. Written by a thread of its own, whole
  * or not at all, the latest list only.
  */
-final class HeldList implements AutoCloseable {
+public final class HeldList implements AutoCloseable {
 
   private static final Logger LOG = Logger.getLogger(HeldList.class.getName());
 
@@ -36,12 +36,12 @@
     return thread;
   });
 
-  HeldList(Path file) {
+  public HeldList(Path file) {
     this.file = file;
   }
 
   /** The list in the file; none where there is none, or it can't be read: that is said and no reason not to start. */
-  static ServerList read(Path file) {
+  public static ServerList read(Path file) {
     if (file == null || !Files.exists(file)) {
       return ServerList.NONE;
     }
@@ -53,7 +53,7 @@
     }
   }
 
-  void write(ServerList list) {
+  public void write(ServerList list) {
     if (file != null && next.getAndSet(list) == null) {
       writer.execute(this::writeLatest);
     }
@@ -70,7 +70,7 @@
     }
   }
 
-  static String text(ServerList list) throws IOException {
+  public static String text(ServerList list) throws IOException {
     StringWriter text = new StringWriter();
     try (JsonGenerator g = new JsonFactory().createGenerator(text)) {
       g.writeStartObject();
--- a/load/src/main/java/cloverpulley/load/Driver.java
+++ b/load/src/main/java/cloverpulley/load/Driver.java
@@ -42,6 +42,11 @@
   /** Connections open now. */
   int connections();
 
+  /** Answers to requests that had been answered already, where the protocol can show such. */
+  default long doubles() {
+    return 0;
+  }
+
   @Override
   void close();
 }
--- a/load/src/main/java/cloverpulley/load/LoadRun.java
+++ b/load/src/main/java/cloverpulley/load/LoadRun.java
@@ -52,14 +52,24 @@
   private static Results play(Plan plan, Supplier<Planned> source, Consumer<Results> everySecond) throws InterruptedException {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     EventLoop loop = group.next();
-    Driver driver = plan.target().protocol() == Plan.Protocol.HTTP ? new HttpDriver(plan, loop) : new ExtProcDriver(plan, loop);
+    Driver driver = loop.submit(() -> driver(plan, loop)).syncUninterruptibly().getNow();
     try {
       // Two runs of one plan against one server have ids of their own: a server may remember them.
       String prefix = "l" + Long.toString(System.nanoTime(), 36) + "-";
-      return new Runner(plan, loop, driver, prefix).everySecond(everySecond).run(source);
+      Results results = new Runner(plan, loop, driver, prefix).everySecond(everySecond).run(source);
+      results.doubles = loop.submit(driver::doubles).syncUninterruptibly().getNow();
+      return results;
     } finally {
       loop.submit(driver::close).syncUninterruptibly();
       group.shutdownGracefully(0, 1, java.util.concurrent.TimeUnit.SECONDS);
     }
   }
+
+  private static Driver driver(Plan plan, EventLoop loop) {
+    return switch (plan.target().protocol()) {
+      case HTTP -> new HttpDriver(plan, loop);
+      case EXT_PROC -> new ExtProcDriver(plan, loop);
+      case DNS_UDP, DNS_TCP -> new DnsDriver(plan, loop);
+    };
+  }
 }
--- a/load/src/main/java/cloverpulley/load/Plan.java
+++ b/load/src/main/java/cloverpulley/load/Plan.java
@@ -1,6 +1,7 @@
 package cloverpulley.load;
 
 import cloverpulley.config.Section;
+import cloverpulley.dns.wire.Names;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -36,10 +37,16 @@
   public record Keys(int count, double exponent) {}
 
   /** How it is reached. */
-  public enum Protocol { HTTP, EXT_PROC }
+  public enum Protocol { HTTP, EXT_PROC, DNS_UDP, DNS_TCP }
 
-  /** Where the load goes; {@code connections} bounds those open at one time. */
-  public record Target(Protocol protocol, InetSocketAddress address, String path, int connections, long connectMillis) {}
+  /**
+   * Where the load goes.
+   *
+   * @param connections bounds those open at one time
+   * @param domain below which DNS names are asked for, with a dot at its end
+   */
+  public record Target(Protocol protocol, InetSocketAddress address, String path, int connections, long connectMillis,
+      String domain) {}
 
   /**
    * How clients behave.
@@ -55,8 +62,11 @@
       Arrivals.Process.CONSTANT, "bursty", Arrivals.Process.BURSTY);
   private static final Map<String, Effect> EFFECTS =
       Map.of("safe", Effect.SAFE, "keyed", Effect.KEYED, "unsafe", Effect.UNSAFE);
-  private static final Map<String, Protocol> PROTOCOLS = Map.of("http", Protocol.HTTP, "ext_proc", Protocol.EXT_PROC);
+  private static final Map<String, Protocol> PROTOCOLS = Map.of("http", Protocol.HTTP, "ext_proc", Protocol.EXT_PROC, "dns_udp",
+      Protocol.DNS_UDP, "dns_tcp", Protocol.DNS_TCP);
   private static final List<String> SHAPES = List.of("flash", "month_end", "ramp", "season", "wave");
+  /** Room for a host's label before it. */
+  private static final int MOST_DOMAIN = 200;
   private static final double DAY_S = 86_400;
   private static final double DAY_MS = DAY_S * 1000;
 
@@ -159,8 +169,14 @@
     if (!path.matches("/[!-~]*")) {
       t.wrong("path", "expected a path such as /api, got \"" + path + "\"");
     }
+    String domain = t.text("domain", "load.test.");
+    if (Names.of(domain) == null || domain.length() > MOST_DOMAIN) {
+      t.wrong("domain", "expected a domain name, got \"" + domain + "\"");
+      domain = "load.test.";
+    }
     return new Target(t.word("protocol", PROTOCOLS, Protocol.HTTP), t.address("address", null), path,
-        (int) t.whole("connections", 1, 60_000, 256), t.whole("connect_ms", 1, 60_000, 1000));
+        (int) t.whole("connections", 1, 60_000, 256), t.whole("connect_ms", 1, 60_000, 1000),
+        domain.endsWith(".") ? domain : domain + ".");
   }
 
   private static Clients clients(Section c) {
--- a/load/src/main/java/cloverpulley/load/Results.java
+++ b/load/src/main/java/cloverpulley/load/Results.java
@@ -71,6 +71,8 @@
   public final Histogram lateness = new Histogram(MOST_MICROS, DIGITS);
   public long tries;
   /** When the run started, {@code System.nanoTime()}. */
+  /** Answers to requests that had been answered already. */
+  public long doubles;
   public long startNanos;
 
   public Results(Plan plan) {
--- a/load/src/main/java/cloverpulley/load/WarmUp.java
+++ b/load/src/main/java/cloverpulley/load/WarmUp.java
@@ -1,5 +1,6 @@
 package cloverpulley.load;
 
+import cloverpulley.dns.wire.Message;
 import cloverpulley.extproc.ExtProc.HeadersResponse;
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.ExtProc.ProcessingResponse;
@@ -10,7 +11,9 @@
 import io.grpc.ServerServiceDefinition;
 import io.grpc.Status;
 import io.grpc.netty.NettyServerBuilder;
+import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,7 +22,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -49,9 +55,14 @@
   static Results run(Plan plan) throws IOException, InterruptedException {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     try {
-      InetSocketAddress address = plan.target().protocol() == Plan.Protocol.HTTP ? http(group) : processor(group);
+      InetSocketAddress address = switch (plan.target().protocol()) {
+        case HTTP -> http(group);
+        case EXT_PROC -> processor(group);
+        case DNS_UDP -> datagrams(group);
+        case DNS_TCP -> connections(group);
+      };
       Plan.Target target = new Plan.Target(plan.target().protocol(), address, plan.target().path(), plan.target().connections(),
-          plan.target().connectMillis());
+          plan.target().connectMillis(), plan.target().domain());
       Plan brief = new Plan(plan.seed(), SECONDS, RATE, Arrivals.Process.POISSON, null, new Shape.Flat(), plan.types(),
           plan.tenants(), new Plan.Keys(Math.min(100, plan.keys().count()), plan.keys().exponent()), target, plan.clients(),
           plan.lateMillis());
@@ -75,6 +86,39 @@
         }).bind(here()).syncUninterruptibly().channel().localAddress();
   }
 
+  private static InetSocketAddress datagrams(EventLoopGroup group) {
+    return (InetSocketAddress) new Bootstrap().group(group).channel(NioDatagramChannel.class)
+        .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+          @Override
+          protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+            context.writeAndFlush(new DatagramPacket(answered(packet.content()), packet.sender()));
+          }
+        }).bind(here()).syncUninterruptibly().channel().localAddress();
+  }
+
+  private static InetSocketAddress connections(EventLoopGroup group) {
+    return (InetSocketAddress) new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        .childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(Message.MOST + 2, 0, 2, 0, 0),
+                new SimpleChannelInboundHandler<ByteBuf>() {
+                  @Override
+                  protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+                    frame.markReaderIndex().skipBytes(2);
+                    answered(frame).release();
+                    context.writeAndFlush(frame.resetReaderIndex().retain());
+                  }
+                });
+          }
+        }).bind(here()).syncUninterruptibly().channel().localAddress();
+  }
+
+  /** The same message as an answer. */
+  private static ByteBuf answered(ByteBuf message) {
+    return message.setByte(message.readerIndex() + 2, message.getByte(message.readerIndex() + 2) | 0x80).retain();
+  }
+
   private static final class Serve extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
--- a/load/src/test/java/cloverpulley/load/HonestyTest.java
+++ b/load/src/test/java/cloverpulley/load/HonestyTest.java
@@ -96,7 +96,7 @@
       AtomicInteger second = new AtomicInteger();
       Plan wide = plan(server, 500, 3, "process = \"constant\"\n" + TYPES);
       Plan narrow = new Plan(wide.seed(), wide.seconds(), wide.rate(), wide.process(), wide.bursts(), wide.shape(), wide.types(),
-          wide.tenants(), wide.keys(), new Plan.Target(Plan.Protocol.HTTP, server.address(), "/api", 4, 1000), wide.clients(),
+          wide.tenants(), wide.keys(), new Plan.Target(Plan.Protocol.HTTP, server.address(), "/api", 4, 1000, "load.test."), wide.clients(),
           wide.lateMillis());
       Results r = LoadRun.play(narrow, x -> {
         if (second.incrementAndGet() == 1) {
--- a/load/src/test/java/cloverpulley/load/RecordReplayTest.java
+++ b/load/src/test/java/cloverpulley/load/RecordReplayTest.java
@@ -7,12 +7,12 @@
 
 import cloverpulley.config.OperatorsFile;
 import cloverpulley.config.ServiceSection;
+import cloverpulley.fleet.FleetSource;
 import cloverpulley.load.Driver.Outcome;
-import cloverpulley.processor.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
 import cloverpulley.processor.ProcessorServer;
-import cloverpulley.standins.ScriptedHttp;
 import cloverpulley.standins.ScriptedHttp.Manner;
+import cloverpulley.standins.ScriptedHttp;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -12,6 +12,9 @@
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.Encoded;
 import cloverpulley.extproc.ExternalProcessor;
+import cloverpulley.fleet.FleetSource;
+import cloverpulley.fleet.HeldList;
+import cloverpulley.fleet.WrittenList;
 import cloverpulley.repeats.Repeats;
 import io.grpc.Metadata;
 import io.grpc.Server;
@@ -111,7 +114,7 @@
   private void wire(Settings settings, FleetSource source, LongFunction<Balancer> modules) {
     Engine.ListSource lists;
     if (source.discovery() == null) {
-      lists = new Written();
+      lists = new WrittenList(fleet, (kind, list) -> engine.news(kind, list));
     } else {
       lists = new Discovery(new Bootstrap().group(engineGroup).channel(NioSocketChannel.class)
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS), source.discovery(), fleet::revision,
@@ -121,19 +124,6 @@
     engine.news(ListKind.CACHED, source.discovery() == null ? source.list() : HeldList.read(source.stateFile()));
   }
 
-  /** A list written in the operators' file: it changes when the file is read again, and is never asked for in vain. */
-  private final class Written implements Engine.ListSource {
-    @Override
-    public void watch(boolean on) {
-      engine.news(ListKind.DELTA, new ServerList(0, false, List.of()));
-    }
-
-    @Override
-    public void fetch() {
-      engine.news(ListKind.FULL, fleet.list());
-    }
-  }
-
   private void news(ListKind kind, ServerList list) {
     engine.news(kind, list);
     if (kind != ListKind.FAILED) {
--- a/processor/src/main/java/cloverpulley/processor/Warmup.java
+++ b/processor/src/main/java/cloverpulley/processor/Warmup.java
@@ -11,6 +11,7 @@
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.ExtProc.ProcessingResponse;
 import cloverpulley.extproc.ExternalProcessor;
+import cloverpulley.fleet.FleetSource;
 import com.google.protobuf.ByteString;
 import io.grpc.CallOptions;
 import io.grpc.ClientCall;
--- a/processor/src/test/java/cloverpulley/processor/RestartTest.java
+++ b/processor/src/test/java/cloverpulley/processor/RestartTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.fleet.HeldList;
 import cloverpulley.standins.StandInCaller;
 import cloverpulley.standins.StandInDiscovery;
 import cloverpulley.standins.StandInProxy;
--- a/processor/src/test/java/cloverpulley/processor/Rig.java
+++ b/processor/src/test/java/cloverpulley/processor/Rig.java
@@ -6,6 +6,7 @@
 import cloverpulley.config.OperatorsFile;
 import cloverpulley.config.Section;
 import cloverpulley.config.ServiceSection;
+import cloverpulley.fleet.FleetSource;
 import cloverpulley.standins.StandInCaller;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
