bench/run dns, warm-up of the DNS front, quick look at answers' names

Need: the front had no figures, and a fresh process was slow: 6,000 questions a second on one core were answered to a fifth or less.

Change: bench/run dns against a null responder on the same library; `ashdeck dns` asks a front of its own before it listens; answers whose names all point to the question's are not looked at one by one; the load tool's benches leave collections out of runs and warm up longer.

--- a/bench/src/main/java/cloverpulley/bench/DnsBench.java
+++ b/bench/src/main/java/cloverpulley/bench/DnsBench.java
@@ -2,6 +2,9 @@
 
 import cloverpulley.config.BadFileException;
 import cloverpulley.config.OperatorsFile;
+import cloverpulley.dns.wire.Message;
+import cloverpulley.dns.wire.Names;
+import cloverpulley.dns.wire.Question;
 import cloverpulley.load.Driver.Outcome;
 import cloverpulley.load.LoadRun;
 import cloverpulley.load.Plan;
@@ -9,11 +12,18 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * The DNS front against a null responder on the same library, in one run: highest rates at which all is answered, cached and
@@ -25,11 +35,19 @@
   private static final long SEED = 20261201;
   /** Of the asked for, answered with an answer of a server: below that it is past its saturation. */
   private static final double SERVED = 0.99;
+  private static final int WARM_UPS = 3;
   private static final double STEP = 1.25;
-  private static final double FIRST = 8000;
+  private static final double FIRST = 16_000;
+  /** Half the load tool's aim of 300 ms in the queue: past saturation as well, for over TCP nothing is lost. */
+  private static final double MOST_P50_MICROS = 150_000;
   private static final double MOST = 400_000;
   private static final int CACHED_NAMES = 5000;
   private static final int CACHE_MB = 16;
+  private static final int GOOD_RATE = 500;
+  /** As the operators' file has it where it says nothing. */
+  private static final int DEFAULT_LIMIT = 1000;
+  private static final int FLOOD_RATE = 40_000;
+  private static final int FLOOD_PREFIXES = 16;
 
   private final int seconds;
   private final int cores = Runtime.getRuntime().availableProcessors();
@@ -41,7 +59,7 @@
     this.seconds = seconds;
   }
 
-  /** {@code [--seconds N]} for each rate. */
+  /** {@code [--seconds N]} for each rate; {@code --flood} for the flood alone. */
   public static void main(String[] args) throws IOException, InterruptedException, BadFileException {
     if (args.length > 0 && args[0].equals("generate")) {
       generate();
@@ -49,7 +67,13 @@
     }
     List<String> given = Arrays.asList(args);
     int seconds = given.contains("--seconds") ? Integer.parseInt(given.get(given.indexOf("--seconds") + 1)) : 3;
-    new DnsBench(seconds).run();
+    DnsBench bench = new DnsBench(seconds);
+    bench.generators();
+    if (given.contains("--flood")) {
+      bench.onlyFlood();
+    } else {
+      bench.run();
+    }
     System.exit(0);
   }
 
@@ -64,6 +88,7 @@
           + "\n[[load.class]]\nname = \"query\"\neffect = \"safe\"\naim_ms = 300\ndeadline_ms = 2000\n[load.keys]\ncount = " + f[4]
           + "\nzipf = 0\n[load.target]\nprotocol = \"" + f[0] + "\"\nconnections = 16\naddress = \"127.0.0.1:" + f[1] + "\"\n",
           Plan::read);
+      System.gc(); // Not in the run.
       Results r = LoadRun.play(plan, x -> { });
       System.out.println(r.all.asked + " " + r.all.outcomes[Outcome.SERVED.ordinal()] + " " + r.all.outcomes[Outcome.TIMEOUT.ordinal()]
           + " " + r.all.corrected.getValueAtPercentile(50) + " " + r.all.corrected.getValueAtPercentile(99) + " " + r.doubles + " "
@@ -107,16 +132,17 @@
 
   /** The highest rate at which nearly all is answered. */
   private double saturation(String what, String protocol, int port, int names) throws IOException {
-    play(protocol, port, FIRST / 2, seconds, names); // Compiled code on both sides before anything counts.
-    play(protocol, port, FIRST, seconds, names);
+    for (int i = 0; i < WARM_UPS; i++) { // Compiled code on both sides before anything counts.
+      play(protocol, port, FIRST, seconds, names);
+    }
     double best = 0;
     for (double rate = FIRST; rate < MOST; rate *= STEP) {
       Seen s = play(protocol, port, rate, seconds, names);
       System.out.printf("%-16s %-8s %9.0f %8.4f %9.0f %9.0f %9.0f%n", what, protocol, rate, s.served(), s.p50(), s.p99(), s.late());
-      if (s.served() < SERVED) {
+      if (isSaturated(s)) {
         // Once more: one stumble of a noisy machine is no saturation.
         s = play(protocol, port, rate, seconds, names);
-        if (s.served() < SERVED) {
+        if (isSaturated(s)) {
           break;
         }
       }
@@ -125,20 +151,35 @@
     return best;
   }
 
+  private static boolean isSaturated(Seen s) {
+    return s.served() < SERVED || s.p50() > MOST_P50_MICROS;
+  }
+
   private Child server(int core, String... args) throws IOException {
     return new Child(List.of("taskset", "-c", Integer.toString(core)), List.of("-XX:+UseSerialGC", "-Xmx512m", "-Xmn128m"),
         DnsServers.class, args);
   }
 
+  private void generators() throws IOException {
+    for (int i = 0; i < Math.max(1, Math.min(3, cores - 4)); i++) {
+      generators.add(new Child(List.of("taskset", "-c", Integer.toString(cores - 1 - i)), LoadBench.GENERATOR, DnsBench.class,
+          "generate"));
+    }
+  }
+
+  private void onlyFlood() throws IOException, InterruptedException {
+    try (Child first = server(1 % cores, "null", "0"); Child second = server(2 % cores, "null", "0")) {
+      double share = flooded(Integer.toString(first.port()), Integer.toString(second.port()));
+      System.out.println(Child.json("good_share_in_flood", Child.figure(share)));
+    } finally {
+      generators.forEach(Child::close);
+    }
+  }
+
   private void run() throws IOException, InterruptedException {
-    int many = Math.max(1, Math.min(3, cores - 4));
-    System.out.println("seed " + SEED + ", " + seconds + " s a rate, servers on a core each, " + many + " generators on one each of "
+    System.out.println("seed " + SEED + ", " + seconds + " s a rate, servers on a core each, " + generators.size() + " generators on one each of "
         + cores + " cores; latencies in us, from the intended start");
     System.out.printf("%-16s %-8s %9s %8s %9s %9s %9s%n", "server", "over", "rate", "served", "p50", "p99", "late p99");
-    for (int i = 0; i < many; i++) {
-      generators.add(new Child(List.of("taskset", "-c", Integer.toString(cores - 1 - i)), List.of("-XX:+UseSerialGC", "-Xmx512m", "-Xmn256m"),
-          DnsBench.class, "generate"));
-    }
     double[] cachedRatio = new double[2];
     double[] forwardedRatio = new double[2];
     double[] cachedLatency = new double[2];
@@ -146,6 +187,7 @@
     String[] protocols = {"dns_udp", "dns_tcp"};
     double afterDrain = 0;
     double memory;
+    double flooded;
     try (Child none = server(0, "null", "3600"); Child first = server(1 % cores, "null", "0"); Child second = server(2 % cores, "null", "0");
         Child lasting = server(1 % cores, "null", "3600")) {
       int nonePort = none.port();
@@ -169,6 +211,7 @@
         }
       }
       memory = memory(c);
+      flooded = flooded(a, b);
     } finally {
       generators.forEach(Child::close);
     }
@@ -177,7 +220,7 @@
         Child.figure(cachedRatio[1]), "tcp_forwarded_ratio", Child.figure(forwardedRatio[1]), "tcp_p99_ratio",
         Child.figure(forwardedLatency[1]), "double_answers", Long.toString((long) doubles), "lost", Long.toString((long) lost),
         "after_drain", Long.toString((long) afterDrain), "ceiling_mb", Integer.toString(CACHE_MB), "resident_mb_at_ceiling",
-        Child.figure(memory)));
+        Child.figure(memory), "good_share_in_flood", Child.figure(flooded)));
   }
 
   /** The p99 at a rate against the null responder's at the same, the medians of three by turns; what is not answered is lost. */
@@ -218,11 +261,53 @@
     return Long.parseLong(drained.line()) - then;
   }
 
+  /** The part of good clients' questions answered at the first try while forged prefixes flood the front at a bounded rate. */
+  private double flooded(String first, String second) throws IOException, InterruptedException {
+    try (Child front = new Child(List.of("taskset", "-c", "0"), List.of("-XX:+UseSerialGC", "-Xmx512m", "-Dlimit=" + DEFAULT_LIMIT),
+        DnsServers.class, "front", "0", first, second)) {
+      int port = front.port();
+      AtomicBoolean over = new AtomicBoolean();
+      Thread flood = new Thread(() -> flood(port, over));
+      flood.start();
+      Seen s = play("dns_udp", port, GOOD_RATE, 5, 0);
+      over.set(true);
+      flood.join();
+      System.out.printf("flood of %d/s from %d prefixes: %.4f of %d/s good ones served, p50 %.0f us, p99 %.0f us%n", FLOOD_RATE,
+          FLOOD_PREFIXES, s.served(), GOOD_RATE, s.p50(), s.p99());
+      front.say("report");
+      System.out.println(front.line());
+      return s.served();
+    }
+  }
+
+  /** Names asked once each, from many prefixes, in bursts of a millisecond. */
+  private static void flood(int port, AtomicBoolean over) {
+    List<DatagramSocket> sockets = new ArrayList<>();
+    try {
+      InetSocketAddress to = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
+      for (int i = 0; i < FLOOD_PREFIXES; i++) {
+        sockets.add(new DatagramSocket(0, InetAddress.getByAddress(new byte[] {127, 10, (byte) i, 1})));
+      }
+      long start = System.nanoTime();
+      for (long n = 0; !over.get(); n++) {
+        byte[] q = Message.query((int) n & 0xFFFF, Message.RD, new Question(Names.of("f" + n + ".flood.test."), 1, Message.IN), null);
+        sockets.get((int) (n % FLOOD_PREFIXES)).send(new DatagramPacket(q, q.length, to));
+        while (!over.get() && (System.nanoTime() - start) / 1e9 * FLOOD_RATE < n) {
+          LockSupport.parkNanos(500_000);
+        }
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } finally {
+      sockets.forEach(DatagramSocket::close);
+    }
+  }
+
   /** Memory resident once the cache has been filled past its ceiling. */
   private double memory(String port) throws IOException {
     try (Child front = server(0, "front", Integer.toString(CACHE_MB), port)) {
       int at = front.port();
-      play("dns_udp", at, FIRST, 2.0 * CACHE_MB * (1 << 20) / 500 / FIRST, 0);
+      play("dns_udp", at, FIRST / 2, 4.0 * CACHE_MB * (1 << 20) / 500 / FIRST, 0);
       front.say("report");
       System.out.println(front.line());
       return front.residentMb();
--- a/bench/src/main/java/cloverpulley/bench/DnsServers.java
+++ b/bench/src/main/java/cloverpulley/bench/DnsServers.java
@@ -5,6 +5,7 @@
 import cloverpulley.config.OperatorsFile;
 import cloverpulley.dns.DnsConfig;
 import cloverpulley.dns.DnsServer;
+import cloverpulley.dns.Warmup;
 import cloverpulley.dns.wire.Edns;
 import cloverpulley.dns.wire.MalformedException;
 import cloverpulley.dns.wire.Message;
@@ -42,12 +43,16 @@
   private static final int READS = 256;
   private static final int MOST_DATAGRAM = 4096;
   private static final int BUFFER = 1 << 20;
+  /** As many as let the compiler come to its end on one core. */
+  private static final int WARM_UP = 100_000;
   private static final byte[] OPT = new Edns.Writer(1232, 0, false).bytes();
 
   private DnsServers() {}
 
   /**
-   * {@code null TTL}: answers every question with one address at once; or {@code front MB PORT...}: the front before servers at these
+   * The property {@code limit} is the front's answers a second to one prefix over UDP.
+   *
+   * <p>{@code null TTL}: answers every question with one address at once; or {@code front MB PORT...}: the front before servers at these
    * ports. Prints its port; then does what each line of its input says: {@code count}, {@code drain}, {@code report}.
    */
   public static void main(String[] args) throws IOException, BadFileException {
@@ -60,11 +65,12 @@
       }
     } else {
       List<Server> servers = new ArrayList<>();
-      StringBuilder text = new StringBuilder(CONFIG.replace("MB", args[1]));
+      StringBuilder text = new StringBuilder(CONFIG.replace("MB", args[1]).replace("LIMIT", Integer.toString(Integer.getInteger("limit", 0))));
       for (int i = 2; i < args.length; i++) {
         text.append("[[dns.fleet.server]]\nid = \"d").append(i).append("\"\naddress = \"127.0.0.1:").append(args[i]).append("\"\nzone = \"a\"\n");
       }
       DnsConfig config = OperatorsFile.parse("bench", text.toString(), f -> DnsConfig.read(f.table("dns"), null));
+      Warmup.run(config, WARM_UP);
       DnsServer server = DnsServer.start(config, null, 1);
       System.out.println("port " + server.address().getPort());
       for (String line = in.readLine(); line != null; line = in.readLine()) {
@@ -92,8 +98,14 @@
       effect = "safe"
       aim_ms = 300
       deadline_ms = 1500
+      [[dns.tenant]]
+      name = "good"
+      share = 0.5
+      [[dns.client]]
+      prefix = "127.0.0.1/32"
+      tenant = "good"
       [dns.limits]
-      udp_per_prefix_per_s = 0
+      udp_per_prefix_per_s = LIMIT
       tcp_per_client = 1000
       tcp_pipelined = 1000
       [dns.cache]
--- a/bench/src/main/java/cloverpulley/bench/LoadBench.java
+++ b/bench/src/main/java/cloverpulley/bench/LoadBench.java
@@ -28,6 +28,10 @@
   private static final int[] RATES = {2000, 5000, 10_000, 12_500, 15_000, 20_000, 25_000, 30_000, 40_000};
   private static final double MOST_LATE_MICROS = 1000;
   private static final long SEED = 20261201;
+  /** Rounds before anything counts: on the one core the compiler takes the generator's time until it has nothing left to compile. */
+  private static final int WARM_UPS = 8;
+  /** Room for a whole run without a collection, which would take the one core for tens of milliseconds. */
+  static final List<String> GENERATOR = List.of("-XX:+UseSerialGC", "-Xmx1600m", "-Xmn1300m");
 
   private LoadBench() {}
 
@@ -50,7 +54,7 @@
         Servers.class, "http")) {
       int port = server.port();
       try (Child generator = new Child(List.of("taskset", "-c", Integer.toString(cores - 1)),
-          List.of("-XX:+UseSerialGC", "-Xmx512m", "-Xmn256m"), LoadBench.class, "generate", "" + port, "" + seconds)) {
+          GENERATOR, LoadBench.class, "generate", "" + port, "" + seconds)) {
         for (String line = generator.line(); line != null; line = generator.line()) {
           String[] f = line.split(" ");
           double rate = Double.parseDouble(f[0]);
@@ -82,9 +86,11 @@
 
   /** In the generator's process: each rate in turn; a line for each with rate, achieved, part served, lateness, CPU. */
   private static void generate(int port, int seconds) throws BadFileException, InterruptedException {
-    LoadRun.play(plan(port, 5000, seconds, "poisson"), r -> { }); // Compiled code before anything counts.
-    LoadRun.play(plan(port, 10_000, seconds, "poisson"), r -> { });
+    for (int i = 0; i < WARM_UPS; i++) {
+      LoadRun.play(plan(port, i % 2 == 0 ? 3000 : 10_000, seconds, "poisson"), r -> { });
+    }
     for (int rate : RATES) {
+      System.gc();
       double before = cpuMicros();
       long start = System.nanoTime();
       Results r = LoadRun.play(plan(port, rate, seconds, "poisson"), x -> { });
--- a/dist/src/main/java/cloverpulley/cli/DnsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.config.BadFileException;
 import cloverpulley.dns.DnsServer;
+import cloverpulley.dns.Warmup;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -28,6 +29,7 @@
     if (operators.dns() == null) {
       throw new IOException(config + ": dns: expected a table [dns], got nothing");
     }
+    Warmup.run(operators.dns(), operators.dns().warmUpQueries());
     DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong());
     CountDownLatch term = Signals.term();
     Signals.onHup(() -> reload(server));
--- a/dns/src/main/java/cloverpulley/dns/DnsConfig.java
+++ b/dns/src/main/java/cloverpulley/dns/DnsConfig.java
@@ -12,6 +12,7 @@
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.names.Freshness;
 import cloverpulley.names.ResponseLimit;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,6 +30,7 @@
 /**
  * What the DNS front is told in {@code [dns]} of the operators' file. Times are nanoseconds here unless the name says otherwise.
  *
+ * @param warmUpQueries asked of a front of its own before it listens
  * @param fleet the DNS servers that queries are passed on to; null for none: then only zones of our own are answered
  * @param tenantOption code of the EDNS option that names a tenant; 0 for none
  * @param marginNanos so long before its deadline a query without an answer gets one of ours
@@ -36,7 +38,7 @@
  * @param cookieSecret 16 octets, the same on all that answer under one address
  */
 public record DnsConfig(InetSocketAddress listen, int udpSize, boolean reusePort, long lameMillis, long drainMillis,
-    Settings settings, FleetSource fleet, List<Match> matches, List<Clients> clients, List<Key> keys, int tenantOption,
+    int warmUpQueries, Settings settings, FleetSource fleet, List<Match> matches, List<Clients> clients, List<Key> keys, int tenantOption,
     byte[] cookieSecret, long marginNanos, long attemptNanos, boolean refusedIsFull, boolean unsafeOverTcp, Limits limits,
     Caching caching, ClientConfig upstream, List<ZoneFile> zones, FleetNames fleetNames) {
 
@@ -86,13 +88,24 @@
         nanos(u, "late_ms", 1, DAY_MS, 5000), nanos(u, "idle_ms", 100, DAY_MS, 10_000), nanos(u, "drain_ms", 1, DAY_MS, 5000),
         u.flag("mix_case", true), TimeUnit.SECONDS.toNanos(u.whole("traits_s", 1, WEEK_S, 900)));
     return new DnsConfig(listen, (int) s.whole("udp_size", 512, 4096, 1232), s.flag("reuse_port", true),
-        s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 5000), settings, fleet, matches(s, settings),
+        s.whole("lame_ms", 0, DAY_MS, 500), s.whole("drain_ms", 0, DAY_MS, 5000),
+        (int) s.whole("warm_up_queries", 0, 1_000_000, 5000), settings, fleet, matches(s, settings),
         clients(s, settings), keys(s, settings), (int) s.whole("tenant_option", 0, 65_534, 0), secret(s),
         nanos(s, "answer_margin_ms", 0, 10_000, 20), nanos(u, "attempt_ms", 1, DAY_MS, 800), u.flag("refused_is_full", false),
         u.flag("unsafe_over_tcp", true), limits(s.table("limits")), caching(s.table("cache")), upstream, zones(s),
         fleetNames(s, listen, service == null ? settings : service));
   }
 
+  /** The same for a front beside this one, at a port of its own on loopback, before other servers. */
+  DnsConfig aside(FleetSource other) {
+    Limits open = new Limits(limits.connections(), limits.connectionsPerClient(), limits.pipelined(), limits.idleMillis(),
+        limits.messageMillis(), limits.stallMillis(), limits.queryBytes(), limits.updateBytes(), new ResponseLimit.Config(0, 0, 1),
+        limits.prefix4(), limits.prefix6());
+    return new DnsConfig(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), udpSize, false, 0, 0, 0, settings, other, matches,
+        clients, keys, tenantOption, cookieSecret, marginNanos, attemptNanos, refusedIsFull, unsafeOverTcp, open, caching, upstream,
+        List.of(), null);
+  }
+
   private static long nanos(Section s, String key, long least, long most, long absent) {
     return TimeUnit.MILLISECONDS.toNanos(s.whole(key, least, most, absent));
   }
--- a/dns/src/main/java/cloverpulley/dns/client/ServerLink.java
+++ b/dns/src/main/java/cloverpulley/dns/client/ServerLink.java
@@ -65,7 +65,9 @@
     }
     if (least == null && links.size() < client.config.connectionsPerServer()) {
       least = new TcpLink(this);
-      links.add(least);
+      if (!least.isClosed()) {
+        links.add(least);
+      }
     }
     if (least == null) {
       ask.notSent(Status.FULL, "all connections are in use");
--- a/dns/src/main/java/cloverpulley/dns/client/TcpLink.java
+++ b/dns/src/main/java/cloverpulley/dns/client/TcpLink.java
@@ -62,6 +62,10 @@
         });
   }
 
+  boolean isClosed() {
+    return closed;
+  }
+
   boolean isConnecting() {
     return !connected && !closed;
   }
@@ -78,6 +82,10 @@
   }
 
   void send(Ask ask) {
+    if (closed) {
+      ask.notSent(Status.CONNECT_FAILED, "no connection");
+      return;
+    }
     ask.link = this;
     ask.writing = null;
     open++;
--- a/dns/src/main/java/cloverpulley/dns/wire/Message.java
+++ b/dns/src/main/java/cloverpulley/dns/wire/Message.java
@@ -38,6 +38,7 @@
   private static final int DNAME = 39;
   private static final int RRSIG = 46;
   private static final int TSIG = 250;
+  private static final int POINTER = 0xC000;
   /** Octets of a record after its name: type, class, TTL, length. */
   private static final int FIXED = 10;
   /** A chain of aliases longer than this is no answer. */
@@ -341,6 +342,22 @@
    * DNAME): anything else nobody asked for.
    */
   public boolean isInBailiwick() {
+    return isPlain() || isLinked();
+  }
+
+  /** The usual case, without a look at names: each record's name is a pointer to the question's. */
+  private boolean isPlain() {
+    int at = questionEnd;
+    for (int left = answers(); left > 0; left--) {
+      if (get16(b, at) != (POINTER | HEADER)) {
+        return false;
+      }
+      at += 2 + FIXED + get16(b, at + 2 + 8);
+    }
+    return true;
+  }
+
+  private boolean isLinked() {
     Set<String> names = new HashSet<>();
     names.add(key(question.name()));
     try {
--- a/dns/src/test/java/cloverpulley/dns/RestartTest.java
+++ b/dns/src/test/java/cloverpulley/dns/RestartTest.java
@@ -41,6 +41,16 @@
     });
   }
 
+  /** The warm-up asks a front of its own: no server of the operators' hears of it, and nothing is left listening. */
+  @Test
+  void theWarmUpAsksNobodyElse() throws Exception {
+    StandInDns server = rig.dns(StandInDns.addresses("10.0.0.1"));
+    DnsConfig config = Rig.told("limits.udp_per_prefix_per_s = 1", Rig.servers(server)).dns();
+    assertTrue(Warmup.run(config, 500) > 400);
+    assertEquals(0, Warmup.run(config, 0));
+    assertEquals(0, server.seen().size());
+  }
+
   /** What is in hand at the end of its time gets an answer that says why. */
   @Test
   void whatIsInHandIsAnsweredAtTheEnd() throws Exception {
--- a/load/src/main/java/cloverpulley/load/Results.java
+++ b/load/src/main/java/cloverpulley/load/Results.java
@@ -70,9 +70,9 @@
   /** How late tries were sent against their intended start (firsts) or the end of their back-off (retries). */
   public final Histogram lateness = new Histogram(MOST_MICROS, DIGITS);
   public long tries;
-  /** When the run started, {@code System.nanoTime()}. */
   /** Answers to requests that had been answered already. */
   public long doubles;
+  /** When the run started, {@code System.nanoTime()}. */
   public long startNanos;
 
   public Results(Plan plan) {
