Signed DNS questions pass untouched, past the cache

Need: who signs a question wants a signed answer (RFC 8945); the front answered from its cache, unsigned, which such clients drop.

Change: a question with TSIG is passed on as it is, like an UPDATE, and its answer comes back whole or, where it does not fit a datagram, as TC.

--- a/dns/src/main/java/cloverpulley/dns/Passing.java
+++ b/dns/src/main/java/cloverpulley/dns/Passing.java
@@ -4,11 +4,12 @@
 import cloverpulley.dns.wire.Message;
 import cloverpulley.engine.Verdict;
 
-/** An UPDATE or a NOTIFY on its way: passed on untouched, and its answer as well. */
+/** An UPDATE, a NOTIFY or a signed question on its way: passed on untouched, and its answer as well. */
 final class Passing extends DnsExchange {
 
   private final Query query;
-  /** Under which a client's repeat of it is known; null over TCP, where clients don't repeat. */
+  /** Under which a client's repeat of it is known; null over TCP, where clients don't repeat, and for questions, which
+   * may. */
   private final Repeated.Key key;
 
   Passing(Facts facts, Resolver resolver, Ask.Asked asked, Query query, Repeated.Key key) {
@@ -21,7 +22,8 @@
   void served(Message answer, Body body) {
     byte[] octets = answer.bytes().clone();
     Message.put16(octets, 0, query.message.id());
-    reply(octets);
+    // What does not fit is not cut, for its signature covers all of it: the client comes over TCP.
+    reply(query.fits(octets.length, resolver.replies) ? octets : query.empty(resolver.replies, Message.TC, Message.NOERROR, -1, null));
   }
 
   @Override
--- a/dns/src/main/java/cloverpulley/dns/Query.java
+++ b/dns/src/main/java/cloverpulley/dns/Query.java
@@ -83,6 +83,11 @@
     return client.isTcp() ? Message.MOST : speaksEdns() ? Math.min(udpMost, message.edns().udpSize()) : LEAST_UDP;
   }
 
+  /** Whether an answer of so many octets can be given as it is. */
+  boolean fits(int octets, Replies replies) {
+    return octets <= most(replies.udpSize());
+  }
+
   /** An OPT record for the answer; null for a client that sent none. */
   private Edns.Writer opt(Replies replies, int rcode) {
     if (!speaksEdns()) {
--- a/dns/src/main/java/cloverpulley/dns/Resolver.java
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -1,5 +1,6 @@
 package cloverpulley.dns;
 
+import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Reason;
 import cloverpulley.dns.DnsConfig.Match;
@@ -228,7 +229,12 @@
           return;
         }
       }
-      cached(q);
+      if (q.message.tsigName() != null) {
+        // Whoever signs wants a signed answer, which only the server can give: not from the cache, and untouched.
+        pass(q);
+      } else {
+        cached(q);
+      }
     }
   }
 
@@ -362,7 +368,8 @@
       counts.dropped++;
       return;
     }
-    Repeated.Key key = q.client.isTcp() ? null : new Repeated.Key(q);
+    boolean safe = type.effect() == Effect.SAFE;
+    Repeated.Key key = safe || q.client.isTcp() ? null : new Repeated.Key(q);
     if (key != null && repeated.isKnown(key)) {
       counts.repeated++;
       byte[] answer = repeated.answer(key);
@@ -374,7 +381,7 @@
       fail(q, new Verdict(true, Reason.RECORD_FULL, NANOS));
       return;
     }
-    boolean tcp = config.unsafeOverTcp() || q.message.bytes().length > config.udpSize();
+    boolean tcp = !safe && config.unsafeOverTcp() || q.message.bytes().length > config.udpSize();
     Ask.Asked asked = new Ask.Asked(q.message.bytes(), q.question(), 0, false, tcp);
     Passing passing = new Passing(new Exchange.Facts(type, q.tenant, name(q.question()), 0, false, deadline(q, type), 0, List.of()),
         this, asked, q, key);
--- a/dns/src/test/java/cloverpulley/dns/RealClientTest.java
+++ b/dns/src/test/java/cloverpulley/dns/RealClientTest.java
@@ -97,6 +97,33 @@
       tenant = "steppe-auto"
       """;
 
+  /** A signed question reaches a server each time, signature and all, and its signed answer comes back as the server made it. */
+  @Test
+  void aSignedQuestionIsAnsweredByAServerAndNotFromTheCache() throws Exception {
+    TSIG key = new TSIG(TSIG.HMAC_SHA256, Name.fromString("other.key."), "secretsecretsecret".getBytes());
+    StandInDns server = rig.dns(a -> {
+      Message m = a.message().getTSIG() == null ? a.address(60, "10.0.0.1") : a.answer(0, a.name() + " 60 A 10.0.0.2");
+      if (a.message().getTSIG() != null) {
+        key.apply(m, a.message().getTSIG());
+      }
+      a.reply(m);
+    });
+    rig.start("", "", server);
+    try (Rig.Udp client = new Rig.Udp(rig.server.address())) {
+      assertEquals("10.0.0.1", Rig.text(client.ask(Rig.question(1, "www.example."))));
+      for (int i = 2; i < 5; i++) {
+        Message signed = Rig.question(i, "www.example.");
+        key.apply(signed, null);
+        Message m = client.send(signed.toWire(65_535)).answer();
+        assertEquals("10.0.0.2", Rig.text(m));
+        assertEquals(i, m.getHeader().getID());
+        assertTrue(m.getTSIG() != null, "signed by the server");
+      }
+      assertEquals("10.0.0.1", Rig.text(client.ask(Rig.question(6, "www.example."))), "the cache is another matter");
+    }
+    assertEquals(4, server.seen().size());
+  }
+
   /** A signed update passes with its signature whole, so that the server can check it with the same key. */
   @Test
   void aSignedUpdatePassesAndAForgedOneDoesNot() throws Exception {
