DNS: what a connection may still write after a time-out has not been "not sent"

A query handed to a TCP connection whose last octet had not left counted as never sent when its time was up or it was called off, though the connection stayed open and could write it later: a keyed one could go to another dedup group and run twice.

Change: at a time-out or a cancel only what still waits in our own queue counts as not sent. When the connection is closed, what was not written whole still does, for then it can't be read.

--- a/dns/src/main/java/cloverpulley/dns/client/Ask.java
+++ b/dns/src/main/java/cloverpulley/dns/client/Ask.java
@@ -61,15 +61,20 @@
     return writing != null && writing.isSuccess();
   }
 
+  /** Whether it still waits here: what was handed to a connection that stays open may be read yet, however late. */
+  private boolean isQueued() {
+    return link != null && writing == null;
+  }
+
   /** Nobody waits any more; it ends as called off, or as never sent where it was not. */
   public void cancel() {
-    boolean notSent = link != null && !isOut() && !answeredOnce;
+    boolean notSent = isQueued() && !answeredOnce;
     end(notSent ? Status.NOT_SENT : Status.CANCELLED, null, "called off");
   }
 
   void timedOut() {
     // An answer that did not fit proves that it ran; otherwise what never left the connection did not.
-    boolean notSent = link != null && !isOut() && !answeredOnce;
+    boolean notSent = isQueued() && !answeredOnce;
     end(notSent && link.isConnecting() ? Status.CONNECT_FAILED : notSent ? Status.NOT_SENT : Status.TIMEOUT, null, "no answer in time");
   }
 
