--- /dev/null
+++ b/decision/src/main/java/cloverpulley/membership/Srv.java
@@ -0,0 +1,17 @@
+package cloverpulley.membership;
+
+import java.util.Comparator;
+
+/**
+ * A service record (RFC 2782).
+ *
+ * @param priority lower ones are asked first
+ * @param weight part among those of the same priority; 0 where there is nothing to choose
+ * @param target in lower case
+ */
+public record Srv(int priority, int weight, String target, int port) {
+
+  /** Of several for one instance every reader has to take the same one. */
+  static final Comparator<Srv> BEST = Comparator.comparingInt(Srv::priority).thenComparingInt(s -> -s.weight)
+      .thenComparing(Srv::target).thenComparingInt(Srv::port);
+}
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/membership/RefreshTest.java
@@ -0,0 +1,111 @@
+package cloverpulley.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** The wheel against a sorted map, and when things are asked again. */
+class RefreshTest {
+
+  @Test
+  void theWheelHandsOutWhatASortedMapDoes() {
+    for (long seed = 1; seed <= 200; seed++) {
+      SplittableRandom random = new SplittableRandom(seed);
+      long now = random.nextLong(1L << 41);
+      Wheel<Integer> wheel = new Wheel<>(now, 10);
+      TreeMap<Long, List<Integer>> sorted = new TreeMap<>();
+      int things = 0;
+      for (int step = 0; step < 200; step++) {
+        for (int n = random.nextInt(5); n > 0; n--) {
+          long at = now + (long) Math.pow(10, random.nextDouble() * 7) - random.nextInt(20);
+          long tick = Math.max(now / 10 + 1, (at + 9) / 10);
+          sorted.computeIfAbsent(tick, t -> new ArrayList<>()).add(things);
+          wheel.put(at, things++);
+        }
+        now += (long) Math.pow(10, random.nextDouble() * 6);
+        List<Integer> due = new ArrayList<>();
+        wheel.turn(now, due::add);
+        List<Integer> wanted = new ArrayList<>();
+        sorted.headMap(now / 10, true).values().forEach(wanted::addAll);
+        sorted.headMap(now / 10, true).clear();
+        due.sort(null);
+        wanted.sort(null);
+        assertEquals(wanted, due, "seed " + seed + " step " + step);
+        assertEquals(sorted.values().stream().mapToInt(List::size).sum(), wheel.size());
+      }
+    }
+  }
+
+  private static List<Long> asked(Refresh<String> r, long from, long until, boolean fail, long ttl) {
+    List<Long> at = new ArrayList<>();
+    for (long now = from; now <= until; now += 10) {
+      long present = now;
+      r.due(now, k -> {
+        at.add(present - from);
+        if (fail) {
+          r.failed(present, k);
+        } else {
+          r.answered(present, k, ttl);
+        }
+      });
+    }
+    return at;
+  }
+
+  @Test
+  void askedAgainAtFourFifthsOfTheTtl() {
+    Refresh<String> r = new Refresh<>(0, 1000, 100_000, 500, 60_000, 7);
+    r.want(0, "a");
+    List<Long> at = asked(r, 0, 350_000, false, 100_000);
+    assertEquals(5, at.size(), at.toString());
+    for (int i = 2; i < 5; i++) {
+      long gap = at.get(i) - at.get(i - 1);
+      assertTrue(gap >= 80_000 && gap <= 82_100, at.toString());
+    }
+  }
+
+  @Test
+  void failuresAreRepeatedAtEachPartAndThenEverLater() {
+    Refresh<String> r = new Refresh<>(0, 1000, 100_000, 500, 8_000, 7);
+    r.want(0, "a");
+    r.due(10, k -> r.answered(0, k, 100_000));
+    List<Long> at = asked(r, 0, 160_000, true, 0);
+    assertTrue(at.get(0) >= 80_000 && at.get(1) >= 85_000 && at.get(2) >= 90_000 && at.get(3) >= 95_000, at.toString());
+    for (int i = 10; i < at.size(); i++) {
+      assertTrue(at.get(i) - at.get(i - 1) >= 4000 && at.get(i) - at.get(i - 1) <= 8020, at.toString());
+    }
+  }
+
+  @Test
+  void ttlsAreCutToTheirBounds() {
+    Refresh<String> r = new Refresh<>(0, 5000, 10_000, 500, 8_000, 7);
+    r.want(0, "a");
+    assertTrue(asked(r, 0, 100_000, false, 0).size() <= 26);
+    assertTrue(asked(r, 100_000, 200_000, false, Long.MAX_VALUE).size() >= 12);
+  }
+
+  @Test
+  void whatIsDroppedIsNotAskedAndWhatIsHurriedIsAskedOnce() {
+    Refresh<String> r = new Refresh<>(0, 1000, 100_000, 500, 8_000, 7);
+    r.want(0, "a");
+    r.want(0, "b");
+    List<String> asked = new ArrayList<>();
+    r.due(10, asked::add);
+    r.hurry(10, "a");
+    r.due(20, asked::add);
+    assertEquals(2, asked.size(), "it is being asked already");
+    r.answered(30, "a", 50_000);
+    r.answered(30, "b", 50_000);
+    r.drop("b");
+    r.hurry(40, "a");
+    r.due(60, asked::add);
+    r.due(60_000, asked::add);
+    assertEquals(List.of("a", "a", "b"), asked.stream().sorted().toList());
+    assertEquals(1, r.size());
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/CheckCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/CheckCommand.java
@@ -16,8 +16,9 @@
   @Override
   public Integer call() throws BadFileException {
     Operators read = Operators.read(file);
-    String servers = read.fleet() == null ? "DNS alone" : read.fleet().discovery() == null
-        ? read.fleet().list().members().size() + " servers" : "servers from discovery";
+    String servers = read.fleet() == null ? "DNS alone" : read.fleet().isWritten()
+        ? read.fleet().list().members().size() + " servers" : read.fleet().opener() == null ? "servers from discovery"
+        : "servers found by a source of its own";
     System.out.println(file + ": ok, " + read.settings().classes().size() + " classes, "
         + read.settings().tenants().size() + " tenants, " + servers);
     return 0;
--- a/dist/src/main/java/cloverpulley/cli/DnsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -1,11 +1,13 @@
 package cloverpulley.cli;
 
 import cloverpulley.config.BadFileException;
+import cloverpulley.dnssd.Publisher;
 import cloverpulley.dns.DnsServer;
 import cloverpulley.dns.Warmup;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Logger;
@@ -34,7 +36,13 @@
     CountDownLatch term = Signals.term();
     Signals.onHup(() -> reload(server));
     System.out.println("dns listening on " + server.address().getAddress().getHostAddress() + ":" + server.address().getPort());
+    Publisher publisher = operators.publish() == null ? null : Publisher.self(operators.publish(), server.address().getPort(),
+        System.currentTimeMillis(), operators.fleet() == null ? List.of() : operators.fleet().list().members());
     term.await();
+    if (publisher != null) {
+      publisher.withdraw(); // First of all: who looks for us should not find us any more.
+      publisher.close();
+    }
     server.stop();
     return 0;
   }
@@ -43,8 +51,8 @@
     try {
       Operators read = Operators.read(config);
       if (read.dns() != null) {
-        boolean servers = read.dns().fleet() != null && read.dns().fleet().discovery() == null;
-        boolean shown = read.fleet() != null && read.fleet().discovery() == null;
+        boolean servers = read.dns().fleet() != null && read.dns().fleet().isWritten();
+        boolean shown = read.fleet() != null && read.fleet().isWritten();
         server.listed(servers ? read.dns().fleet().list() : null, shown ? read.fleet().list() : null);
         LOG.info("lists of servers read again");
       }
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -7,6 +7,8 @@
 import cloverpulley.config.Section;
 import cloverpulley.config.ServiceSection;
 import cloverpulley.dns.DnsConfig;
+import cloverpulley.dnssd.DnsSdConfig;
+import cloverpulley.dnssd.PublishConfig;
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
 import java.nio.file.Path;
@@ -16,8 +18,11 @@
  *
  * @param fleet null, as the processor, where the file speaks of DNS alone
  * @param dns null where the file does not speak of it
+ * @param dnssd what the fleet is found by, for the tools; null where it is not by DNS-SD
+ * @param publish null where the program does not register itself
  */
-record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns) {
+record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns, DnsSdConfig dnssd,
+    PublishConfig publish) {
 
   static Operators read(Path path) throws BadFileException {
     return OperatorsFile.read(path, Operators::read);
@@ -27,13 +32,19 @@
     // A file that speaks of nothing but DNS needs no fleet of quote servers and no classes of quotes.
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
-      return new Operators(dns.settings(), null, null, dns);
+      return new Operators(dns.settings(), null, null, dns, null, publish(file));
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
         + settings.classes().stream().mapToLong(RequestClass::dedupWindowNanos).max().orElse(0);
-    return new Operators(settings, FleetSource.read(file.table("fleet")),
+    Section fleet = file.table("fleet");
+    return new Operators(settings, FleetSource.read(fleet),
         ProcessorConfig.read(file.table("processor"), longest),
-        file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null);
+        file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
+        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file));
+  }
+
+  private static PublishConfig publish(Section file) {
+    return file.has("publish") ? PublishConfig.read(file.table("publish")) : null;
   }
 }
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -1,6 +1,7 @@
 package cloverpulley.cli;
 
 import cloverpulley.config.BadFileException;
+import cloverpulley.dnssd.Publisher;
 import cloverpulley.processor.ProcessorServer;
 import cloverpulley.processor.Warmup;
 import java.io.IOException;
@@ -49,7 +50,13 @@
     Signals.onHup(() -> reload(server));
     System.out.println("process listening on " + server.address().getAddress().getHostAddress() + ":"
         + server.address().getPort());
+    Publisher publisher = operators.publish() == null ? null : Publisher.self(operators.publish(), server.address().getPort(),
+        System.currentTimeMillis(), operators.fleet() == null ? List.of() : operators.fleet().list().members());
     term.await();
+    if (publisher != null) {
+      publisher.withdraw(); // First of all: who looks for us should not find us any more.
+      publisher.close();
+    }
     server.stop();
     return 0;
   }
@@ -65,7 +72,7 @@
   private void reload(ProcessorServer server) {
     try {
       Operators read = Operators.read(config);
-      if (read.fleet() != null && read.fleet().discovery() == null) {
+      if (read.fleet() != null && read.fleet().isWritten()) {
         server.listed(read.fleet().list());
         LOG.info(() -> "list of servers read again: " + read.fleet().list().members().size());
       }
--- a/dns/src/main/java/cloverpulley/dns/DnsServer.java
+++ b/dns/src/main/java/cloverpulley/dns/DnsServer.java
@@ -40,6 +40,7 @@
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongFunction;
 import java.util.function.LongPredicate;
 import java.util.logging.Logger;
@@ -82,7 +83,7 @@
   private FleetZone fleetZone;
   private OwnZone shownZone;
   private Fleet shown;
-  private Discovery shownDiscovery;
+  private Engine.ListSource shownDiscovery;
 
   private DnsServer(DnsConfig config) {
     this.config = config;
@@ -133,8 +134,9 @@
 
   private void wire(LongFunction<Balancer> modules, List<OwnZone> zones, FleetSource shownSource) {
     FleetSource source = config.fleet();
-    Engine.ListSource lists = source == null || source.discovery() == null ? new WrittenList(fleet, (kind, list) -> engine.news(kind, list))
-        : new Discovery(discoveryBootstrap(), source.discovery(), fleet::revision, this::news);
+    ServerList first = source == null ? ServerList.NONE : source.first();
+    Engine.ListSource lists = source == null || source.isWritten() ? new WrittenList(fleet, (kind, list) -> engine.news(kind, list))
+        : open(source, first, fleet, this::news);
     client = new DnsClient(loop, clock, config.upstream());
     engine = new Engine(loop, clock, config.settings(), modules, fleet, lists, (to, data) -> { });
     engine.attach(new Transport() {
@@ -144,8 +146,6 @@
       }
     });
     resolver = new Resolver(loop, clock, config, engine, client, counts);
-    ServerList first = source == null ? ServerList.NONE
-        : source.discovery() == null ? source.list() : HeldList.read(source.stateFile());
     engine.news(ListKind.CACHED, first);
     zones.forEach(resolver::add);
     if (config.fleetNames() != null && shownSource != null) {
@@ -153,6 +153,11 @@
     }
   }
 
+  private Engine.ListSource open(FleetSource source, ServerList first, Fleet of, BiConsumer<ListKind, ServerList> told) {
+    return source.opener() != null ? source.opener().open(loop, first, of::revision, told)
+        : new Discovery(discoveryBootstrap(), source.discovery(), of::revision, told);
+  }
+
   private Bootstrap discoveryBootstrap() {
     return new Bootstrap().group(group).channel(NioSocketChannel.class)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS);
@@ -169,12 +174,13 @@
 
   private void show(FleetSource source) {
     shown = new Fleet(clock);
-    shown.take(ListKind.CACHED, source.discovery() == null ? source.list() : HeldList.read(source.stateFile()));
+    ServerList first = source.first();
+    shown.take(ListKind.CACHED, first);
     fleetZone = new FleetZone(config.fleetNames());
     shownZone = new OwnZone(Names.of(config.fleetNames().origin()), fleetZone.zone(shown.list(), System.currentTimeMillis()));
     resolver.add(shownZone);
-    if (source.discovery() != null) {
-      shownDiscovery = new Discovery(discoveryBootstrap(), source.discovery(), shown::revision, this::shownNews);
+    if (!source.isWritten()) {
+      shownDiscovery = open(source, first, shown, this::shownNews);
       shownDiscovery.watch(true);
     }
     loop.scheduleWithFixedDelay(this::renew, ZONE_MILLIS, ZONE_MILLIS, TimeUnit.MILLISECONDS);
--- a/dns/src/main/java/cloverpulley/dns/wire/Names.java
+++ b/dns/src/main/java/cloverpulley/dns/wire/Names.java
@@ -18,7 +18,7 @@
    *
    * @throws MalformedException where it runs over the end, has a label of an unknown type or points forward
    */
-  static int skip(byte[] b, int at) throws MalformedException {
+  public static int skip(byte[] b, int at) throws MalformedException {
     int octets = 1;
     for (int i = at; ; ) {
       if (i >= b.length) {
--- /dev/null
+++ b/dnssd/src/main/java/cloverpulley/dnssd/DnsSdConfig.java
@@ -0,0 +1,158 @@
+package cloverpulley.dnssd;
+
+import cloverpulley.config.Section;
+import cloverpulley.dns.client.ClientConfig;
+import cloverpulley.membership.Rules;
+import cloverpulley.membership.TextKeys;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.TextParseException;
+
+/**
+ * What {@code [fleet.dnssd]} of an operators' file says.
+ *
+ * @param browses what is browsed
+ * @param pollMillis how often each resolver is asked for a zone's serial, and for the list where it has none to tell
+ * @param leastTtlMillis records with less are kept this long
+ * @param askMillis one query's time, UDP and TCP together
+ * @param inFlight queries open at one resolver at one time
+ * @param contactMillis how often instances that don't say when they started are connected to; 0 for never
+ * @param notifyAt where NOTIFY messages are taken; null for nowhere
+ * @param records the file that believed changes are written to; null for none
+ */
+public record DnsSdConfig(List<Browse> browses, List<ResolverAddress> resolvers, Rules rules, TextKeys keys, long pollMillis,
+    long leastTtlMillis, long backOffMillis, long mostBackOffMillis, long askMillis, int inFlight, long contactMillis,
+    InetSocketAddress notifyAt, Path records, long recordsMostBytes, ClientConfig client) {
+
+  /** What is asked for. All names are in lower case, with a dot at their end. */
+  public record Browse(String name, String zone) {}
+
+  /**
+   * One resolver.
+   *
+   * @param pushName whom its certificate has to name; empty where push does without TLS
+   */
+  public record ResolverAddress(InetSocketAddress address, PushMode push, InetSocketAddress pushAddress, String pushName) {}
+
+  /** How changes are heard of. */
+  public enum PushMode {
+    /** Asked for again and again. */
+    OFF,
+    /** DNS push over TCP without TLS, which RFC 8765 allows to nobody: for loopback and tests. */
+    TCP,
+    /** DNS push over TLS; the resolver's certificate is one that the platform trusts. */
+    TLS
+  }
+
+  private static final long DAY_MS = 86_400_000;
+  private static final Map<String, PushMode> MODES = Map.of("off", PushMode.OFF, "tcp", PushMode.TCP, "tls", PushMode.TLS);
+
+  /** Reads the section. */
+  public static DnsSdConfig read(Section s) {
+    List<Browse> browses = browses(s);
+    List<ResolverAddress> resolvers = new ArrayList<>();
+    List<Double> weights = new ArrayList<>();
+    Set<InetSocketAddress> known = new LinkedHashSet<>();
+    List<Section> tables = s.tables("resolver");
+    for (Section r : tables) {
+      InetSocketAddress address = r.address("address", null);
+      if (!known.add(address)) {
+        r.wrong("address", "two resolvers have the address " + address.getHostString() + ":" + address.getPort());
+      }
+      PushMode push = r.word("push", MODES, PushMode.OFF);
+      if (push == PushMode.TCP && !address.getAddress().isLoopbackAddress()) {
+        r.wrong("push", "expected \"tls\" beyond loopback (RFC 8765, 3)");
+      }
+      String name = r.text("push_name", "");
+      if (push == PushMode.TLS && name.isEmpty()) {
+        r.wrong("push_name", "expected the name in the resolver's certificate");
+      }
+      InetSocketAddress pushAt = r.has("push_address") ? r.address("push_address", null) : address;
+      resolvers.add(new ResolverAddress(address, push, pushAt, name));
+      weights.add(r.number("weight", 0, 1, tables.size() == 1 ? 1 : 1.0 / tables.size()));
+    }
+    if (resolvers.isEmpty()) {
+      s.wrong("resolver", "expected at least one [[" + "fleet.dnssd.resolver]], got nothing");
+      weights.add(1.0);
+    }
+    int n = weights.size();
+    Section t = s.table("trust");
+    Rules u = Rules.of(n);
+    int witnesses = (int) t.whole("witnesses", 1, n, u.witnesses());
+    int empty = (int) t.whole("empty_witnesses", 1, n, Math.max(witnesses, u.emptyWitnesses()));
+    if (empty < witnesses) {
+      t.wrong("empty_witnesses", "expected no less than witnesses, got " + empty);
+      empty = witnesses;
+    }
+    Rules rules = new Rules(weights, t.number("floor_share", 0, 1, u.floorShare()), witnesses, empty,
+        millis(t, "confirm_ms", 0, u.confirmMillis()), millis(t, "settle_ms", 0, u.settleMillis()),
+        millis(t, "longest_ttl_ms", 1000, u.longestTtlMillis()), t.whole("stale_ms", 0, 30 * DAY_MS, u.staleMillis()),
+        millis(t, "clock_skew_ms", 0, u.skewMillis()), millis(t, "first_wait_ms", 0, u.firstWaitMillis()),
+        millis(t, "lone_wait_ms", 0, u.loneWaitMillis()), (int) t.whole("reserve_below", 1, 100_000, u.reserveBelow()),
+        (int) t.whole("instances", 1, 1_000_000, u.mostInstances()));
+    Section k = s.table("text");
+    TextKeys d = TextKeys.USUAL;
+    TextKeys keys = new TextKeys(k.text("locality", d.locality()), k.text("flavor", d.flavor()), k.text("cell", d.cell()),
+        k.text("size", d.size()), k.text("phase", d.phase()), k.text("started", d.started()));
+    String file = s.text("records_file", "");
+    long poll = millis(s, "poll_ms", 10, 1000);
+    return new DnsSdConfig(browses, resolvers, rules, keys, poll, millis(s, "least_ttl_ms", 10, 1000),
+        millis(s, "back_off_ms", 10, 500), millis(s, "most_back_off_ms", 10, 30_000), millis(s, "ask_ms", 10, 2000),
+        (int) s.whole("in_flight", 1, 4096, 128), millis(s, "contact_ms", 0, 0), s.has("notify") ? s.address("notify", null) : null,
+        file.isEmpty() ? null : Path.of(file), s.whole("records_most_mb", 1, 100_000, 64) << 20,
+        new ClientConfig(4, 5000, 4096, 20, 1232, 1, 128, TimeUnit.MILLISECONDS.toNanos(1000), TimeUnit.SECONDS.toNanos(5),
+        TimeUnit.SECONDS.toNanos(10), TimeUnit.SECONDS.toNanos(5), s.flag("mix_case", true), TimeUnit.MINUTES.toNanos(15)));
+  }
+
+  private static long millis(Section s, String key, long least, long absent) {
+    return s.whole(key, least, DAY_MS, absent);
+  }
+
+  private static List<Browse> browses(Section s) {
+    String service = s.text("service", "_quote._tcp");
+    if (!service.matches("_[A-Za-z0-9-]{1,15}\\._(tcp|udp)")) {
+      s.wrong("service", "expected a service and its transport, such as _quote._tcp, got \"" + service + '"');
+      service = "_quote._tcp";
+    }
+    String subtype = s.text("subtype", "");
+    if (!subtype.isEmpty() && !subtype.matches("_?[A-Za-z0-9-]{1,62}")) {
+      s.wrong("subtype", "expected one label, got \"" + subtype + '"');
+      subtype = "";
+    }
+    List<String> domains = s.texts("domains", List.of());
+    if (domains.isEmpty()) {
+      s.wrong("domains", "expected at least one domain to browse, got nothing");
+    }
+    List<Browse> browses = new ArrayList<>();
+    for (String domain : domains) {
+      try {
+        String zone = text(Name.fromString(domain, Name.root));
+        String name = text(Name.fromString((subtype.isEmpty() ? "" : subtype + "._sub.") + service + '.' + domain, Name.root));
+        if (browses.stream().anyMatch(b -> b.name.equals(name))) {
+          s.wrong("domains", "\"" + domain + "\" is there twice");
+        }
+        browses.add(new Browse(name, zone));
+      } catch (TextParseException e) {
+        s.wrong("domains", "expected domain names, got \"" + domain + "\": " + e.getMessage());
+      }
+    }
+    return List.copyOf(browses);
+  }
+
+  /** A name as all of this module writes it. What is not ASCII is escaped there, so that case can't be lost. */
+  static String text(Name name) {
+    return name.toString().toLowerCase(java.util.Locale.ROOT);
+  }
+
+  /** The names that are browsed. */
+  List<String> names() {
+    return browses.stream().map(Browse::name).toList();
+  }
+}
--- /dev/null
+++ b/dnssd/src/main/java/cloverpulley/dnssd/DnsSdView.java
@@ -0,0 +1,127 @@
+package cloverpulley.dnssd;
+
+import cloverpulley.engine.ServerList;
+import cloverpulley.membership.Member;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/** A look at what the resolvers say, for people: the source as a front would have it, with a thread of its own. */
+public final class DnsSdView implements AutoCloseable {
+
+  private static final long LOOK_MILLIS = 20;
+
+  private final DnsSdConfig config;
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final DnsSdSource source;
+
+  /** Begins to look. */
+  public DnsSdView(DnsSdConfig config) {
+    this.config = config;
+    source = on(() -> new DnsSdSource(loop, config, ServerList.NONE, () -> 0, (kind, list) -> { }, new java.security.SecureRandom().nextLong()));
+  }
+
+  /** Runs on the source's loop. */
+  public <T> T on(Callable<T> task) {
+    try {
+      return loop.submit(task).get();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IllegalStateException(e);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e.getCause());
+    }
+  }
+
+  /** What is looked at; only to be used within {@link #on}. */
+  public DnsSdSource source() {
+    return source;
+  }
+
+  /** Waits for a first list; whether there is one. */
+  public boolean awaitFirst(long millis) throws InterruptedException {
+    long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+    while (!on(source::isReady)) {
+      if (System.nanoTime() > until) {
+        return false;
+      }
+      TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+    }
+    return true;
+  }
+
+  /** The servers as they are believed, and how many each resolver names. */
+  public List<String> browse() {
+    return on(() -> {
+      List<String> lines = new ArrayList<>();
+      for (DnsSdConfig.Browse b : config.browses()) {
+        List<Set<String>> listed = source.listed(b.name());
+        for (int i = 0; i < listed.size(); i++) {
+          lines.add(b.name() + ": resolver " + i + " at " + text(config.resolvers().get(i).address()) + " names " + listed.get(i).size());
+        }
+      }
+      for (Member m : source.members()) {
+        lines.add(String.format("%-9s %-22s zone=%s cell=%d size=%s up_since=%s %s", m.phase().name().toLowerCase(java.util.Locale.ROOT),
+            m.address() + ":" + m.port(), m.zone().isEmpty() ? "-" : m.zone(), m.cell(), m.size(),
+            m.upSince() == 0 ? "long_ago" : Instant.ofEpochMilli(m.upSince()), m.instance()));
+      }
+      source.problems().forEach(p -> lines.add("ignored: " + p));
+      return lines;
+    });
+  }
+
+  private static String text(java.net.InetSocketAddress a) {
+    return a.getAddress().getHostAddress() + ":" + a.getPort();
+  }
+
+  /** Hands on every change from now; returns after so many seconds, with 0 never. */
+  public void watch(Consumer<String> line, long seconds) throws InterruptedException {
+    on(() -> {
+      source.members().forEach(m -> line.accept(Instant.now() + " " + m.phase().name().toLowerCase(java.util.Locale.ROOT) + " " + m.id()));
+      source.onChange(c -> line.accept(Instant.ofEpochMilli(c.at()) + " " + c.member().phase().name().toLowerCase(java.util.Locale.ROOT)
+          + " " + c.member().id() + " why=" + c.why().word() + (c.onWord() < 0 ? "" : " resolver=" + c.onWord())));
+      return null;
+    });
+    if (seconds > 0) {
+      TimeUnit.SECONDS.sleep(seconds);
+    } else {
+      new CountDownLatch(1).await();
+    }
+  }
+
+  /** What each resolver says of an instance; its first label is enough where it is the only one of that. */
+  public List<String> explain(String name) {
+    return on(() -> {
+      Set<String> all = new java.util.TreeSet<>();
+      for (DnsSdConfig.Browse b : config.browses()) {
+        source.listed(b.name()).forEach(all::addAll);
+      }
+      source.members().forEach(m -> all.add(m.instance()));
+      String wanted = name.toLowerCase(java.util.Locale.ROOT);
+      List<String> fit = all.stream().filter(n -> n.equals(wanted) || n.equals(wanted + '.') || n.startsWith(wanted + '.')).toList();
+      List<String> lines = new ArrayList<>();
+      fit.forEach(n -> lines.addAll(source.explain(n)));
+      return fit.isEmpty() ? List.of(name + ": nobody has named it") : lines;
+    });
+  }
+
+  @Override
+  public void close() {
+    on(() -> {
+      source.close();
+      return null;
+    });
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly(1000);
+  }
+}
--- /dev/null
+++ b/dnssd/src/main/java/cloverpulley/dnssd/NotifyListener.java
@@ -0,0 +1,92 @@
+package cloverpulley.dnssd;
+
+import cloverpulley.dns.wire.MalformedException;
+import cloverpulley.dns.wire.Message;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import java.util.logging.Logger;
+import org.xbill.DNS.Name;
+
+/**
+ * Takes NOTIFY messages (RFC 1996) of the resolvers that are read, by the address that they come from; others get no answer. They
+ * are hints and nothing more: what has changed is asked for.
+ */
+final class NotifyListener implements AutoCloseable {
+
+  private static final Logger LOG = Logger.getLogger(NotifyListener.class.getName());
+  private static final int NOTIFY = Message.NOTIFY << 11;
+
+  private final DnsSdConfig config;
+  private final BiConsumer<Integer, String> told;
+  private final Channel channel;
+
+  NotifyListener(EventLoop loop, DnsSdConfig config, BiConsumer<Integer, String> told) {
+    this.config = config;
+    this.told = told;
+    var bind = new Bootstrap().group(loop).channel(NioDatagramChannel.class).handler(new SimpleChannelInboundHandler<DatagramPacket>() {
+      @Override
+      protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
+        read(context, packet);
+      }
+
+      @Override
+      public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // A datagram that can't be sent or read is one less: the poll tells all the same.
+      }
+    }).bind(config.notifyAt());
+    channel = bind.channel();
+    bind.addListener(f -> {
+      if (!f.isSuccess()) {
+        LOG.warning("no NOTIFY is heard at " + config.notifyAt() + ": " + f.cause().getMessage());
+      }
+    });
+  }
+
+  private void read(ChannelHandlerContext context, DatagramPacket packet) {
+    ByteBuf content = packet.content();
+    byte[] octets = new byte[Math.min(Message.MOST, content.readableBytes())];
+    content.readBytes(octets);
+    Message m;
+    try {
+      m = Message.read(octets);
+    } catch (MalformedException e) {
+      return;
+    }
+    if (m.isResponse() || m.opcode() != Message.NOTIFY || m.question() == null) {
+      return;
+    }
+    boolean known = false;
+    for (int i = 0; i < config.resolvers().size(); i++) {
+      if (config.resolvers().get(i).address().getAddress().equals(packet.sender().getAddress())) {
+        known = true;
+        try {
+          told.accept(i, DnsSdConfig.text(new Name(m.question().name())));
+        } catch (java.io.IOException e) {
+          return; // The reader of messages has passed it.
+        }
+      }
+    }
+    if (known) {
+      byte[] answer = Message.empty(m.id(), NOTIFY | Message.AA, Message.NOERROR, m.question(), null);
+      context.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(answer), packet.sender()));
+    }
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) channel.localAddress();
+  }
+
+  @Override
+  public void close() {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/dnssd/src/main/java/cloverpulley/dnssd/PublishConfig.java
@@ -0,0 +1,144 @@
+package cloverpulley.dnssd;
+
+import cloverpulley.config.Section;
+import cloverpulley.engine.ServerList.Server;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.TSIG;
+import org.xbill.DNS.TextParseException;
+
+/**
+ * What {@code [publish]} of an operators' file says: where and how the program registers itself.
+ *
+ * @param primary takes updates of the zone
+ * @param key signs them; null where the primary trusts addresses
+ * @param port 0 for the one at which the program listens
+ * @param text pairs of the instance's text record, beside those that the program knows itself
+ * @param fleet whether the servers written under {@code [fleet]} are registered as well
+ */
+public record PublishConfig(InetSocketAddress primary, Name zone, String service, String instance, Name target, InetAddress address,
+    int port, int priority, int weight, long ttlSeconds, long leaseMillis, long withdrawMillis, TSIG key,
+    Map<String, String> text, boolean fleet) {
+
+  private static final Map<String, Name> ALGORITHMS =
+      Map.of("hmac-sha256", TSIG.HMAC_SHA256, "hmac-sha384", TSIG.HMAC_SHA384, "hmac-sha512", TSIG.HMAC_SHA512);
+  private static final int MOST_PAIR = 255;
+
+  /** One server to be registered. */
+  record Registration(String instance, Name target, InetAddress address, int port, int priority, int weight, Map<String, String> text) {}
+
+  /** Reads the section. */
+  public static PublishConfig read(Section s) {
+    InetSocketAddress primary = s.address("primary", null);
+    Name zone = name(s, "zone", s.text("zone"));
+    String service = s.text("service", "_quote._tcp");
+    if (!service.matches("_[A-Za-z0-9-]{1,15}\\._(tcp|udp)")) {
+      s.wrong("service", "expected a service and its transport, such as _quote._tcp, got \"" + service + '"');
+      service = "_quote._tcp";
+    }
+    String instance = s.text("instance");
+    if (instance.getBytes(java.nio.charset.StandardCharsets.UTF_8).length > 63) {
+      s.wrong("instance", "expected 63 octets at most (RFC 6763, 4.1.1)");
+      instance = "wrong";
+    }
+    String host = s.text("target", "");
+    Name target = host.isEmpty() ? below(s, "instance", instance.toLowerCase(java.util.Locale.ROOT).replaceAll("[^a-z0-9-]", "-"), zone)
+        : name(s, "target", host);
+    InetSocketAddress address = s.address("address", "127.0.0.1:0");
+    Map<String, String> text = new LinkedHashMap<>();
+    for (String pair : s.texts("text", List.of())) {
+      int equals = pair.indexOf('=');
+      if (equals < 1 || pair.getBytes(java.nio.charset.StandardCharsets.UTF_8).length > MOST_PAIR) {
+        s.wrong("text", "expected key=value of " + MOST_PAIR + " octets at most, got \"" + pair + '"');
+      } else {
+        text.put(pair.substring(0, equals), pair.substring(equals + 1));
+      }
+    }
+    return new PublishConfig(primary, zone, service, instance, target, address.getAddress(), address.getPort(),
+        (int) s.whole("priority", 0, 65_535, 0), (int) s.whole("weight", 0, 65_535, 0), s.whole("ttl_s", 1, 86_400, 10),
+        1000 * s.whole("lease_s", 1, 86_400, 60), s.whole("withdraw_ms", 0, 60_000, 1000), key(s), text, s.flag("fleet", false));
+  }
+
+  private static Name name(Section s, String key, String text) {
+    try {
+      return Name.fromString(text, Name.root);
+    } catch (TextParseException e) {
+      s.wrong(key, "expected a domain name, got \"" + text + "\": " + e.getMessage());
+      return Name.root;
+    }
+  }
+
+  private static Name below(Section s, String key, String label, Name zone) {
+    try {
+      return Name.fromString(label, zone);
+    } catch (TextParseException e) {
+      s.wrong(key, "no name can be made of it: " + e.getMessage());
+      return zone;
+    }
+  }
+
+  private static TSIG key(Section s) {
+    if (!s.has("tsig_name")) {
+      return null;
+    }
+    Name name = name(s, "tsig_name", s.text("tsig_name"));
+    Name algorithm = s.word("tsig_algorithm", ALGORITHMS, TSIG.HMAC_SHA256);
+    try {
+      byte[] secret = Base64.getDecoder().decode(s.text("tsig_secret"));
+      if (secret.length >= 16) {
+        return new TSIG(algorithm, name, secret);
+      }
+      s.wrong("tsig_secret", "expected 16 octets at least");
+    } catch (IllegalArgumentException e) {
+      s.wrong("tsig_secret", "expected base64");
+    }
+    return null;
+  }
+
+  /** The service's own name. */
+  Name serviceName() {
+    return below(service, zone);
+  }
+
+  private static Name below(String label, Name zone) {
+    try {
+      return Name.fromString(label, zone);
+    } catch (TextParseException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** This program, listening there, started then. */
+  Registration self(int listening, long startedMillis) {
+    Map<String, String> all = new LinkedHashMap<>();
+    all.put("started", Long.toString(startedMillis));
+    all.put("phase", "ready");
+    all.putAll(text);
+    return new Registration(instance, target, address, port == 0 ? listening : port, priority, weight, all);
+  }
+
+  /** The servers of a written list. */
+  List<Registration> servers(List<Server> servers) {
+    List<Registration> all = new ArrayList<>();
+    for (Server s : servers) {
+      InetSocketAddress at = (InetSocketAddress) s.address();
+      Map<String, String> pairs = new LinkedHashMap<>();
+      pairs.put("locality", s.zone());
+      pairs.put("cell", Integer.toString(s.cell()));
+      pairs.put("size", Double.toString(s.size()));
+      pairs.put("phase", s.state() == cloverpulley.Balancer.State.READY ? "ready" : "draining");
+      if (s.upSinceMillis() > 0) {
+        pairs.put("started", Long.toString(s.upSinceMillis()));
+      }
+      Name host = below(s.id().toLowerCase(java.util.Locale.ROOT).replaceAll("[^a-z0-9-]", "-"), zone);
+      all.add(new Registration(s.id(), host, at.getAddress(), at.getPort(), 0, 0, pairs));
+    }
+    return all;
+  }
+}
--- a/fleet/src/main/java/cloverpulley/fleet/FleetSource.java
+++ b/fleet/src/main/java/cloverpulley/fleet/FleetSource.java
@@ -10,15 +10,29 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.ServiceLoader;
 import java.util.Set;
 
 /**
- * Where the fleet comes from, as {@code [fleet]} of the operators' file says: a list written there, or discovery.
+ * Where the fleet comes from, as {@code [fleet]} of the operators' file says: a list written there, discovery, or a source that a
+ * module brings along.
  *
- * @param discovery null where the list is written in the file
+ * @param discovery null where it is none
  * @param stateFile where the list last held is kept for a successor; null for nowhere
+ * @param list the one written in the file; empty where there is none
+ * @param opener opens a further source; null where it is none
  */
-public record FleetSource(InetSocketAddress discovery, Path stateFile, ServerList list) {
+public record FleetSource(InetSocketAddress discovery, Path stateFile, ServerList list, ListProvider.Opener opener) {
+
+  /** One without a further source. */
+  public FleetSource(InetSocketAddress discovery, Path stateFile, ServerList list) {
+    this(discovery, stateFile, list, null);
+  }
+
+  /** Whether the list is written in the operators' file, and changes when that is read again. */
+  public boolean isWritten() {
+    return discovery == null && opener == null;
+  }
 
   private static final Map<String, State> PHASES = Map.of("ready", State.READY, "draining", State.DRAINING);
 
@@ -36,11 +50,32 @@
       servers.add(new Server(id, m.address("address", null), m.text("zone", ""), (int) m.whole("cell", 0, 1 << 30, 0),
           m.word("phase", PHASES, State.READY), m.number("size", 0.001, 1000, 1), m.whole("started_ms", 0, 1L << 50, 0)));
     }
-    if (discovery == null && servers.isEmpty()) {
-      s.wrong("server", "expected at least one [[fleet.server]], or fleet.discovery");
-    } else if (discovery != null && !servers.isEmpty()) {
-      s.wrong("server", "expected no list beside fleet.discovery");
+    ListProvider.Opener opener = null;
+    List<String> given = new ArrayList<>();
+    List<String> further = new ArrayList<>();
+    for (ListProvider p : ServiceLoader.load(ListProvider.class)) {
+      further.add("fleet." + p.key());
+      if (s.has(p.key())) {
+        opener = p.read(s.table(p.key()));
+        given.add(p.key());
+      }
     }
-    return new FleetSource(discovery, state.isEmpty() ? null : Path.of(state), new ServerList(0, true, servers));
+    if (discovery != null) {
+      given.add("discovery");
+    }
+    if (given.isEmpty() && servers.isEmpty()) {
+      s.wrong("server", "expected at least one [[fleet.server]], or fleet.discovery" + (further.isEmpty() ? ""
+          : ", or " + String.join(", or ", further)));
+    } else if (!given.isEmpty() && !servers.isEmpty()) {
+      s.wrong("server", "expected no list beside fleet." + given.get(0));
+    } else if (given.size() > 1) {
+      s.wrong(given.get(1), "expected one source of servers, got fleet." + given.get(0) + " as well");
+    }
+    return new FleetSource(discovery, state.isEmpty() ? null : Path.of(state), new ServerList(0, true, servers), opener);
+  }
+
+  /** What the front starts with: the list written in the file, or the one last held. */
+  public ServerList first() {
+    return isWritten() ? list : HeldList.read(stateFile);
   }
 }
--- a/fleet/src/main/java/cloverpulley/fleet/HeldList.java
+++ b/fleet/src/main/java/cloverpulley/fleet/HeldList.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.io.StringWriter;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
+import java.util.zip.CRC32C;
 
 /**
  * The list last held, kept in a file in discovery's form: a successor starts with it. Written by a thread of its own, whole
@@ -28,6 +30,9 @@
 
   private static final Logger LOG = Logger.getLogger(HeldList.class.getName());
 
+  /** Guards against a file that was cut off or changed where it still can be read. */
+  private static final String SUM = "\ncrc32c ";
+
   private final Path file;
   private final AtomicReference<ServerList> next = new AtomicReference<>();
   private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
@@ -46,13 +51,32 @@
       return ServerList.NONE;
     }
     try {
-      return ListDecoder.list(Fields.parse(new JsonFactory(), "list", Files.readString(file)));
+      return ListDecoder.list(Fields.parse(new JsonFactory(), "list", checked(Files.readString(file))));
     } catch (IOException | WireException e) {
       LOG.warning("the list held in " + file + " can't be read, starting without: " + e.getMessage());
       return ServerList.NONE;
     }
   }
 
+  /** The list without its checksum, which is on a line of its own; files from before there was one have none. */
+  private static String checked(String text) throws IOException {
+    int at = text.lastIndexOf(SUM);
+    if (at < 0) {
+      return text;
+    }
+    String list = text.substring(0, at);
+    if (!text.substring(at).equals(sum(list))) {
+      throw new IOException("its checksum does not fit what it holds");
+    }
+    return list;
+  }
+
+  private static String sum(String list) {
+    CRC32C crc = new CRC32C();
+    crc.update(list.getBytes(StandardCharsets.UTF_8));
+    return SUM + Long.toHexString(crc.getValue()) + "\n";
+  }
+
   public void write(ServerList list) {
     if (file != null && next.getAndSet(list) == null) {
       writer.execute(this::writeLatest);
@@ -63,7 +87,8 @@
     ServerList list = next.getAndSet(null);
     try {
       Path part = file.resolveSibling(file.getFileName() + ".part");
-      Files.writeString(part, text(list));
+      String text = text(list);
+      Files.writeString(part, text + sum(text));
       Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     } catch (IOException e) {
       LOG.warning("the list held can't be written to " + file + ": " + e);
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -113,15 +113,18 @@
 
   private void wire(Settings settings, FleetSource source, LongFunction<Balancer> modules) {
     Engine.ListSource lists;
-    if (source.discovery() == null) {
+    ServerList first = source.first();
+    if (source.isWritten()) {
       lists = new WrittenList(fleet, (kind, list) -> engine.news(kind, list));
+    } else if (source.opener() != null) {
+      lists = source.opener().open(engineLoop, first, fleet::revision, this::news);
     } else {
       lists = new Discovery(new Bootstrap().group(engineGroup).channel(NioSocketChannel.class)
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS), source.discovery(), fleet::revision,
           this::news);
     }
     engine = new Engine(engineLoop, clock, settings, modules, fleet, lists, (to, data) -> { });
-    engine.news(ListKind.CACHED, source.discovery() == null ? source.list() : HeldList.read(source.stateFile()));
+    engine.news(ListKind.CACHED, first);
   }
 
   private void news(ListKind kind, ServerList list) {
--- a/standins/src/main/java/cloverpulley/standins/StandInDns.java
+++ b/standins/src/main/java/cloverpulley/standins/StandInDns.java
@@ -145,6 +145,11 @@
       channel.close();
     }
 
+    /** Whether both came over the same connection. */
+    boolean hasSameChannel(Asked other) {
+      return channel == other.channel;
+    }
+
     /** Reads nothing more from this connection. */
     public void stopReading() {
       channel.config().setAutoRead(false);
--- /dev/null
+++ b/standins/src/main/java/cloverpulley/standins/StandInZone.java
@@ -0,0 +1,460 @@
+package cloverpulley.standins;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.xbill.DNS.DClass;
+import org.xbill.DNS.EDNSOption;
+import org.xbill.DNS.Flags;
+import org.xbill.DNS.GenericEDNSOption;
+import org.xbill.DNS.Message;
+import org.xbill.DNS.Name;
+import org.xbill.DNS.OPTRecord;
+import org.xbill.DNS.Opcode;
+import org.xbill.DNS.PTRRecord;
+import org.xbill.DNS.Rcode;
+import org.xbill.DNS.Record;
+import org.xbill.DNS.SOARecord;
+import org.xbill.DNS.Section;
+import org.xbill.DNS.TSIG;
+import org.xbill.DNS.TSIGRecord;
+import org.xbill.DNS.Type;
+
+/**
+ * An authoritative server of one zone on loopback that changes while it serves: records come and go with a serial that grows, by
+ * a test's word or by UPDATE (RFC 2136) signed by a key (RFC 8945), and sessions are told by push (RFC 8765). Its faults are
+ * scripted; several that disagree are several of it.
+ */
+public final class StandInZone implements AutoCloseable {
+
+  private static final int LEASE_OPTION = 2;
+  private static final int SUBSCRIBE = 0x40;
+  private static final int PUSH = 0x41;
+  private static final int UNSUBSCRIBE = 0x42;
+  private static final int KEEPALIVE = 1;
+  private static final int DSO = 6;
+
+  /** What it does to whoever asks. */
+  public enum Fault { NONE, SILENT, NXDOMAIN, SERVFAIL, REFUSED, NO_TEXT, NO_SERVICE, NO_ADDRESS }
+
+  private record Subscription(StandInDns.Asked session, int id, Name name, int type) {}
+
+  private final Name origin;
+  private final StandInDns server;
+  /** All records by name and type; guarded by this. */
+  private final TreeMap<Name, Map<Integer, List<Record>>> records = new TreeMap<>();
+  private final List<Subscription> subscriptions = new ArrayList<>();
+  private final List<String> updates = new ArrayList<>();
+  private long serial = 1;
+  private long ttl = 10;
+  private TSIG key;
+  private boolean additional;
+  private boolean authoritative = true;
+  private boolean push;
+  private long grantSeconds;
+  private volatile Fault fault = Fault.NONE;
+
+  /** Starts one; {@code origin} with a dot at its end. */
+  public StandInZone(EventLoopGroup group, String origin) {
+    this.origin = name(origin);
+    server = new StandInDns(group, this::asked);
+  }
+
+  private static Name name(String text) {
+    try {
+      return Name.fromString(text, Name.root);
+    } catch (org.xbill.DNS.TextParseException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  // ---- What a test sets ----------------------------------------------------------------------------------
+
+  public StandInDns server() {
+    return server;
+  }
+
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  public void fault(Fault next) {
+    fault = next;
+  }
+
+  /** Of every record, in seconds. */
+  public synchronized void ttl(long seconds) {
+    ttl = seconds;
+  }
+
+  public synchronized void serial(long next) {
+    serial = next;
+  }
+
+  public synchronized long serial() {
+    return serial;
+  }
+
+  /** Whether what a browse names is sent beside it. */
+  public synchronized void additional(boolean on) {
+    additional = on;
+  }
+
+  /** Whether its answers are the zone's own, or those of some cache. */
+  public synchronized void authoritative(boolean on) {
+    authoritative = on;
+  }
+
+  /** Whether it takes sessions and pushes. */
+  public synchronized void push(boolean on) {
+    push = on;
+  }
+
+  /** Only updates signed by this key are taken, and answers to them are signed. */
+  public synchronized void key(TSIG next) {
+    key = next;
+  }
+
+  /** The lease given to who asks for one, in seconds; 0 for the one asked for. */
+  public synchronized void grant(long seconds) {
+    grantSeconds = seconds;
+  }
+
+  /** Updates that were taken, in words. */
+  public synchronized List<String> updates() {
+    return List.copyOf(updates);
+  }
+
+  /** Puts a record in, in the form of a master file: name, TTL, type, data. */
+  public synchronized StandInZone put(String text) {
+    try {
+      add(StandInDns.record(text));
+    } catch (IOException e) {
+      throw new IllegalArgumentException(text, e);
+    }
+    return this;
+  }
+
+  private void add(Record r) {
+    List<Record> all = records.computeIfAbsent(r.getName(), n -> new TreeMap<>()).computeIfAbsent(r.getType(), t -> new ArrayList<>());
+    if (!all.contains(r)) {
+      all.add(r);
+      tell(r.getName(), r.getType(), r, false);
+    }
+  }
+
+  /** Takes all records of a type, or with {@link Type#ANY} all, of a name away. */
+  public synchronized void remove(String text, int type) {
+    remove(name(text), type);
+  }
+
+  private void remove(Name n, int type) {
+    Map<Integer, List<Record>> its = records.getOrDefault(n, Map.of());
+    for (int t : type == Type.ANY ? Set.copyOf(its.keySet()) : Set.of(type)) {
+      List<Record> gone = its.remove(t);
+      if (gone != null) {
+        tell(n, t, null, true);
+      }
+    }
+    if (its.isEmpty()) {
+      records.remove(n);
+    }
+  }
+
+  private void remove(Record r) {
+    List<Record> its = records.getOrDefault(r.getName(), Map.of()).get(r.getType());
+    if (its != null && its.removeIf(x -> x.rdataToWireCanonical().length > 0
+        && java.util.Arrays.equals(x.rdataToWireCanonical(), r.rdataToWireCanonical()))) {
+      tell(r.getName(), r.getType(), r, true);
+      if (its.isEmpty()) {
+        records.get(r.getName()).remove(r.getType());
+      }
+    }
+  }
+
+  /** A server and all its records; a later call for the same label replaces them. The serial grows. */
+  public synchronized void server(String label, String target, int port, String address, String... text) {
+    server(label, 0, target, port, address, text);
+  }
+
+  /** The same with a priority. */
+  public synchronized void server(String label, int priority, String target, int port, String address, String... text) {
+    String service = "_quote._tcp." + origin;
+    String instance = label + '.' + service;
+    replace(instance, Type.SRV, priority + " 0 " + port + ' ' + target);
+    replace(instance, Type.TXT, text.length == 0 ? "\"\"" : String.join(" ", java.util.Arrays.stream(text).map(t -> '"' + t + '"').toList()));
+    replace(target, address.contains(":") ? Type.AAAA : Type.A, address);
+    put(service + ' ' + ttl + " PTR " + instance);
+    serial++;
+  }
+
+  private void replace(String owner, int type, String data) {
+    try {
+      Record r = StandInDns.record(owner + ' ' + ttl + ' ' + Type.string(type) + ' ' + data);
+      List<Record> before = records.getOrDefault(r.getName(), Map.of()).get(type);
+      if (before == null || !before.equals(List.of(r))) {
+        records.computeIfAbsent(r.getName(), n -> new TreeMap<>()).put(type, new ArrayList<>(List.of(r)));
+        tell(r.getName(), type, r, false);
+      }
+    } catch (IOException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  /** The instance leaves the list; its other records stay, as they do. The serial grows. */
+  public synchronized void withdraw(String label) {
+    try {
+      remove(StandInDns.record("_quote._tcp." + origin + ' ' + ttl + " PTR " + label + "._quote._tcp." + origin));
+    } catch (IOException e) {
+      throw new IllegalArgumentException(e);
+    }
+    serial++;
+  }
+
+  /** Copies another's records and serial, as a secondary does. */
+  public synchronized void transfer(StandInZone primary) {
+    TreeMap<Name, Map<Integer, List<Record>>> all = new TreeMap<>();
+    synchronized (primary) {
+      primary.records.forEach((n, types) -> types.forEach((t, r) ->
+          all.computeIfAbsent(n, x -> new TreeMap<>()).put(t, new ArrayList<>(r))));
+      serial = primary.serial;
+    }
+    records.clear();
+    records.putAll(all);
+  }
+
+  /** Tells a reader that the zone has changed (RFC 1996), from the address that it answers at. */
+  public void notifyReader(InetSocketAddress reader) throws IOException {
+    Message m = new Message();
+    m.getHeader().setOpcode(Opcode.NOTIFY);
+    m.getHeader().setFlag(Flags.AA);
+    m.addRecord(Record.newRecord(origin, Type.SOA, DClass.IN), Section.QUESTION);
+    byte[] wire = m.toWire();
+    try (DatagramSocket socket = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+      socket.send(new DatagramPacket(wire, wire.length, reader));
+    }
+  }
+
+  // ---- Answers -------------------------------------------------------------------------------------------
+
+  private void asked(StandInDns.Asked a) {
+    Fault now = fault;
+    if (now == Fault.SILENT) {
+      return;
+    }
+    Message m = a.message();
+    int opcode = m.getHeader().getOpcode();
+    if (opcode == DSO) {
+      session(a);
+    } else if (opcode == Opcode.UPDATE) {
+      update(a, m);
+    } else if (m.getQuestion() == null) {
+      a.reply(new Message(m.getHeader().getID()));
+    } else if (now == Fault.SERVFAIL || now == Fault.REFUSED) {
+      a.reply(a.answer(now == Fault.SERVFAIL ? Rcode.SERVFAIL : Rcode.REFUSED));
+    } else {
+      answer(a, m.getQuestion(), now);
+    }
+  }
+
+  private synchronized void answer(StandInDns.Asked a, Record q, Fault now) {
+    Name n = q.getName();
+    int type = q.getType();
+    if (type == Type.SOA && n.equals(origin) && now != Fault.NXDOMAIN) {
+      Message m = a.answer(Rcode.NOERROR);
+      m.addRecord(soa(), Section.ANSWER);
+      send(a, m);
+      return;
+    }
+    boolean hidden = now == Fault.NXDOMAIN || now == Fault.NO_TEXT && type == Type.TXT || now == Fault.NO_SERVICE && type == Type.SRV
+        || now == Fault.NO_ADDRESS && (type == Type.A || type == Type.AAAA);
+    Map<Integer, List<Record>> its = hidden ? Map.of() : records.getOrDefault(n, Map.of());
+    Message m = a.answer(its.isEmpty() && (now == Fault.NXDOMAIN || !hidden) ? Rcode.NXDOMAIN : Rcode.NOERROR);
+    Name at = n;
+    for (int i = 0; i < 4 && !its.containsKey(type) && its.containsKey(Type.CNAME); i++) {
+      Record alias = its.get(Type.CNAME).get(0);
+      m.addRecord(alias, Section.ANSWER);
+      at = ((org.xbill.DNS.CNAMERecord) alias).getTarget();
+      its = records.getOrDefault(at, Map.of());
+    }
+    List<Record> found = its.getOrDefault(type, List.of());
+    found.forEach(r -> m.addRecord(r, Section.ANSWER));
+    if (found.isEmpty()) {
+      m.addRecord(soa(), Section.AUTHORITY);
+    } else if (additional && type == Type.PTR) {
+      for (Record r : found) {
+        Name instance = ((PTRRecord) r).getTarget();
+        records.getOrDefault(instance, Map.of()).values().forEach(all -> all.forEach(x -> {
+          m.addRecord(x, Section.ADDITIONAL);
+          if (x instanceof org.xbill.DNS.SRVRecord s) {
+            records.getOrDefault(s.getTarget(), Map.of()).values().forEach(w -> w.forEach(y -> m.addRecord(y, Section.ADDITIONAL)));
+          }
+        }));
+      }
+    }
+    send(a, m);
+  }
+
+  private SOARecord soa() {
+    return new SOARecord(origin, DClass.IN, ttl, name("ns." + origin), name("admin." + origin), serial, 60, 10, 3600, Math.min(ttl, 5));
+  }
+
+  private void send(StandInDns.Asked a, Message m) {
+    if (authoritative) {
+      m.getHeader().setFlag(Flags.AA);
+    }
+    byte[] wire = m.toWire(65_535);
+    OPTRecord opt = a.message().getOPT();
+    int most = a.isTcp() ? 65_535 : opt == null ? 512 : opt.getPayloadSize();
+    if (wire.length > most || m.getHeader().getFlag(Flags.TC)) {
+      a.reply(a.truncated());
+    } else {
+      a.reply(wire);
+    }
+  }
+
+  // ---- Updates -------------------------------------------------------------------------------------------
+
+  private synchronized void update(StandInDns.Asked a, Message m) {
+    int rcode = Rcode.NOERROR;
+    TSIGRecord signed = m.getTSIG();
+    if (key != null) {
+      rcode = signed == null ? Rcode.REFUSED : key.verify(m, a.octets(), null);
+    }
+    Message answer = new Message(m.getHeader().getID());
+    answer.getHeader().setOpcode(Opcode.UPDATE);
+    answer.getHeader().setFlag(Flags.QR);
+    answer.addRecord(m.getQuestion(), Section.QUESTION);
+    if (rcode == Rcode.NOERROR && fault == Fault.NONE) {
+      for (Record r : m.getSection(Section.UPDATE)) {
+        updates.add(Type.string(r.getType()) + ' ' + DClass.string(r.getDClass()) + ' ' + r.getName());
+        if (r.getDClass() == DClass.ANY) {
+          remove(r.getName(), r.getType());
+        } else if (r.getDClass() == DClass.NONE) {
+          remove(Record.newRecord(r.getName(), r.getType(), DClass.IN, 0, r.rdataToWireCanonical()));
+        } else {
+          add(r);
+        }
+      }
+      serial++;
+      for (EDNSOption o : m.getOPT() == null ? List.<EDNSOption>of() : m.getOPT().getOptions(LEASE_OPTION)) {
+        byte[] option = o.toWire(); // Code and length, then what it holds.
+        byte[] wanted = java.util.Arrays.copyOfRange(option, 4, option.length);
+        byte[] granted = grantSeconds == 0 ? wanted : new byte[] {0, 0, (byte) (grantSeconds >> 8), (byte) grantSeconds};
+        answer.addRecord(new OPTRecord(1232, 0, 0, 0, List.of(new GenericEDNSOption(LEASE_OPTION, granted))), Section.ADDITIONAL);
+      }
+    }
+    answer.getHeader().setRcode(rcode != Rcode.NOERROR ? rcode == Rcode.REFUSED ? rcode : Rcode.NOTAUTH
+        : fault == Fault.NONE ? Rcode.NOERROR : Rcode.SERVFAIL);
+    if (key != null && signed != null && rcode == Rcode.NOERROR) {
+      answer.setTSIG(key, Rcode.NOERROR, signed);
+    }
+    a.reply(answer.toWire(65_535));
+  }
+
+  // ---- Push ----------------------------------------------------------------------------------------------
+
+  private synchronized void session(StandInDns.Asked a) {
+    byte[] b = a.octets();
+    int id = (b[0] & 0xFF) << 8 | b[1] & 0xFF;
+    int type = (b[12] & 0xFF) << 8 | b[13] & 0xFF;
+    if (!push || !a.isTcp()) {
+      a.reply(header(id, true, Rcode.NOTIMP));
+    } else if (type == SUBSCRIBE) {
+      try {
+        byte[] wire = java.util.Arrays.copyOfRange(b, 16, b.length - 4);
+        Subscription s = new Subscription(a, id, new Name(wire), (b[b.length - 4] & 0xFF) << 8 | b[b.length - 3] & 0xFF);
+        subscriptions.add(s);
+        a.reply(header(id, true, Rcode.NOERROR));
+        // RFC 8765, 6.3: what there is is pushed first.
+        records.getOrDefault(s.name, Map.of()).forEach((t, all) -> {
+          if (s.type == t || s.type == 255) {
+            all.forEach(r -> pushTo(s, t, r, false));
+          }
+        });
+      } catch (IOException e) {
+        a.reply(header(id, true, Rcode.FORMERR));
+      }
+    } else if (type == UNSUBSCRIBE) {
+      int which = (b[16] & 0xFF) << 8 | b[17] & 0xFF;
+      subscriptions.removeIf(s -> s.session.hasSameChannel(a) && s.id == which);
+    } else if (type == KEEPALIVE) {
+      byte[] answer = new byte[24];
+      System.arraycopy(header(id, true, Rcode.NOERROR), 0, answer, 0, 12);
+      answer[13] = KEEPALIVE;
+      answer[15] = 8;
+      answer[18] = 0x3A;
+      answer[22] = 0x3A;
+      a.reply(answer);
+    } else {
+      a.reply(header(id, true, 11));
+    }
+  }
+
+  private static byte[] header(int id, boolean response, int rcode) {
+    byte[] b = new byte[12];
+    b[0] = (byte) (id >> 8);
+    b[1] = (byte) id;
+    b[2] = (byte) (DSO << 3 | (response ? 0x80 : 0));
+    b[3] = (byte) rcode;
+    return b;
+  }
+
+  private void tell(Name n, int type, Record r, boolean removed) {
+    for (Subscription s : List.copyOf(subscriptions)) {
+      if (s.name.equals(n) && (s.type == type || s.type == 255)) {
+        pushTo(s, type, r, removed);
+      }
+    }
+  }
+
+  private static void pushTo(Subscription s, int type, Record r, boolean removed) {
+    ByteArrayOutputStream value = new ByteArrayOutputStream();
+    byte[] data = r == null ? new byte[0] : r.rdataToWireCanonical();
+    value.writeBytes(s.name.toWire());
+    long ttl = removed ? r == null ? 0xFFFF_FFFEL : 0xFFFF_FFFFL : r.getTTL();
+    value.writeBytes(new byte[] {(byte) (type >> 8), (byte) type, 0, 1, (byte) (ttl >> 24), (byte) (ttl >> 16), (byte) (ttl >> 8),
+      (byte) ttl, (byte) (data.length >> 8), (byte) data.length});
+    value.writeBytes(data);
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(header(0, false, 0));
+    out.writeBytes(new byte[] {0, PUSH, (byte) (value.size() >> 8), (byte) value.size()});
+    out.writeBytes(value.toByteArray());
+    s.session.reply(out.toByteArray());
+  }
+
+  /** Subscriptions that stand. */
+  public synchronized int subscriptions() {
+    return subscriptions.size();
+  }
+
+  /** All sessions end, without a word. */
+  public synchronized void endSessions() {
+    Set<StandInDns.Asked> sessions = new HashSet<>();
+    subscriptions.forEach(s -> sessions.add(s.session));
+    subscriptions.clear();
+    sessions.forEach(StandInDns.Asked::reset);
+  }
+
+  /** Everything of one name, in the form of a master file. */
+  public synchronized List<String> at(String owner) {
+    List<String> all = new ArrayList<>();
+    records.getOrDefault(name(owner), Map.of()).values().forEach(r -> r.forEach(x -> all.add(x.toString())));
+    return all;
+  }
+
+  @Override
+  public void close() {
+    server.close();
+  }
+}
