--- a/decision/src/main/java/cloverpulley/membership/Membership.java
+++ b/decision/src/main/java/cloverpulley/membership/Membership.java
@@ -42,6 +42,8 @@
   /** A guard against a fault here: a change of one server bears on those at its address, and they on nobody else. */
   private static final int MOST_ROUNDS = 10_000;
   private static final long AGAIN_MILLIS = 1000;
+  private static final double USUAL_WEIGHT = 100;
+  private static final double MOST_SIZE = 1000;
 
   private record Timer(long at, String instance) {}
 
@@ -62,6 +64,8 @@
   private final LinkedHashSet<Instance> suspects = new LinkedHashSet<>();
   private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingLong(Timer::at));
   private final int[] lone;
+  /** When each domain was first listed by all who are asked. */
+  private final Map<String, Long> firstLists = new HashMap<>();
   private final Set<String> problems = new LinkedHashSet<>();
   private long startedAt = -1;
   private long settledAt = -1;
@@ -272,6 +276,7 @@
     // In order: which of too many get in has to be the same at every reader.
     fresh.sort(Comparator.naturalOrder());
     fresh.forEach(n -> listed(now, b.resolver(), b.domain(), n, false));
+    noteFirstList(now, b.domain());
     onLists();
   }
 
@@ -655,7 +660,26 @@
 
   /** Whether it was there when this reader began to look, as far as anybody knows. */
   private boolean isFirst(Instance i) {
-    return i.firstHeardAt - startedAt <= rules.firstWaitMillis() && !i.wasGone;
+    long until = firstLists.getOrDefault(i.domain, Long.MAX_VALUE);
+    return !i.wasGone && i.firstHeardAt <= Math.min(until, startedAt + rules.firstWaitMillis());
+  }
+
+  /** Notes when a domain has been listed by all who are asked, those aside who can't say: what comes later has come since. */
+  private void noteFirstList(long now, String domain) {
+    if (firstLists.containsKey(domain)) {
+      return;
+    }
+    boolean answered = false;
+    for (View v : views) {
+      View.Domain d = v.domains.get(domain);
+      if (d == null || !d.hasSpoken()) {
+        return;
+      }
+      answered |= d.at >= 0;
+    }
+    if (answered) {
+      firstLists.put(domain, now);
+    }
   }
 
   private void become(Instance i, Incarnation next, long now) {
@@ -1037,7 +1061,12 @@
     Incarnation x = i.now;
     boolean reserve = x.srv().priority() > activePriority;
     return new Member(i.name + "|" + x.identity(), i.name, x.srv().target(), x.address(), x.srv().port(), x.text().locality(),
-        x.text().cell(), x.text().size() > 0 ? x.text().size() : 1, drains || reserve ? Phase.DRAINING : Phase.READY, i.upSince);
+        x.text().cell(), size(x), drains || reserve ? Phase.DRAINING : Phase.READY, i.upSince);
+  }
+
+  /** The text's; else the weight of the service record, of which 100 is usual and 0 says nothing (RFC 2782). */
+  private static double size(Incarnation x) {
+    return x.text().size() > 0 ? x.text().size() : x.srv().weight() > 0 ? Math.min(MOST_SIZE, x.srv().weight() / USUAL_WEIGHT) : 1;
   }
 
   /**
--- a/dnssd/src/main/java/cloverpulley/dnssd/DnsSdSource.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/DnsSdSource.java
@@ -37,6 +37,8 @@
 
   /** How often what is due is looked at; what an answer brings is settled at once. */
   private static final long TICK_MILLIS = 10;
+  /** A first list that is not whole waits for so many times the wait for a second resolver. */
+  private static final int WHOLE_WAITS = 5;
 
   private final EventLoop loop;
   private final DnsSdConfig config;
@@ -54,6 +56,7 @@
   private final NotifyListener notify;
   private final Future<?> tick;
   private Consumer<Change> watcher = c -> { };
+  private final long startedAt;
   private boolean watching;
   private boolean ready;
   private boolean settling;
@@ -76,6 +79,7 @@
     membership = new Membership(config.rules(), config.keys());
     client = new DnsClient(loop, clock, config.client());
     long now = now();
+    startedAt = now;
     HeldMembers.read(held, config.names()).forEach(h -> membership.held(now, h.member(), h.domain(), 0, h.boot()));
     ready = !held.members().isEmpty();
     for (int i = 0; i < config.resolvers().size(); i++) {
@@ -147,7 +151,7 @@
       log.add(c);
       watcher.accept(c);
     });
-    if (!ready && membership.hasSpoken(now, config.names()) && membership.serving() > 0) {
+    if (!ready && membership.serving() > 0 && membership.hasSpoken(now, config.names()) && isWhole(now)) {
       ready = true;
       LOG.info(() -> "dns-sd: first list, " + membership.serving() + " servers ready of " + membership.instances() + " named");
       if (watching) {
@@ -160,6 +164,11 @@
     }
   }
 
+  /** Guards rule 4: a first list of the few whose records came first would get all the work. */
+  private boolean isWhole(long now) {
+    return readers.stream().allMatch(Reader::isIdle) || now - startedAt >= WHOLE_WAITS * Math.max(1, config.rules().firstWaitMillis());
+  }
+
   private void tellAll() {
     news.accept(ListKind.FULL, new ServerList(revision.getAsLong() + 1, true, membership.members().stream().map(DnsSdSource::server).toList()));
   }
--- a/dnssd/src/main/java/cloverpulley/dnssd/Publisher.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/Publisher.java
@@ -72,7 +72,7 @@
   }
 
   private void wire() {
-    client = new DnsClient(loop, clock, new ClientConfig(1, 1000, 16, 20, 1232, 1, 4, TimeUnit.MILLISECONDS.toNanos(CLOSE_MILLIS),
+    client = new DnsClient(loop, clock, new ClientConfig(1, 1000, 16, 20, 1232, 2, 16, TimeUnit.MILLISECONDS.toNanos(CLOSE_MILLIS),
         TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(5), TimeUnit.SECONDS.toNanos(1), false, TimeUnit.MINUTES.toNanos(15)));
     loop.scheduleWithFixedDelay(this::turn, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
   }
--- a/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
@@ -64,8 +64,6 @@
     final String zone;
     List<Srv> services;
     Map<String, String> pairs;
-    boolean gotServices;
-    boolean gotPairs;
     int open;
     int failures;
     long ttl;
@@ -113,6 +111,7 @@
   private final Counts counts = new Counts();
   private int open;
   private int silent;
+  private int resolving;
   private boolean pumping;
   private long now;
 
@@ -156,6 +155,11 @@
     }
   }
 
+  /** Whether it has no more to ask for now of the instances that it knows, or gets no answers. */
+  boolean isIdle() {
+    return isDown() || queue.isEmpty() && first.isEmpty() && resolving == 0;
+  }
+
   /** The zones that are read here. */
   Set<String> zones() {
     return zones.keySet();
@@ -165,6 +169,7 @@
   void changedInstance(long millis, String name) {
     now = millis;
     if (instances.containsKey(name)) {
+      instances.get(name).serial = -1; // Asked for whatever the serial was.
       refresh.hurry(now, Key.instance(name));
       turn(millis);
     }
@@ -174,6 +179,7 @@
   void changedTarget(long millis, String name) {
     now = millis;
     if (targets.containsKey(name)) {
+      targets.get(name).serial = -1;
       refresh.hurry(now, Key.target(name));
       turn(millis);
     }
@@ -183,6 +189,7 @@
   void changedList(long millis, String browse) {
     now = millis;
     if (browses.containsKey(browse)) {
+      listSerials.put(browse, -1L);
       refresh.hurry(now, Key.browse(browse));
       turn(millis);
     }
@@ -447,9 +454,8 @@
     if (i == null) {
       return; // It has left the list since.
     }
+    resolving++;
     i.open = 2;
-    i.gotServices = false;
-    i.gotPairs = false;
     i.asked = zones.get(i.zone).serial;
     List<List<Srv>> services = new ArrayList<>();
     List<Map<String, String>> pairs = new ArrayList<>();
@@ -475,7 +481,8 @@
   }
 
   private void part(Key key, Instance i, List<List<Srv>> services, List<Map<String, String>> pairs, long ttl) {
-    if (--i.open > 0 || instances.get(key.name()) != i) {
+    resolving -= --i.open == 0 ? 1 : 0;
+    if (i.open > 0 || instances.get(key.name()) != i) {
       pump();
       return;
     }
@@ -522,6 +529,7 @@
     if (t == null) {
       return;
     }
+    resolving++;
     t.open = 2;
     t.got = 0;
     Zone z = zoneOf(key);
@@ -541,7 +549,8 @@
   }
 
   private void family(Key key, Target t, long ttl) {
-    if (--t.open > 0 || targets.get(key.name()) != t) {
+    resolving -= --t.open == 0 ? 1 : 0;
+    if (t.open > 0 || targets.get(key.name()) != t) {
       pump();
       return;
     }
--- a/standins/src/main/java/cloverpulley/standins/StandInZone.java
+++ b/standins/src/main/java/cloverpulley/standins/StandInZone.java
@@ -154,12 +154,16 @@
   }
 
   /** Takes all records of a type, or with {@link Type#ANY} all, of a name away. */
-  public synchronized void remove(String text, int type) {
+  public synchronized StandInZone remove(String text, int type) {
     remove(name(text), type);
+    return this;
   }
 
   private void remove(Name n, int type) {
-    Map<Integer, List<Record>> its = records.getOrDefault(n, Map.of());
+    Map<Integer, List<Record>> its = records.get(n);
+    if (its == null) {
+      return;
+    }
     for (int t : type == Type.ANY ? Set.copyOf(its.keySet()) : Set.of(type)) {
       List<Record> gone = its.remove(t);
       if (gone != null) {
@@ -329,7 +333,7 @@
     int rcode = Rcode.NOERROR;
     TSIGRecord signed = m.getTSIG();
     if (key != null) {
-      rcode = signed == null ? Rcode.REFUSED : key.verify(m, a.octets(), null);
+      rcode = signed == null ? Rcode.REFUSED : verify(a.octets(), signed);
     }
     Message answer = new Message(m.getHeader().getID());
     answer.getHeader().setOpcode(Opcode.UPDATE);
@@ -362,6 +366,17 @@
     a.reply(answer.toWire(65_535));
   }
 
+  /** Verified as it was signed: whoever passed it on may have given it another id (RFC 8945, 5.1). */
+  private int verify(byte[] octets, TSIGRecord signed) {
+    octets[0] = (byte) (signed.getOriginalID() >> 8);
+    octets[1] = (byte) signed.getOriginalID();
+    try {
+      return key.verify(new Message(octets), octets, null);
+    } catch (IOException e) {
+      return Rcode.FORMERR;
+    }
+  }
+
   // ---- Push ----------------------------------------------------------------------------------------------
 
   private synchronized void session(StandInDns.Asked a) {
