--- a/decision/src/main/java/cloverpulley/membership/TextKeys.java
+++ b/decision/src/main/java/cloverpulley/membership/TextKeys.java
@@ -76,7 +76,8 @@
     if (!ready && !state.equals("draining")) {
       problems.add(phase + ": expected ready or draining, got \"" + cut(state) + "\", taken as draining");
     }
-    String boot = word(pairs, started, problems);
+    String said = word(pairs, started, problems);
+    String boot = said.equals("0") ? "" : said; // 0 is how those who don't know write it.
     long since = WHOLE.matcher(boot).matches() ? Long.parseLong(boot) : 0;
     Set<String> known = new HashSet<>(List.of(lower(locality), lower(flavor), lower(cell), lower(size), lower(phase), lower(started)));
     Map<String, String> further = new LinkedHashMap<>(pairs);
--- a/decision/src/test/java/cloverpulley/membership/MembershipTest.java
+++ b/decision/src/test/java/cloverpulley/membership/MembershipTest.java
@@ -633,6 +633,7 @@
     assertEquals(12, r.started());
     assertEquals(Map.of("rack", "7"), r.further());
     assertEquals(2, r.problems().size(), r.problems().toString());
+    assertEquals("", TextKeys.USUAL.read(Map.of("started", "0")).boot(), "0 is no start");
     assertEquals(Map.of("phase", "x=y", "flag", ""), TextKeys.pairs(List.of("Phase=x=y".getBytes(), "phase=z".getBytes(),
         "flag".getBytes(), "=lost".getBytes(), new byte[0])));
   }
--- a/dnssd/src/main/java/cloverpulley/dnssd/DnsSdConfig.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/DnsSdConfig.java
@@ -151,6 +151,12 @@
     return name.toString().toLowerCase(java.util.Locale.ROOT);
   }
 
+  /** The same for a look beside a front that reads as well: without its records and the door for NOTIFY. */
+  DnsSdConfig aside() {
+    return new DnsSdConfig(browses, resolvers, rules, keys, pollMillis, leastTtlMillis, backOffMillis, mostBackOffMillis, askMillis,
+        inFlight, 0, null, null, recordsMostBytes, client);
+  }
+
   /** The names that are browsed. */
   List<String> names() {
     return browses.stream().map(Browse::name).toList();
--- a/dnssd/src/main/java/cloverpulley/dnssd/DnsSdView.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/DnsSdView.java
@@ -28,8 +28,8 @@
 
   /** Begins to look. */
   public DnsSdView(DnsSdConfig config) {
-    this.config = config;
-    source = on(() -> new DnsSdSource(loop, config, ServerList.NONE, () -> 0, (kind, list) -> { }, new java.security.SecureRandom().nextLong()));
+    this.config = config.aside();
+    source = on(() -> new DnsSdSource(loop, this.config, ServerList.NONE, () -> 0, (kind, list) -> { }, new java.security.SecureRandom().nextLong()));
   }
 
   /** Runs on the source's loop. */
--- a/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
@@ -111,7 +111,6 @@
   private final Counts counts = new Counts();
   private int open;
   private int silent;
-  private int resolving;
   private boolean pumping;
   private long now;
 
@@ -155,9 +154,9 @@
     }
   }
 
-  /** Whether it has no more to ask for now of the instances that it knows, or gets no answers. */
+  /** Whether all instances that it knows have been asked for once, or it gets no answers. */
   boolean isIdle() {
-    return isDown() || queue.isEmpty() && first.isEmpty() && resolving == 0;
+    return isDown() || instances.values().stream().noneMatch(i -> i.services == null && i.failures == 0 || !i.waitsFor.isEmpty());
   }
 
   /** The zones that are read here. */
@@ -454,7 +453,6 @@
     if (i == null) {
       return; // It has left the list since.
     }
-    resolving++;
     i.open = 2;
     i.asked = zones.get(i.zone).serial;
     List<List<Srv>> services = new ArrayList<>();
@@ -481,8 +479,7 @@
   }
 
   private void part(Key key, Instance i, List<List<Srv>> services, List<Map<String, String>> pairs, long ttl) {
-    resolving -= --i.open == 0 ? 1 : 0;
-    if (i.open > 0 || instances.get(key.name()) != i) {
+    if (--i.open > 0 || instances.get(key.name()) != i) {
       pump();
       return;
     }
@@ -529,7 +526,6 @@
     if (t == null) {
       return;
     }
-    resolving++;
     t.open = 2;
     t.got = 0;
     Zone z = zoneOf(key);
@@ -549,8 +545,7 @@
   }
 
   private void family(Key key, Target t, long ttl) {
-    resolving -= --t.open == 0 ? 1 : 0;
-    if (t.open > 0 || targets.get(key.name()) != t) {
+    if (--t.open > 0 || targets.get(key.name()) != t) {
       pump();
       return;
     }
--- a/dnssd/src/test/java/cloverpulley/dnssd/PushAndPublishTest.java
+++ b/dnssd/src/test/java/cloverpulley/dnssd/PushAndPublishTest.java
@@ -183,6 +183,33 @@
     assertEquals(2.0, rig.of("q-1").size());
   }
 
+  // ---- The tools -----------------------------------------------------------------------------------------
+
+  @Test
+  void theToolsSayWhatIsBelievedAndWhy(@org.junit.jupiter.api.io.TempDir java.nio.file.Path dir) throws Exception {
+    StandInZone z = rig.zone();
+    StandInZone other = rig.zone();
+    z.server("s0", "h0.example.", 8000, "127.0.0.1", "started=b0", "rack=7", "size=x");
+    z.server("s1", "h1.example.", 8001, "127.0.0.1", "started=b1");
+    z.server("s2", "h2.example.", 8002, "127.0.0.1", "started=b2");
+    other.transfer(z);
+    java.nio.file.Path records = dir.resolve("records");
+    try (DnsSdView view = new DnsSdView(Rig.config(Rig.section("records_file = \"" + records + '"', "", z, other)))) {
+      assertTrue(view.awaitFirst(20_000));
+      String browse = String.join("\n", view.browse());
+      assertTrue(browse.contains("resolver 1 at " + other.server().hostPort() + " names 3"), browse);
+      assertTrue(browse.contains("127.0.0.1:8002") && browse.contains("ignored: s0." + Rig.SERVICE + " size"), browse);
+      z.withdraw("s1");
+      Rig.await("the withdrawal shows", () -> String.join("\n", view.explain("s1")).contains("draining"));
+      String why = String.join("\n", view.explain("s1"));
+      assertTrue(why.contains("withdrawn, on the word of resolver 0") && why.contains("resolver 0: names it no more")
+          && why.contains("resolver 1: names it"), why);
+      assertTrue(String.join("\n", view.explain("s0")).contains("rack=7"));
+      assertEquals(List.of("nobody: nobody has named it"), view.explain("nobody"));
+    }
+    assertFalse(java.nio.file.Files.exists(records), "the service's records are its own");
+  }
+
   // ---- Configuration -------------------------------------------------------------------------------------
 
   @Test
--- a/dnssd/src/test/java/cloverpulley/dnssd/ReaderTest.java
+++ b/dnssd/src/test/java/cloverpulley/dnssd/ReaderTest.java
@@ -72,6 +72,16 @@
     assertTrue(z.server().seen().stream().anyMatch(s -> s.type() == Type.PTR && s.tcp()));
   }
 
+  /** The first of them would get all the work. */
+  @Test
+  void aFirstListIsToldOnlyWhole() throws Exception {
+    StandInZone z = rig.zone();
+    fill(z, 300);
+    rig.start(z);
+    Rig.await("a list", () -> !rig.list.isEmpty());
+    assertEquals(300, rig.firstList);
+  }
+
   @Test
   void nothingIsAskedAgainWhileTheSerialStays() throws Exception {
     StandInZone z = rig.zone();
--- a/dnssd/src/test/java/cloverpulley/dnssd/Rig.java
+++ b/dnssd/src/test/java/cloverpulley/dnssd/Rig.java
@@ -33,6 +33,8 @@
   final Map<String, Server> list = new ConcurrentSkipListMap<>();
   private final List<AutoCloseable> closing = new ArrayList<>();
   private volatile long revision;
+  /** How many the first list had. */
+  volatile int firstList;
   DnsSdSource source;
 
   StandInZone zone() {
@@ -73,6 +75,7 @@
     if (kind == ListKind.FULL) {
       list.clear();
     }
+    firstList = firstList == 0 ? news.members().size() : firstList;
     if (kind == ListKind.FULL || kind == ListKind.DELTA && !news.members().isEmpty()) {
       if (news.revision() <= revision) {
         throw new AssertionError("revision " + news.revision() + " after " + revision);
