DNS-SD keeps nothing of what no list names; a zone made anew is told again

Cause: read over once more: a resolver that gave one name ever new targets, or a push about names on no list, made the module keep each of them; and a reader that skipped what a serial had not changed never told a zone made anew with lower serials a second time.

Change: records of names that no list has are not kept, targets that nobody names are forgotten in module and reader, the list goes before its parts; serials below the newest seen are read by TTL.

Measured: 1,000 targets and 2,000 foreign names leave nothing behind (recordsThatComeAndGoAreNotKept), a zone made anew is believed over sockets (aZoneMadeAnewIsBelievedInTheEnd); tests of membership and dnssd green, 300 histories kept.

--- a/decision/src/main/java/cloverpulley/membership/Membership.java
+++ b/decision/src/main/java/cloverpulley/membership/Membership.java
@@ -140,15 +140,11 @@
         d.serial = z.serial();
       }
     } else if (o instanceof Service s) {
-      if (isFromOutdated(s.resolver(), s.instance())) {
-        ignored++;
-        return;
-      }
-      if (!s.records().equals(views[s.resolver()].services.put(s.instance(), List.copyOf(s.records())))) {
-        s.records().forEach(r -> instancesOfTarget.computeIfAbsent(r.target(), t -> new HashSet<>()).add(s.instance()));
-        touch(instances.get(s.instance()));
-      }
+      onService(s);
     } else if (o instanceof Text t) {
+      if (!instances.containsKey(t.instance())) {
+        return; // Nothing is kept of what no list names.
+      }
       TextKeys.Read read = keys.read(t.pairs());
       // Leaving is not taken back by a zone that is late; it may be late in saying it.
       if (!read.draining() && isFromOutdated(t.resolver(), t.instance())) {
@@ -172,6 +168,49 @@
     }
   }
 
+  private void onService(Service s) {
+    if (!instances.containsKey(s.instance())) {
+      return; // Nothing is kept of what no list names.
+    } else if (isFromOutdated(s.resolver(), s.instance())) {
+      ignored++;
+      return;
+    }
+    List<Srv> before = views[s.resolver()].services.put(s.instance(), List.copyOf(s.records()));
+    if (s.records().equals(before)) {
+      return;
+    }
+    s.records().forEach(r -> instancesOfTarget.computeIfAbsent(r.target(), t -> new HashSet<>()).add(s.instance()));
+    if (before != null) {
+      before.forEach(r -> unlink(r.target(), s.instance()));
+    }
+    touch(instances.get(s.instance()));
+  }
+
+  /** Guards memory against targets that come and go under one name: one that no resolver gives it any more is forgotten. */
+  private void unlink(String target, String instance) {
+    for (View v : views) {
+      if (v.services.getOrDefault(instance, List.of()).stream().anyMatch(r -> r.target().equals(target))) {
+        return;
+      }
+    }
+    Set<String> users = instancesOfTarget.get(target);
+    if (users != null && users.remove(instance) && users.isEmpty()) {
+      instancesOfTarget.remove(target);
+      for (View v : views) {
+        v.forgetAddresses(target);
+      }
+    }
+  }
+
+  /** Names, records and addresses that are kept, of all resolvers; for tests of its bounds. */
+  int remembered() {
+    int n = instances.size() + instancesOfTarget.size();
+    for (View v : views) {
+      n += v.size();
+    }
+    return n;
+  }
+
   /** Whether a resolver answers from an outdated zone, as far as an instance that is known is concerned. */
   private boolean isFromOutdated(int resolver, String instance) {
     Instance i = instances.get(instance);
@@ -991,19 +1030,11 @@
     waiting.remove(i);
     suspects.remove(i);
     for (View v : views) {
-      List<Srv> services = v.services.getOrDefault(i.name, List.of());
-      boolean last = true;
-      for (Srv s : services) {
-        Set<String> users = instancesOfTarget.get(s.target());
-        if (users != null) {
-          users.remove(i.name);
-          last &= users.isEmpty();
-          if (users.isEmpty()) {
-            instancesOfTarget.remove(s.target());
-          }
-        }
+      v.texts.remove(i.name);
+      List<Srv> services = v.services.remove(i.name);
+      if (services != null) {
+        services.forEach(s -> unlink(s.target(), i.name));
       }
-      v.forget(i.name, last);
     }
   }
 
--- a/decision/src/main/java/cloverpulley/membership/View.java
+++ b/decision/src/main/java/cloverpulley/membership/View.java
@@ -43,7 +43,10 @@
 
   /** Whether that is news. */
   boolean addresses(String target, boolean six, List<String> figures) {
-    return !figures.equals((six ? ipv6 : ipv4).put(target, figures));
+    Map<String, List<String>> family = six ? ipv6 : ipv4;
+    // None is as none known: a target that its reader has let go of is not kept for that.
+    List<String> before = figures.isEmpty() ? family.remove(target) : family.put(target, figures);
+    return !figures.equals(before == null ? List.of() : before);
   }
 
   /** Of several the one in use, if it still is among them, or the first by its letters: every reader takes the same. */
@@ -60,15 +63,14 @@
     return address == null ? null : new Incarnation(srv, address, texts.getOrDefault(instance, TextKeys.NONE));
   }
 
-  /** Forgets the records of an instance that is not known any more. */
-  void forget(String instance, boolean targetToo) {
-    List<Srv> gone = services.remove(instance);
-    texts.remove(instance);
-    if (targetToo && gone != null) {
-      gone.forEach(s -> {
-        ipv4.remove(s.target());
-        ipv6.remove(s.target());
-      });
-    }
+  /** Forgets the addresses of a target that nobody uses. */
+  void forgetAddresses(String target) {
+    ipv4.remove(target);
+    ipv6.remove(target);
+  }
+
+  /** What is kept here. */
+  int size() {
+    return services.size() + texts.size() + ipv4.size() + ipv6.size();
   }
 }
--- a/decision/src/test/java/cloverpulley/membership/Bench.java
+++ b/decision/src/test/java/cloverpulley/membership/Bench.java
@@ -93,11 +93,13 @@
     Set<String> names = new TreeSet<>();
     for (Said s : servers) {
       names.add(s.label + "." + domain);
+    }
+    observe(new Browsed(resolver, domain, names, serial, 60_000));
+    for (Said s : servers) {
       observe(new Service(resolver, s.label + "." + domain, List.of(new Srv(s.priority, 0, s.target, s.port))));
       observe(new Text(resolver, s.label + "." + domain, Map.copyOf(s.text)));
       observe(new Addresses(resolver, s.target, false, List.of(s.address)));
     }
-    observe(new Browsed(resolver, domain, names, serial, 60_000));
     settle();
   }
 
--- a/decision/src/test/java/cloverpulley/membership/HistoriesTest.java
+++ b/decision/src/test/java/cloverpulley/membership/HistoriesTest.java
@@ -181,6 +181,13 @@
       if (shownSerial >= 0) {
         bench.observe(new ZoneSerial(r, Bench.DOMAIN, shownSerial));
       }
+      Set<String> names = new TreeSet<>();
+      says.keySet().forEach(l -> names.add(Bench.name(l)));
+      Browsed b = new Browsed(r, Bench.DOMAIN, names, shownSerial, 10_000);
+      bench.observe(b);
+      if (random.nextInt(5) == 0) {
+        bench.observe(b); // And some come twice.
+      }
       for (Real s : says.values()) {
         if (m == Mode.GOOD || random.nextInt(10) > 0) { // Some records are lost on the way.
           String name = Bench.name(s.label);
@@ -190,13 +197,6 @@
           bench.observe(new Addresses(r, target, false, List.of(s.address)));
         }
       }
-      Set<String> names = new TreeSet<>();
-      says.keySet().forEach(l -> names.add(Bench.name(l)));
-      Browsed b = new Browsed(r, Bench.DOMAIN, names, shownSerial, 10_000);
-      bench.observe(b);
-      if (random.nextInt(5) == 0) {
-        bench.observe(b); // And some come twice.
-      }
       if (m == Mode.GOOD) {
         for (Real s : truth.values()) {
           if (s.draining) {
--- a/decision/src/test/java/cloverpulley/membership/MembershipTest.java
+++ b/decision/src/test/java/cloverpulley/membership/MembershipTest.java
@@ -503,10 +503,10 @@
       Bench b = new Bench(1);
       Srv x = new Srv(0, 10, "x.example.", 80);
       Srv y = new Srv(0, 20, "y.example.", 80);
+      b.observe(new Browsed(0, Bench.DOMAIN, Set.of(name("a")), 1, 60_000));
       b.observe(new Service(0, name("a"), turned ? List.of(y, x) : List.of(x, y)));
       b.observe(new Addresses(0, "x.example.", false, List.of("10.0.0.1")));
       b.observe(new Addresses(0, "y.example.", false, List.of("10.0.0.3", "10.0.0.2")));
-      b.observe(new Browsed(0, Bench.DOMAIN, Set.of(name("a")), 1, 60_000));
       b.settle();
       assertEquals("10.0.0.2", b.member("a").address());
     }
@@ -615,6 +615,25 @@
     assertTrue(b.module.instances() <= 12, "still known: " + b.module.instances());
   }
 
+  /** What a resolver may make us keep: a target for each poll under one name, and records of names that no list has. */
+  @Test
+  void recordsThatComeAndGoAreNotKept() {
+    Bench b = new Bench(2);
+    b.answer(0, 1, fleet(0, 4));
+    b.answer(1, 1, fleet(0, 4));
+    int before = b.module.remembered();
+    for (int i = 0; i < 1000; i++) {
+      String target = "t" + i + ".example.";
+      b.observe(new Service(0, name("s1"), List.of(new Srv(0, 0, target, 80))));
+      b.observe(new Addresses(0, target, false, List.of("10.9.9." + i % 250)));
+      b.observe(new Service(0, name("nobody" + i), List.of(new Srv(0, 0, target, 80))));
+      b.observe(new Text(1, name("nobody" + i), Map.of("phase", "draining")));
+      b.settle();
+      b.pass(10);
+    }
+    assertTrue(b.module.remembered() <= before + 4, before + " before, " + b.module.remembered() + " after");
+  }
+
   @Test
   void rulesThatCouldNeverBeMetAreRefused() {
     assertThrows(IllegalArgumentException.class, () -> new Rules(List.of(), 0.5, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1));
--- a/dnssd/src/main/java/cloverpulley/dnssd/Push.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/Push.java
@@ -287,7 +287,7 @@
     } else if (browse) {
       reader.changedList(now, r.name());
     } else {
-      if (r.type() == Type.TXT && !r.removed()) {
+      if (r.type() == Type.TXT && !r.removed() && reader.knows(r.name())) {
         Map<String, String> pairs = TextKeys.pairs(r.strings());
         if (config.keys().read(pairs).draining()) {
           sink.accept(new Observation.Text(number, r.name(), pairs));
--- a/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
+++ b/dnssd/src/main/java/cloverpulley/dnssd/Reader.java
@@ -15,6 +15,7 @@
 import cloverpulley.membership.Observation.Unchanged;
 import cloverpulley.membership.Observation.ZoneSerial;
 import cloverpulley.membership.Refresh;
+import cloverpulley.membership.Serial;
 import cloverpulley.membership.Srv;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -54,6 +55,8 @@
 
   private static final class Zone {
     long serial = -1;
+    /** The newest that was seen: an older one after it may be a zone made anew, whose answers have to be told again. */
+    long newest = -1;
     boolean authoritative;
     long verifiedAt = Long.MIN_VALUE / 2;
     final List<Browse> browses = new ArrayList<>();
@@ -194,6 +197,11 @@
     }
   }
 
+  /** Whether an instance is on one of its lists. */
+  boolean knows(String instance) {
+    return instances.containsKey(instance);
+  }
+
   /** The list of a browse, as it was last told. */
   Set<String> listed(String browse) {
     return listed.getOrDefault(browse, Set.of());
@@ -251,7 +259,7 @@
       case TARGET -> targets.containsKey(key.name()) ? targets.get(key.name()).serial : -1;
       case SERIAL -> -1;
     };
-    return z.authoritative && serial >= 0 && serial == z.serial && now - z.verifiedAt < POLLS_SURE * config.pollMillis();
+    return z.authoritative && !Serial.isOlder(z.serial, z.newest) && serial >= 0 && serial == z.serial && now - z.verifiedAt < POLLS_SURE * config.pollMillis();
   }
 
   private long ttlOf(Key key) {
@@ -332,6 +340,7 @@
     long before = z.serial;
     boolean was = z.authoritative;
     z.serial = a.serial();
+    z.newest = z.newest < 0 || Serial.isOlder(z.newest, z.serial) ? z.serial : z.newest;
     z.authoritative = a.isAuthoritative() && z.serial >= 0;
     refresh.answered(now, key, pollTtl);
     if (z.authoritative) {
@@ -371,6 +380,9 @@
         leave(n, key.name());
       }
     });
+    long ttl = Math.max(config.leastTtlMillis(), a.ttlMillis());
+    // The list before the parts: of what no list names nothing is kept.
+    sink.accept(new Browsed(number, key.name(), names, z.authoritative ? serial : -1, Math.max(ttl, POLLS_SURE * config.pollMillis())));
     Map<String, Answer.Beside> beside = beside(a, names, b);
     int most = config.rules().mostInstances();
     for (String n : names) {
@@ -389,8 +401,6 @@
         refresh.want(now, Key.instance(n));
       }
     }
-    long ttl = Math.max(config.leastTtlMillis(), a.ttlMillis());
-    sink.accept(new Browsed(number, key.name(), names, z.authoritative ? serial : -1, Math.max(ttl, POLLS_SURE * config.pollMillis())));
     refresh.answered(now, key, z.authoritative ? ttl : Math.min(ttl, (long) (config.pollMillis() * POLL_TTL)));
     turn(now);
   }
@@ -445,6 +455,8 @@
     if (t != null && t.users.remove(name) && t.users.isEmpty()) {
       targets.remove(target);
       refresh.drop(Key.target(target));
+      sink.accept(new Addresses(number, target, false, List.of()));
+      sink.accept(new Addresses(number, target, true, List.of()));
     }
   }
 
--- a/dnssd/src/test/java/cloverpulley/dnssd/ReaderTest.java
+++ b/dnssd/src/test/java/cloverpulley/dnssd/ReaderTest.java
@@ -265,6 +265,22 @@
     assertEquals(6, rig.ready());
   }
 
+  /** With the primary lost and its zone made anew, serials begin again: believed once no cache can be at fault. */
+  @Test
+  void aZoneMadeAnewIsBelievedInTheEnd() throws Exception {
+    StandInZone z = rig.zone();
+    z.ttl(1);
+    fill(z, 4);
+    z.serial(500);
+    rig.start(Rig.section("", "longest_ttl_ms = 1000\n", z), ServerList.NONE);
+    Rig.await("four servers", () -> rig.ready() == 4);
+    z.server("s9", "h9.example.", 8009, "127.0.0.1", "started=b9");
+    z.serial(3);
+    Rig.awaitAsked(z, Rig.ORIGIN, 5);
+    assertNull(rig.of("s9"), "an older serial is no news at first");
+    Rig.await("the new zone", () -> rig.state("s9") == State.READY);
+  }
+
   // ---- Identity ------------------------------------------------------------------------------------------
 
   @Test
