A registered program withdraws at SIGTERM while it still answers: tested as a process

Need: withdrawal at SIGTERM was tested at its class only. Change: the packaged command finds its fleet by DNS-SD, registers itself, gets SIGTERM; dnssd joins the commands whose help is checked. Measured: withdrawn before it stops serving; the test takes some seconds.

--- a/dist/src/test/java/cloverpulley/cli/CommandIT.java
+++ b/dist/src/test/java/cloverpulley/cli/CommandIT.java
@@ -9,6 +9,7 @@
 import cloverpulley.standins.StandInProxy;
 import cloverpulley.standins.StandInUpstream;
 import cloverpulley.standins.StandInUpstream.Answer;
+import cloverpulley.standins.StandInZone;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -108,7 +109,7 @@
     assertTrue(lastErr().contains("bad.toml: line 13: fleet.server[0].odd: unknown key"), lastErr());
     assertEquals(0, status("check", "deploy/operators.toml"));
     assertEquals(0, status("--help"));
-    for (String command : List.of("process", "dns", "check", "demo")) {
+    for (String command : List.of("process", "dns", "dnssd", "check", "demo")) {
       assertEquals(0, status(command, "--help"));
     }
   }
@@ -153,6 +154,39 @@
     }
   }
 
+  /** Whoever looks for the program finds it while it serves, and no more from its SIGTERM on, while it still answers. */
+  @Test
+  void aProgramThatIsRegisteredWithdrawsFirstOfAll() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try (StandInZone zone = new StandInZone(group, "example.")) {
+      zone.server("q1", "h1.example.", 7001, "127.0.0.1", "started=b1");
+      Path file = Files.writeString(folder.resolve("found.toml"), config(0).replace("lame_ms = 50", "lame_ms = 1500")
+          + "[fleet.dnssd]\ndomains = [\"example\"]\n[[fleet.dnssd.resolver]]\naddress = \"" + zone.server().hostPort() + "\"\n"
+          + "[publish]\nprimary = \"" + zone.server().hostPort() + "\"\nzone = \"example\"\ninstance = \"me\"\nservice = \"_proxy._tcp\"\n");
+      Process process = start("process", "--config", file.toString());
+      InetSocketAddress address = listening(process);
+      while (zone.at("_proxy._tcp.example.").isEmpty()) {
+        assertTrue(process.isAlive(), lastErr());
+        TimeUnit.MILLISECONDS.sleep(5);
+      }
+      assertTrue(zone.at("me._proxy._tcp.example.").toString().contains(" " + address.getPort() + " "), zone.at("me._proxy._tcp.example.").toString());
+      try (StandInCaller caller = new StandInCaller(address)) {
+        while (!destination(caller).equals("127.0.0.1:7001")) {
+          assertTrue(process.isAlive(), lastErr());
+        }
+        signal(process, "-TERM");
+        while (!zone.at("_proxy._tcp.example.").isEmpty()) {
+          TimeUnit.MILLISECONDS.sleep(1);
+        }
+        assertEquals("127.0.0.1:7001", destination(caller), "withdrawn, and still serving");
+      }
+      assertTrue(process.waitFor(LIMIT_S, TimeUnit.SECONDS));
+      assertEquals(0, process.exitValue(), lastErr());
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
   @Test
   void aPortThatIsTakenIsOneLine() throws Exception {
     try (var taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
