DNS restart: what comes while the front stops is read, answered, or refused at once

Three causes, each made by a loopback test that fails on the code before: (1) a stopping front dropped datagrams without a word for as long as anything was in hand (5 s at most), and who asked again could meet the same socket again, as both share the port; (2) a connection with nothing open was closed in the very turn of the decision, with octets unread: its client was reset; (3) what waited in the accept queue, past the 16 that one turn takes, was reset with the listener.

Change: a pure `Leaving` says what is taken: in the first half of drain_ms everything, in the second new questions get SERVFAIL, extended error 14 and the time left. Clients that ask for keepalive are told 0 (RFC 7828).

Found on the way: the decoder read on whatever a client had open, so that who pipelined without end was kept in memory (64 MB in the test); it is now left in the socket.

--- a/dns/src/main/java/cloverpulley/dns/DnsServer.java
+++ b/dns/src/main/java/cloverpulley/dns/DnsServer.java
@@ -25,6 +25,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -84,6 +85,7 @@
   private OwnZone shownZone;
   private Fleet shown;
   private Engine.ListSource shownDiscovery;
+  private boolean wasQuiet;
 
   private DnsServer(DnsConfig config) {
     this.config = config;
@@ -240,6 +242,8 @@
   private Channel bindTcp() throws IOException {
     ServerBootstrap b = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        // All that wait are taken in one turn: those still waiting when the listener closes are reset.
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(BACKLOG))
         .childOption(ChannelOption.TCP_NODELAY, true).childHandler(tcp);
     if (config.reusePort()) {
       // A successor may listen before its predecessor has gone.
@@ -307,6 +311,10 @@
     return client;
   }
 
+  boolean isLeaving() {
+    return resolver.leaving.hasBegun();
+  }
+
   int inHand() {
     return onLoop(engine::inHand);
   }
@@ -315,6 +323,11 @@
     return onLoop(tcp::connections);
   }
 
+  /** Octets of clients' messages that are held and not taken yet. */
+  int unread() {
+    return onLoop(tcp::unread);
+  }
+
   /** Whether a query that came now could be passed on; asked on its loop. */
   boolean servesNow() {
     return engine.canServe();
@@ -329,20 +342,18 @@
   // ---- The end -------------------------------------------------------------------------------------------
 
   /**
-   * Stops in order: goes on for a while, for a successor to come up; takes no more connections, and over UDP only what it can answer by itself; what is in hand goes
-   * on for its time; what then still has no answer gets one. Returns when all is over.
+   * Stops in order: goes on for a while, for a successor to come up; takes no more connections; serves what still comes, in the second
+   * half of its time only what is in hand; what then has no answer gets one. Returns when all is over.
    */
   public void stop() throws InterruptedException {
     LOG.info("stopping");
     TimeUnit.MILLISECONDS.sleep(config.lameMillis());
     onLoop(() -> {
-      tcpListener.close();
-      tcp.stop();
-      resolver.stopping();
+      leave();
       return null;
     });
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(config.drainMillis());
-    while (System.nanoTime() < until && onLoop(() -> engine.inHand() + tcp.connections()) > 0) {
+    while (System.nanoTime() < until && !onLoop(this::wentQuietly)) {
       TimeUnit.MILLISECONDS.sleep(STOP_CHECK_MILLIS);
     }
     onLoop(() -> {
@@ -357,6 +368,27 @@
     close();
   }
 
+  /** On the loop: no more connections, and an end to those there are. */
+  void leave() {
+    tcpListener.close();
+    resolver.leave(TimeUnit.MILLISECONDS.toNanos(config.drainMillis()));
+    tcp.stop();
+  }
+
+  /**
+   * With nothing in hand, twice in a row, the socket for datagrams goes: between the two it has been read, and what comes from here on is
+   * the successor's.
+   */
+  private boolean wentQuietly() {
+    boolean quiet = engine.inHand() + tcp.connections() == 0;
+    boolean goes = quiet && wasQuiet;
+    wasQuiet = quiet;
+    if (goes) {
+      udp.close();
+    }
+    return goes;
+  }
+
   /** Ends at once, whatever is in hand. */
   @Override
   public void close() {
--- a/dns/src/main/java/cloverpulley/dns/Resolver.java
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -16,6 +16,7 @@
 import cloverpulley.engine.Exchange;
 import cloverpulley.engine.Verdict;
 import cloverpulley.names.Freshness;
+import cloverpulley.names.Leaving;
 import cloverpulley.names.ResponseLimit;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -63,7 +64,8 @@
   final Engine engine;
   final DnsClient client;
   final DnsCounts counts;
-  final Query.Replies replies;
+  final Leaving leaving = new Leaving();
+  Query.Replies replies;
   final Repeated repeated = new Repeated(MOST_REPEATS, REPEATS_KEPT);
   private final Cache cache;
   private final Cookies cookies;
@@ -71,7 +73,6 @@
   private final List<OwnZone> zones = new ArrayList<>();
   private final Map<Cache.Key, Flight> flights = new HashMap<>();
   private final Set<String> tenants = new HashSet<>();
-  private boolean stopping;
 
   Resolver(EventLoop loop, Clock clock, DnsConfig config, Engine engine, DnsClient client, DnsCounts counts) {
     this.loop = loop;
@@ -269,20 +270,26 @@
       counts.cached++;
       long age = (q.arrivedAt - e.at) / NANOS;
       reply(q, q.filled(replies, e.body, age, e.ttl - age, false, -1, null));
-      if (use == Freshness.Use.REFRESH && !flights.containsKey(key)) {
+      if (use == Freshness.Use.REFRESH && !leaving.hasBegun() && !flights.containsKey(key)) {
         counts.prefetched++;
         launch(key, q, e, true);
       }
-    } else if (stopping && !q.client.isTcp() && !flights.containsKey(key)) {
-      counts.dropped++; // Not taken: asked again, it comes to the successor.
+    } else if (leaving.refuses(q.arrivedAt) && !flights.containsKey(key)) {
+      fail(q, stopping(q));
     } else {
       fly(q);
     }
   }
 
-  /** From now on nothing that comes over UDP is sent on its way. */
-  void stopping() {
-    stopping = true;
+  /** Nothing of it has run: asked again once we have gone, it comes to the successor. */
+  private Verdict stopping(Query q) {
+    return new Verdict(true, Reason.STOPPING, leaving.left(q.arrivedAt));
+  }
+
+  /** The front goes: from here on {@link Leaving} says what is taken. */
+  void leave(long lastsNanos) {
+    leaving.begin(clock.now(), lastsNanos);
+    replies = new Query.Replies(config.udpSize(), 0); // Who asked for it is told to close (RFC 7828, 3.2.2).
   }
 
   /** Sends a question on its way, or lets it join one that is under way. */
@@ -364,10 +371,6 @@
         return;
       }
     }
-    if (stopping && !q.client.isTcp()) {
-      counts.dropped++;
-      return;
-    }
     boolean safe = type.effect() == Effect.SAFE;
     Repeated.Key key = safe || q.client.isTcp() ? null : new Repeated.Key(q);
     if (key != null && repeated.isKnown(key)) {
@@ -377,6 +380,9 @@
         reply(q, answer.clone());
       }
       return;
+    } else if (leaving.refuses(q.arrivedAt)) {
+      fail(q, stopping(q)); // Only here: of a repeat the first may have run, or be under way.
+      return;
     } else if (key != null && !repeated.taken(key, q.arrivedAt)) {
       fail(q, new Verdict(true, Reason.RECORD_FULL, NANOS));
       return;
--- a/dns/src/main/java/cloverpulley/dns/TcpFront.java
+++ b/dns/src/main/java/cloverpulley/dns/TcpFront.java
@@ -24,6 +24,8 @@
 
   private static final int SWEEPS = 8;
   private static final long MOST_SWEEP_MILLIS = 250;
+  /** And while stopping. */
+  private static final long STOP_SWEEP_MILLIS = 5;
 
   private final EventLoop loop;
   private final Resolver resolver;
@@ -32,8 +34,7 @@
   /** In the order of their last use, the idle longest first. */
   private final Set<Peer> peers = new LinkedHashSet<>();
   private final Map<InetAddress, Integer> byClient = new HashMap<>();
-  private final Future<?> sweep;
-  private boolean stopping;
+  private Future<?> sweep;
 
   TcpFront(EventLoop loop, Resolver resolver, Flusher flusher, DnsConfig.Limits limits) {
     this.loop = loop;
@@ -74,16 +75,16 @@
   }
 
   private void sweep() {
-    long now = System.nanoTime();
+    long now = resolver.clock.now();
     for (Peer p : List.copyOf(peers)) {
       p.check(now);
     }
   }
 
-  /** Connections with nothing open go at once, the others when they are done. */
+  /** Connections go one by one, each at a moment at which nothing waits there. */
   void stop() {
-    stopping = true;
-    List.copyOf(peers).forEach(Peer::closeIfDone);
+    sweep.cancel(false);
+    sweep = loop.scheduleWithFixedDelay(this::sweep, STOP_SWEEP_MILLIS, STOP_SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   void close() {
@@ -95,6 +96,11 @@
     return peers.size();
   }
 
+  /** Octets read of messages that are not taken yet, over all connections. */
+  int unread() {
+    return peers.stream().mapToInt(Peer::held).sum();
+  }
+
   /** One connection. */
   final class Peer extends ByteToMessageDecoder implements Query.Client {
 
@@ -103,17 +109,22 @@
     /** Queries without an answer, and who works on them. */
     private final Map<Query, DnsExchange> waiting = new HashMap<>();
     private boolean gone;
-    private long usedAt = System.nanoTime();
+    private long usedAt = resolver.clock.now();
     /** When the first octet of a message came that is not whole yet; 0 for none. */
     private long partSince;
     /** Since when the client takes no answers; 0 where it does. */
     private long stalledSince;
+    private boolean mayLeave;
 
     Peer(Channel channel, InetAddress address) {
       this.channel = channel;
       this.address = address;
     }
 
+    private int held() {
+      return actualReadableBytes();
+    }
+
     private boolean isWriting() {
       return channel.unsafe().outboundBuffer() != null && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > 0;
     }
@@ -148,11 +159,18 @@
       afterRead();
     }
 
+    /** Guards against the decoder's own way, which reads on as long as it has made no message, whatever waits already. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+      discardSomeReadBytes();
+      context.fireChannelReadComplete();
+    }
+
     private void afterRead() {
       boolean full = waiting.size() >= limits.pipelined() || !channel.isWritable();
       int left = actualReadableBytes();
-      partSince = left == 0 || full ? 0 : partSince == 0 ? System.nanoTime() : partSince;
-      channel.config().setAutoRead(!full && !stopping);
+      partSince = left == 0 || full ? 0 : partSince == 0 ? resolver.clock.now() : partSince;
+      channel.config().setAutoRead(!full);
     }
 
     /** Room again: what has been read and not taken is taken before more is read. */
@@ -171,7 +189,7 @@
     }
 
     private void used() {
-      usedAt = System.nanoTime();
+      usedAt = resolver.clock.now();
       if (peers.remove(this)) {
         peers.add(this);
       }
@@ -187,18 +205,16 @@
       boolean idle = waiting.isEmpty() && !isWriting() && now - usedAt > TimeUnit.MILLISECONDS.toNanos(limits.idleMillis());
       boolean slow = partSince > 0 && now - partSince > TimeUnit.MILLISECONDS.toNanos(limits.messageMillis());
       boolean stalled = stalledSince > 0 && now - stalledSince > TimeUnit.MILLISECONDS.toNanos(limits.stallMillis());
-      if (idle || slow || stalled || stopping && waiting.isEmpty() && !isWriting()) {
+      // Seen at two sweeps with all sockets read in between: a connection that is closed with octets unread is reset, and its client
+      // loses what it asked.
+      boolean couldLeave = mayLeave;
+      mayLeave = waiting.isEmpty() && !isWriting() && resolver.leaving.mayClose(now, usedAt, partSince > 0);
+      if (idle || slow || stalled || mayLeave && couldLeave) {
         resolver.counts.turnedAway += slow || stalled ? 1 : 0;
         channel.close();
       }
     }
 
-    private void closeIfDone() {
-      if (stopping && waiting.isEmpty() && !isWriting()) {
-        channel.close();
-      }
-    }
-
     @Override
     public InetAddress address() {
       return address;
@@ -222,10 +238,7 @@
     @Override
     public void answer(byte[] octets) {
       channel.write(channel.alloc().directBuffer(2 + octets.length).writeShort(octets.length).writeBytes(octets))
-          .addListener(f -> {
-            stalledSince = 0; // It reads, if slowly: an answer has gone out whole.
-            loop.execute(this::closeIfDone); // Its octets are counted as pending until this has returned.
-          });
+          .addListener(f -> stalledSince = 0); // It reads, if slowly: an answer has gone out whole.
       flusher.wrote(channel);
       used();
     }
--- a/dns/src/test/java/cloverpulley/dns/FrontTest.java
+++ b/dns/src/test/java/cloverpulley/dns/FrontTest.java
@@ -354,4 +354,32 @@
     rig.awaitNothingInHand();
     assertNotNull(rig.server.report());
   }
+
+  /**
+   * Who pipelines without end, and more than it may have open, is held back by its own socket. Before, all of it was read and kept.
+   */
+  @Test
+  void whatMayNotBeOpenYetIsLeftInTheSocket() throws Exception {
+    rig.start("limits.tcp_pipelined = 2\nupstream.attempt_ms = 15000", "", rig.dns(a -> { }));
+    byte[] one = Rig.Tcp.framed(Rig.question(1, "held.example.").toWire(512));
+    java.nio.ByteBuffer many = java.nio.ByteBuffer.allocate(one.length * 1000);
+    while (many.hasRemaining()) {
+      many.put(one);
+    }
+    long most = 64 << 20; // No socket buffers are as large.
+    try (java.nio.channels.SocketChannel client = java.nio.channels.SocketChannel.open(rig.server.address())) {
+      client.configureBlocking(false);
+      long sent = 0;
+      for (int full = 0; full < 50 && sent < most;) {
+        many.rewind();
+        int n = client.write(many);
+        sent += n;
+        full = n == 0 ? full + 1 : 0;
+        rig.server.onLoop(() -> null); // It has had its turn to read.
+      }
+      assertTrue(sent < most, "all was read: " + sent);
+      int held = rig.server.unread();
+      assertTrue(held < 1 << 20, "held " + held);
+    }
+  }
 }
--- a/dns/src/test/java/cloverpulley/dns/RestartTest.java
+++ b/dns/src/test/java/cloverpulley/dns/RestartTest.java
@@ -86,6 +86,107 @@
     }
   }
 
+  /** A connection with a question in hand goes on being served while the front stops. */
+  @Test
+  void whatComesWhileAQuestionIsInHandIsAnsweredToo() throws Exception {
+    List<Asked> held = java.util.Collections.synchronizedList(new ArrayList<>());
+    rig.start("lame_ms = 0\ndrain_ms = 20000\nupstream.attempt_ms = 15000", "", rig.dns(held::add));
+    try (Rig.Tcp tcp = new Rig.Tcp(rig.server.address())) {
+      tcp.send(Rig.question(0, "q0.example."));
+      Rig.await("the first is in hand", () -> held.size() == 1);
+      CompletableFuture<Void> stopped = stopping(rig.server);
+      Rig.await("it stops", () -> rig.server.onLoop(rig.server::isLeaving));
+      for (int i = 1; i < 4; i++) {
+        int now = i + 1;
+        tcp.send(Rig.question(i, "q" + i + ".example."));
+        Rig.await("it is read", () -> held.size() == now);
+      }
+      held.forEach(a -> a.reply(a.address(60, "10.0.0.1")));
+      for (int i = 0; i < 4; i++) {
+        assertEquals("10.0.0.1", Rig.text(tcp.answer()));
+      }
+      assertTrue(tcp.ends());
+      stopped.get(Rig.LIMIT_S, TimeUnit.SECONDS);
+    }
+  }
+
+  /**
+   * A question that has come and was not read yet when the front decides to stop. Before, its connection had nothing in hand and was
+   * closed at once: the client was reset, without an answer.
+   */
+  @Test
+  void whatHasComeAndIsNotReadYetIsAnswered() throws Exception {
+    rig.start("lame_ms = 0\ndrain_ms = 20000", "", rig.dns(StandInDns.addresses("10.0.0.1")));
+    try (Rig.Tcp tcp = new Rig.Tcp(rig.server.address())) {
+      assertEquals("10.0.0.1", Rig.text(tcp.ask(Rig.question(1, "a.example."))));
+      rig.server.onLoop(() -> {
+        TimeUnit.MILLISECONDS.sleep(150); // The loop is busy, the connection silent for long.
+        tcp.send(Rig.question(2, "b.example."));
+        rig.server.leave();
+        return null;
+      });
+      assertEquals("10.0.0.1", Rig.text(tcp.answer()));
+      assertTrue(tcp.ends());
+    }
+  }
+
+  /** A datagram that comes while anything else is in hand is answered. Before, it was dropped for as long as that took. */
+  @Test
+  void aDatagramIsAnsweredWhileAnythingElseIsInHand() throws Exception {
+    List<Asked> held = java.util.Collections.synchronizedList(new ArrayList<>());
+    rig.start("lame_ms = 0\ndrain_ms = 20000\nupstream.attempt_ms = 15000", "", rig.dns(a -> {
+      if (a.message().getQuestion().getName().toString().toLowerCase(java.util.Locale.ROOT).startsWith("held")) {
+        held.add(a);
+      } else {
+        a.reply(a.address(60, "10.0.0.2"));
+      }
+    }));
+    try (Rig.Tcp tcp = new Rig.Tcp(rig.server.address()); Rig.Udp udp = new Rig.Udp(rig.server.address())) {
+      tcp.send(Rig.question(1, "held.example."));
+      Rig.await("it is in hand", () -> held.size() == 1);
+      CompletableFuture<Void> stopped = stopping(rig.server);
+      Rig.await("it stops", () -> rig.server.onLoop(rig.server::isLeaving));
+      for (int i = 0; i < 5; i++) {
+        assertEquals("10.0.0.2", Rig.text(udp.ask(Rig.question(i, "u" + i + ".example."))));
+      }
+      held.get(0).reply(held.get(0).address(60, "10.0.0.1"));
+      assertEquals("10.0.0.1", Rig.text(tcp.answer()));
+      stopped.get(Rig.LIMIT_S, TimeUnit.SECONDS);
+    }
+  }
+
+  /** In the second half of its time a new question is told at once that it is to go elsewhere, over both; what is in hand stays. */
+  @Test
+  void nearItsEndItRefusesWhatIsNew() throws Exception {
+    List<Asked> held = java.util.Collections.synchronizedList(new ArrayList<>());
+    rig.start("lame_ms = 0\ndrain_ms = 3000\nlimits.udp_per_prefix_per_s = 0\nupstream.attempt_ms = 15000", "", rig.dns(a -> {
+      if (a.message().getQuestion().getName().toString().toLowerCase(java.util.Locale.ROOT).startsWith("held")) {
+        held.add(a);
+      } else {
+        a.reply(a.address(60, "10.0.0.2"));
+      }
+    }));
+    try (Rig.Tcp tcp = new Rig.Tcp(rig.server.address()); Rig.Udp udp = new Rig.Udp(rig.server.address())) {
+      tcp.send(Rig.question(1, "held.example."));
+      Rig.await("it is in hand", () -> held.size() == 1);
+      CompletableFuture<Void> stopped = stopping(rig.server);
+      Message m;
+      int asked = 0;
+      do {
+        m = udp.ask(Rig.edns(Rig.question(asked & 0xFFFF, "u" + asked++ + ".example."), 1232, 0));
+      } while (m.getRcode() == Rcode.NOERROR);
+      assertEquals(Rcode.SERVFAIL, m.getRcode());
+      assertEquals(NOT_READY, Rig.error(m));
+      m = tcp.ask(Rig.edns(Rig.question(2, "new.example."), 1232, 0));
+      assertEquals(2, m.getHeader().getID());
+      assertEquals(NOT_READY, Rig.error(m));
+      held.get(0).reply(held.get(0).address(60, "10.0.0.1"));
+      assertEquals("10.0.0.1", Rig.text(tcp.answer()));
+      assertTrue(tcp.ends());
+      stopped.get(Rig.LIMIT_S, TimeUnit.SECONDS);
+    }
+  }
+
   /**
    * A restart under load, the successor up before the predecessor goes: clients that ask again after a lost datagram, as all do, have
    * an answer each; over TCP whoever is cut off connects again and has it.
