--- /dev/null
+++ b/decision/src/main/java/cloverpulley/incident/Query.java
@@ -0,0 +1,341 @@
+package cloverpulley.incident;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * A question for records: comparisons of fields with words and numbers, joined by {@code and}, {@code or}, {@code not} and parentheses.
+ *
+ * <pre>
+ * kind=answered and tenant=agro-tehnika and (answer=refused or latency_ms&gt;400) and at&gt;=2026-12-01T10:00:00Z
+ * </pre>
+ *
+ * Fields are {@code kind, word, class, tenant, server, upstream, instance, request, answer} (text: = != ~, the last for "contains"),
+ * {@code attempt, latency_ms, value, number} (numbers) and {@code at} (a time in ISO 8601, or Unix seconds). Words with blanks stand in
+ * double quotes. What a question bounds for sure, its time and its equalities, lets a reader pass over what can't fit.
+ */
+public final class Query {
+
+  /** A field of which an index may know. */
+  public enum Term { KIND, WORD, CLASS, TENANT, SERVER, UPSTREAM, REQUEST }
+
+  /** All of them have to hold for a record to fit. */
+  public record Needs(long from, long to, Map<Term, String> equal) {}
+
+  private static final int MOST_LENGTH = 4096;
+  private static final int MOST_DEPTH = 50;
+
+  private interface Node {
+    boolean test(Entry e);
+
+    /** What must hold, added to what is known to: only a conjunction can. */
+    default void need(Bounds b) {}
+  }
+
+  private static final class Bounds {
+    long from = Long.MIN_VALUE;
+    long to = Long.MAX_VALUE;
+    final Map<Term, String> equal = new HashMap<>();
+  }
+
+  private final String text;
+  private int at;
+  private int depth;
+  private final Node root;
+
+  private Query(String text) {
+    this.text = text;
+    if (text.length() > MOST_LENGTH) {
+      throw wrong("longer than " + MOST_LENGTH + " characters");
+    }
+    skip();
+    root = at == text.length() ? e -> true : or();
+    skip();
+    if (at < text.length()) {
+      throw wrong("expected and, or, or the end");
+    }
+  }
+
+  /**
+   * Reads a question; an empty one fits all.
+   *
+   * @throws IllegalArgumentException says where it can't be read, and what was expected there
+   */
+  public static Query of(String text) {
+    return new Query(text);
+  }
+
+  /** Whether a record fits. */
+  public boolean test(Entry e) {
+    return root.test(e);
+  }
+
+  /** What has to hold for any record that fits. */
+  public Needs needs() {
+    Bounds b = new Bounds();
+    root.need(b);
+    return new Needs(b.from, b.to, Map.copyOf(b.equal));
+  }
+
+  private IllegalArgumentException wrong(String what) {
+    return new IllegalArgumentException("question, character " + (at + 1) + ": " + what);
+  }
+
+  // ---- Reading -------------------------------------------------------------------------------------------
+
+  private void skip() {
+    while (at < text.length() && Character.isWhitespace(text.charAt(at))) {
+      at++;
+    }
+  }
+
+  private boolean take(String word) {
+    skip();
+    int end = at + word.length();
+    if (!text.regionMatches(true, at, word, 0, word.length())) {
+      return false;
+    }
+    boolean letters = Character.isLetter(word.charAt(0));
+    if (letters && end < text.length() && (Character.isLetterOrDigit(text.charAt(end)) || text.charAt(end) == '_')) {
+      return false;
+    }
+    at = end;
+    return true;
+  }
+
+  private Node or() {
+    if (++depth > MOST_DEPTH) {
+      throw wrong("nested deeper than " + MOST_DEPTH);
+    }
+    List<Node> any = new ArrayList<>(List.of(and()));
+    while (take("or")) {
+      any.add(and());
+    }
+    depth--;
+    return any.size() == 1 ? any.get(0) : e -> any.stream().anyMatch(n -> n.test(e));
+  }
+
+  private Node and() {
+    List<Node> all = new ArrayList<>(List.of(not()));
+    while (take("and")) {
+      all.add(not());
+    }
+    return all.size() == 1 ? all.get(0) : new Node() {
+      @Override
+      public boolean test(Entry e) {
+        for (Node n : all) {
+          if (!n.test(e)) {
+            return false;
+          }
+        }
+        return true;
+      }
+
+      @Override
+      public void need(Bounds b) {
+        all.forEach(n -> n.need(b));
+      }
+    };
+  }
+
+  private Node not() {
+    if (take("not")) {
+      if (++depth > MOST_DEPTH) {
+        throw wrong("nested deeper than " + MOST_DEPTH);
+      }
+      Node n = not();
+      depth--;
+      return e -> !n.test(e);
+    }
+    if (take("(")) {
+      Node n = or();
+      if (!take(")")) {
+        throw wrong("expected )");
+      }
+      return n;
+    }
+    return comparison();
+  }
+
+  private Node comparison() {
+    skip();
+    int start = at;
+    while (at < text.length() && (Character.isLetterOrDigit(text.charAt(at)) || text.charAt(at) == '_')) {
+      at++;
+    }
+    String field = text.substring(start, at).toLowerCase(Locale.ROOT);
+    if (field.isEmpty()) {
+      throw wrong("expected a field");
+    }
+    String operator = null;
+    for (String o : List.of("!=", "<=", ">=", "=", "<", ">", "~")) {
+      if (take(o)) {
+        operator = o;
+        break;
+      }
+    }
+    if (operator == null) {
+      throw wrong("expected = != ~ < <= > or >= after " + field);
+    }
+    String value = value();
+    return switch (field) {
+      case "kind", "word", "class", "tenant", "server", "upstream", "instance", "request", "answer" -> texts(field, operator, value);
+      case "attempt", "latency_ms", "value", "number" -> numbers(field, operator, number(value));
+      case "at" -> times(operator, time(value));
+      default -> {
+        at = start;
+        throw wrong("unknown field " + field + ", known are kind, word, class, tenant, server, upstream, instance, request, answer, "
+            + "attempt, latency_ms, value, number, at");
+      }
+    };
+  }
+
+  private String value() {
+    skip();
+    if (at < text.length() && text.charAt(at) == '"') {
+      int end = text.indexOf('"', at + 1);
+      if (end < 0) {
+        throw wrong("expected another \" after this one");
+      }
+      String value = text.substring(at + 1, end);
+      at = end + 1;
+      return value;
+    }
+    int start = at;
+    while (at < text.length() && !Character.isWhitespace(text.charAt(at)) && text.charAt(at) != ')' && text.charAt(at) != '(') {
+      at++;
+    }
+    if (start == at) {
+      throw wrong("expected a value");
+    }
+    return text.substring(start, at);
+  }
+
+  private double number(String value) {
+    try {
+      double n = Double.parseDouble(value);
+      if (Double.isFinite(n)) {
+        return n;
+      }
+    } catch (NumberFormatException e) {
+      // Said below.
+    }
+    throw wrong("expected a number, got " + value);
+  }
+
+  /** Microseconds of Unix time. */
+  public static long micros(String value) {
+    try {
+      if (value.matches("\\d{1,12}(\\.\\d{1,6})?")) {
+        return Math.round(Double.parseDouble(value) * 1e6);
+      }
+      Instant i = Instant.parse(value);
+      return Math.addExact(Math.multiplyExact(i.getEpochSecond(), 1_000_000L), i.getNano() / 1000);
+    } catch (DateTimeException | ArithmeticException e) {
+      throw new IllegalArgumentException("expected a time such as 2026-12-01T10:00:00Z or Unix seconds, got " + value);
+    }
+  }
+
+  private long time(String value) {
+    try {
+      return micros(value);
+    } catch (IllegalArgumentException e) {
+      throw wrong(e.getMessage());
+    }
+  }
+
+  // ---- What is compared ----------------------------------------------------------------------------------
+
+  private static String field(String field, Entry e) {
+    return switch (field) {
+      case "kind" -> e.kind().name().toLowerCase(Locale.ROOT);
+      case "word" -> e.word();
+      case "class" -> e.className();
+      case "tenant" -> e.tenant();
+      case "server" -> e.name();
+      case "upstream" -> Long.toHexString(e.upstream());
+      case "instance" -> e.origin().instance();
+      case "request" -> e.asked();
+      default -> e.kind() == Kind.ANSWERED || e.kind() == Kind.ENDED ? Entry.answer(e.other()) : null;
+    };
+  }
+
+  private Node texts(String field, String operator, String value) {
+    if (operator.startsWith("<") || operator.startsWith(">")) {
+      throw wrong(field + " is a text: expected = != or ~");
+    }
+    if (!operator.equals("=")) {
+      return operator.equals("~") ? e -> field(field, e) != null && field(field, e).contains(value) : e -> !value.equals(field(field, e));
+    }
+    Term term = switch (field) {
+      case "instance", "answer" -> null;
+      default -> Term.valueOf(field.toUpperCase(Locale.ROOT));
+    };
+    return new Node() {
+      @Override
+      public boolean test(Entry e) {
+        return value.equals(field(field, e));
+      }
+
+      @Override
+      public void need(Bounds b) {
+        if (term != null) {
+          b.equal.putIfAbsent(term, value);
+        }
+      }
+    };
+  }
+
+  private Node numbers(String field, String operator, double value) {
+    return e -> {
+      double n = switch (field) {
+        case "attempt" -> e.attempt();
+        case "number" -> e.request();
+        case "latency_ms" -> e.kind() == Kind.ANSWERED || e.kind() == Kind.OUTCOME ? e.value() / 1000.0 : Double.NaN;
+        default -> e.value();
+      };
+      return compares(operator, n, value);
+    };
+  }
+
+  /** Nothing compares with what has no such number, not even by !=. */
+  private static boolean compares(String operator, double a, double b) {
+    return switch (operator) {
+      case "=" -> a == b;
+      case "!=" -> a < b || a > b;
+      case "<" -> a < b;
+      case "<=" -> a <= b;
+      case ">" -> a > b;
+      case ">=" -> a >= b;
+      default -> false;
+    };
+  }
+
+  private Node times(String operator, long value) {
+    if (operator.equals("~")) {
+      throw wrong("at is a time: expected = != < <= > or >=");
+    }
+    return new Node() {
+      @Override
+      public boolean test(Entry e) {
+        int order = Long.compare(e.at(), value);
+        return compares(operator, order, 0);
+      }
+
+      @Override
+      public void need(Bounds b) {
+        if (operator.equals("=") || operator.startsWith(">")) {
+          b.from = Math.max(b.from, value);
+        }
+        if (operator.equals("=") || operator.startsWith("<")) {
+          b.to = Math.min(b.to, value);
+        }
+      }
+    };
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/incident/CausesTest.java
@@ -0,0 +1,70 @@
+package cloverpulley.incident;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+class CausesTest {
+
+  private static final long S = 1_000_000L;
+  private static final Origin ORIGIN = new Origin("p", 0);
+
+  private static Causes course(SplittableRandom random, int seconds, int rise, double before, double after, int... drains) {
+    Causes c = new Causes();
+    for (int s = 0; s < seconds; s++) {
+      for (int i = 0; i < 100; i++) {
+        boolean bad = random.nextDouble() < (rise >= 0 && s >= rise && s < rise + 30 ? after : before);
+        c.add(Entry.of(ORIGIN, 1, s * S, Kind.ANSWERED).says("x", 0, bad ? Entry.REFUSED : Entry.SERVED), s * S + i * 10_000L);
+      }
+    }
+    for (int d : drains) {
+      c.add(Entry.of(ORIGIN, 1, d * S, Kind.SERVER).server(d, "s" + d).says("draining", 1, 0), d * S);
+    }
+    return c;
+  }
+
+  @Test
+  void aRiseIsFoundWithTheChangeThatCameBeforeIt() {
+    Causes c = course(new SplittableRandom(1), 300, 120, 0.01, 0.2, 117);
+    assertEquals(1, c.rises().size(), c.rises().toString());
+    Causes.Rise r = c.rises().get(0);
+    assertTrue(Math.abs(r.at() - 120 * S) <= S, r.toString());
+    assertTrue(r.chance() < 1e-9 && r.after() > 0.15, r.toString());
+    assertEquals("s117 is draining", c.causes().get(0).what());
+    assertTrue(c.causes().get(0).byChance() < 0.05, c.causes().toString());
+  }
+
+  @Test
+  void aChangeAfterTheRiseOrLongBeforeIsNotTold() {
+    Causes c = course(new SplittableRandom(2), 300, 120, 0.01, 0.2, 20, 130, 200);
+    assertEquals(0, c.causes().size(), c.causes().toString());
+  }
+
+  /** What happens all the time came before as well, and is told to be no wonder. */
+  @Test
+  void aFrequentChangeIsLikelyByChance() {
+    int[] often = new int[50];
+    for (int i = 0; i < often.length; i++) {
+      often[i] = 6 * i;
+    }
+    Causes c = course(new SplittableRandom(3), 300, 120, 0.01, 0.2, often);
+    assertTrue(c.causes().stream().allMatch(x -> x.byChance() > 0.2), c.causes().toString());
+  }
+
+  @Test
+  void noRiseIsSeenWhereThereIsNone() {
+    int found = 0;
+    for (int seed = 0; seed < 100; seed++) {
+      found += course(new SplittableRandom(seed), 300, -1, 0.05, 0.05).rises().size();
+    }
+    assertTrue(found <= 5, "in 100 calm courses " + found);
+  }
+
+  @Test
+  void nothingAtAllIsNoRise() {
+    assertEquals(0, new Causes().rises().size());
+    assertEquals(0, new Causes().causes().size());
+  }
+}
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/incident/CourseTest.java
@@ -0,0 +1,80 @@
+package cloverpulley.incident;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class CourseTest {
+
+  private static final long S = 1_000_000L;
+  private static final Origin FIRST = new Origin("p1", 100 * S);
+  private static final Origin SECOND = new Origin("p1", 200 * S);
+  private static final Clocks CLOCKS = new Clocks("p1", Map.of("p1", new long[] {100 * S, 300 * S}), List.of());
+
+  private static Entry at(Origin o, long seq, long at, Kind kind) {
+    return Entry.of(o, seq, at, kind);
+  }
+
+  private static Entry answer(Origin o, long seq, long at, int answer) {
+    return at(o, seq, at, Kind.ANSWERED).request(0, null, "c", "t").says(answer == 0 ? "served" : "over_rate", 2 * S, answer);
+  }
+
+  /** Two lives of one instance, the first ended by SIGKILL with two requests in hand. */
+  @Test
+  void aCrashIsAGapAndNeverCalm() {
+    Course c = new Course(10 * S, true);
+    c.add(at(FIRST, 1, 100 * S, Kind.START).says("process", 0, 2), CLOCKS);
+    c.add(at(FIRST, 2, 110 * S, Kind.TAKEN).request(1, "a", "c", "t"), CLOCKS);
+    c.add(at(FIRST, 3, 111 * S, Kind.TAKEN).request(2, "b", "c", "t"), CLOCKS);
+    c.add(at(FIRST, 4, 112 * S, Kind.TAKEN).request(3, "c", "c", "t"), CLOCKS);
+    c.add(at(FIRST, 5, 113 * S, Kind.ENDED).request(3, "c", "c", "t").says("served", 0, 0), CLOCKS);
+    c.add(at(SECOND, 1, 200 * S, Kind.START).says("process", 0, 2), CLOCKS);
+    c.add(at(SECOND, 2, 210 * S, Kind.STOP), CLOCKS);
+    List<Course.Gap> gaps = c.gaps(CLOCKS);
+    Course.Gap crash = gaps.get(0);
+    assertEquals(113 * S, crash.from());
+    assertEquals(200 * S, crash.to());
+    assertEquals(2, crash.least());
+    assertTrue(crash.isOpen(), crash.toString());
+    assertTrue(gaps.stream().anyMatch(g -> g.instance().contains("without records")), "one of two processes has none: " + gaps);
+    assertEquals(2, c.unknown());
+  }
+
+  @Test
+  void answersAreCountedWhereTheirRequestsCame() {
+    Course c = new Course(10 * S, true);
+    c.add(answer(FIRST, 1, 111 * S, Entry.SERVED), CLOCKS); // Came at 109 s.
+    c.add(answer(FIRST, 2, 113 * S, Entry.REFUSED), CLOCKS);
+    c.add(answer(FIRST, 3, 114 * S, Entry.SERVED).says("caller", 2 * S, 0), CLOCKS); // A caller's own: not counted again.
+    assertEquals(1, c.count(100 * S, "c", "t", Entry.SERVED));
+    assertEquals(1, c.count(110 * S, null, null, Entry.REFUSED));
+    assertEquals(2, c.count(null, null, null, null));
+    assertTrue(c.latency(100 * S, 50) >= 2 * S && c.latency(100 * S, 50) < 3 * S, "" + c.latency(100 * S, 50));
+  }
+
+  @Test
+  void droppedAndMissingRecordsAreBounds() {
+    Course c = new Course(10 * S, true);
+    c.add(at(FIRST, 1, 100 * S, Kind.START).says("process", 0, 1), CLOCKS);
+    c.add(at(FIRST, 5, 101 * S, Kind.DROPPED).says("taken", 7, 0), CLOCKS);
+    c.add(at(FIRST, 6, 102 * S, Kind.STOP), CLOCKS);
+    List<Course.Gap> gaps = c.gaps(CLOCKS);
+    assertEquals(1, gaps.size(), gaps.toString());
+    assertEquals(10, gaps.get(0).most());
+    assertTrue(gaps.get(0).why().contains("taken=7") && gaps.get(0).why().contains("missing 3"), gaps.toString());
+  }
+
+  /** Names come from requests: however many there are, what is kept is bounded, and the sums stay whole. */
+  @Test
+  void endlesslyManyTenantsAreCountedTogether() {
+    Course c = new Course(10 * S, true);
+    for (int i = 0; i < 30_000; i++) {
+      c.add(at(FIRST, i + 1, 105 * S, Kind.ANSWERED).request(0, null, "c", "t" + i).says("served", 0, 0), CLOCKS);
+    }
+    assertTrue(c.tenants().size() <= 10_000);
+    assertEquals(30_000, c.count(null, null, null, Entry.SERVED));
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/DnsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -4,6 +4,7 @@
 import cloverpulley.dnssd.Publisher;
 import cloverpulley.dns.DnsServer;
 import cloverpulley.dns.Warmup;
+import cloverpulley.records.Recorder;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -32,7 +33,8 @@
       throw new IOException(config + ": dns: expected a table [dns], got nothing");
     }
     Warmup.run(operators.dns(), operators.dns().warmUpQueries());
-    DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong());
+    Recorder recorder = Recorder.open(operators.records(), "dns", operators.dns().settings());
+    DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong(), recorder);
     CountDownLatch term = Signals.term();
     Signals.onHup(() -> reload(server));
     System.out.println("dns listening on " + server.address().getAddress().getHostAddress() + ":" + server.address().getPort());
@@ -44,6 +46,7 @@
       publisher.close();
     }
     server.stop();
+    recorder.close();
     return 0;
   }
 
--- a/dist/src/main/java/cloverpulley/cli/DnsDemo.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsDemo.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -40,6 +41,7 @@
   private static final int DEADLINE_MS = 2000;
   /** A client's own patience, past the deadline of all classes. */
   private static final int PATIENCE_MS = 3000;
+  private static final int ASK_AGAIN_MS = 20;
   private static final int SERVERS = 4;
   private static final int NAMES = 300;
   private static final double CHANGES = 0.1;
@@ -203,7 +205,10 @@
     by.sendAsync(m).whenComplete((answer, failed) -> {
       if (failed != null && tries > 0 && kind.equals("question")) {
         count("question asked once more");
-        ask(by, m, kind, System.nanoTime(), open, 0);
+        // From another thread and a moment later: here the client library has not let go of the broken connection yet, and would take
+        // it for this one as well.
+        CompletableFuture.delayedExecutor(ASK_AGAIN_MS, TimeUnit.MILLISECONDS)
+            .execute(() -> ask(by, m, kind, System.nanoTime(), open, 0));
         return;
       }
       long micros = (System.nanoTime() - intended) / 1000;
--- a/dist/src/main/java/cloverpulley/cli/LoadCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -1,6 +1,7 @@
 package cloverpulley.cli;
 
 import cloverpulley.config.OperatorsFile;
+import cloverpulley.incident.Entry;
 import cloverpulley.load.Comparison;
 import cloverpulley.load.Driver;
 import cloverpulley.load.LoadRun;
@@ -9,6 +10,8 @@
 import cloverpulley.load.RecordsReader;
 import cloverpulley.load.Report;
 import cloverpulley.load.Results;
+import cloverpulley.load.Runner;
+import cloverpulley.records.Recorder;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -95,11 +98,29 @@
     @CommandLine.ArgGroup(exclusive = false)
     private Output output = new Output();
 
+    @Option(names = "--records", paramLabel = "DIR",
+        description = "writes a record of each try: 'ashdeck incident' brings the clocks together by them")
+    private Path records;
+
+    @Option(names = "--instance", paramLabel = "NAME", defaultValue = "caller", description = "the name under which it records")
+    private String instance;
+
     @Override
     public Integer call() throws Exception {
       Plan plan = OperatorsFile.read(file, Plan::read);
       LoadRun.warmUp(plan);
-      return output.finish(LoadRun.play(plan, output.live(plan.seconds())), file.toString());
+      try (Recorder recorder = records == null ? Recorder.NONE : Recorder.caller(records, instance)) {
+        return output.finish(LoadRun.play(plan, output.live(plan.seconds()), recording(plan, recorder)), file.toString());
+      }
+    }
+
+    static Runner.EachTry recording(Plan plan, Recorder recorder) {
+      return (planned, id, outcome, took) -> recorder.called(id, plan.types().get(planned.type()).name(),
+          plan.tenants().get(planned.tenant()).name(), switch (outcome) {
+            case SERVED -> Entry.SERVED;
+            case REFUSED -> Entry.REFUSED;
+            default -> Entry.FAILED;
+          }, took);
     }
   }
 
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -11,6 +11,7 @@
 import cloverpulley.dnssd.PublishConfig;
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
+import cloverpulley.records.RecordsConfig;
 import java.nio.file.Path;
 
 /**
@@ -19,10 +20,11 @@
  * @param fleet null, as the processor, where the file speaks of DNS alone
  * @param dns null where the file does not speak of it
  * @param dnssd what the fleet is found by, for the tools; null where it is not by DNS-SD
+ * @param records where what happens is written down
  * @param publish null where the program does not register itself
  */
 record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns, DnsSdConfig dnssd,
-    PublishConfig publish) {
+    PublishConfig publish, RecordsConfig records) {
 
   static Operators read(Path path) throws BadFileException {
     return OperatorsFile.read(path, Operators::read);
@@ -32,7 +34,7 @@
     // A file that speaks of nothing but DNS needs no fleet of quote servers and no classes of quotes.
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
-      return new Operators(dns.settings(), null, null, dns, null, publish(file));
+      return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file));
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
@@ -41,7 +43,11 @@
     return new Operators(settings, FleetSource.read(fleet),
         ProcessorConfig.read(file.table("processor"), longest),
         file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
-        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file));
+        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file));
+  }
+
+  private static RecordsConfig records(Section file) {
+    return RecordsConfig.read(file.table("records"));
   }
 
   private static PublishConfig publish(Section file) {
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -4,6 +4,7 @@
 import cloverpulley.dnssd.Publisher;
 import cloverpulley.processor.ProcessorServer;
 import cloverpulley.processor.Warmup;
+import cloverpulley.records.Recorder;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.security.SecureRandom;
@@ -40,9 +41,10 @@
     QUIET.forEach(logger -> logger.setLevel(Level.OFF));
     ProcessorServer server;
     Warmup.run(operators.processor(), operators.settings(), operators.processor().warmUpCalls());
+    Recorder recorder = Recorder.open(operators.records(), "process", operators.settings());
     try {
       server = ProcessorServer.start(operators.processor(), operators.settings(), operators.fleet(),
-          new SecureRandom().nextLong());
+          new SecureRandom().nextLong(), recorder);
     } catch (IOException e) {
       throw new IOException("can't listen at " + operators.processor().listen() + ": " + cause(e), e);
     }
@@ -58,6 +60,7 @@
       publisher.close();
     }
     server.stop();
+    recorder.close();
     return 0;
   }
 
--- a/dns/src/main/java/cloverpulley/dns/DnsServer.java
+++ b/dns/src/main/java/cloverpulley/dns/DnsServer.java
@@ -14,9 +14,11 @@
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList;
 import cloverpulley.engine.Transport;
+import cloverpulley.engine.Witness;
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.fleet.HeldList;
 import cloverpulley.fleet.WrittenList;
+import cloverpulley.records.Recorder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -75,6 +77,7 @@
   private final DnsCounts counts = new DnsCounts();
   private final Fleet fleet = new Fleet(clock);
   private final HeldList held;
+  private final Recorder recorder;
   private Engine engine;
   private DnsClient client;
   private Resolver resolver;
@@ -87,8 +90,9 @@
   private Engine.ListSource shownDiscovery;
   private boolean wasQuiet;
 
-  private DnsServer(DnsConfig config) {
+  private DnsServer(DnsConfig config, Recorder recorder) {
     this.config = config;
+    this.recorder = recorder;
     held = new HeldList(config.fleet() == null ? null : config.fleet().stateFile());
   }
 
@@ -99,13 +103,23 @@
    * @throws IOException where a zone can't be read or the port can't be had
    */
   public static DnsServer start(DnsConfig config, FleetSource shown, long seed) throws IOException {
+    return start(config, shown, seed, Recorder.NONE);
+  }
+
+  /** The same with somebody who records what happens; whoever made the recorder ends it after this. */
+  public static DnsServer start(DnsConfig config, FleetSource shown, long seed, Recorder recorder) throws IOException {
     Settings settings = config.settings();
-    return start(config, shown, n -> new Logic(settings, seed + n));
+    return start(config, shown, n -> new Logic(settings, seed + n), recorder);
   }
 
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static DnsServer start(DnsConfig config, FleetSource shown, LongFunction<Balancer> modules) throws IOException {
-    DnsServer s = new DnsServer(config);
+    return start(config, shown, modules, Recorder.NONE);
+  }
+
+  private static DnsServer start(DnsConfig config, FleetSource shown, LongFunction<Balancer> modules, Recorder recorder)
+      throws IOException {
+    DnsServer s = new DnsServer(config, recorder);
     try {
       List<OwnZone> zones = new ArrayList<>();
       for (DnsConfig.ZoneFile z : config.zones()) {
@@ -140,14 +154,15 @@
     Engine.ListSource lists = source == null || source.isWritten() ? new WrittenList(fleet, (kind, list) -> engine.news(kind, list))
         : open(source, first, fleet, this::news);
     client = new DnsClient(loop, clock, config.upstream());
-    engine = new Engine(loop, clock, config.settings(), modules, fleet, lists, (to, data) -> { });
+    engine = new Engine(loop, clock, config.settings(), modules, fleet, lists, (to, data) -> { },
+        recorder.isOn() ? recorder : Witness.NONE);
     engine.attach(new Transport() {
       @Override
       public void withdraw(LongPredicate from) {
         client.withdraw(from);
       }
     });
-    resolver = new Resolver(loop, clock, config, engine, client, counts);
+    resolver = new Resolver(loop, clock, config, engine, client, counts, recorder);
     engine.news(ListKind.CACHED, first);
     zones.forEach(resolver::add);
     if (config.fleetNames() != null && shownSource != null) {
--- a/dns/src/main/java/cloverpulley/dns/Query.java
+++ b/dns/src/main/java/cloverpulley/dns/Query.java
@@ -41,6 +41,8 @@
   /** The cookie to give back; null for none. */
   byte[] cookie;
   String tenant;
+  /** Why it has no answer of a server; null where it has. */
+  String reason;
   private boolean answered;
 
   Query(Message message, Client client, long arrivedAt) {
--- a/dns/src/main/java/cloverpulley/dns/Resolver.java
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -15,9 +15,11 @@
 import cloverpulley.engine.Engine;
 import cloverpulley.engine.Exchange;
 import cloverpulley.engine.Verdict;
+import cloverpulley.incident.Entry;
 import cloverpulley.names.Freshness;
 import cloverpulley.names.Leaving;
 import cloverpulley.names.ResponseLimit;
+import cloverpulley.records.Recorder;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -26,7 +28,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -67,6 +68,7 @@
   final Leaving leaving = new Leaving();
   Query.Replies replies;
   final Repeated repeated = new Repeated(MOST_REPEATS, REPEATS_KEPT);
+  private final Recorder recorder;
   private final Cache cache;
   private final Cookies cookies;
   private final ResponseLimit limit;
@@ -74,7 +76,9 @@
   private final Map<Cache.Key, Flight> flights = new HashMap<>();
   private final Set<String> tenants = new HashSet<>();
 
-  Resolver(EventLoop loop, Clock clock, DnsConfig config, Engine engine, DnsClient client, DnsCounts counts) {
+  Resolver(EventLoop loop, Clock clock, DnsConfig config, Engine engine, DnsClient client, DnsCounts counts,
+      Recorder recorder) {
+    this.recorder = recorder;
     this.loop = loop;
     this.clock = clock;
     this.config = config;
@@ -169,6 +173,7 @@
       reply(q, q.empty(replies, Message.TC, Message.NOERROR, -1, null));
     } else if (finding == ResponseLimit.Finding.DROP) {
       counts.dropped++;
+      unanswered(q, "rate_dropped");
     }
     return finding == ResponseLimit.Finding.ANSWER;
   }
@@ -399,9 +404,34 @@
 
   void reply(Query q, byte[] octets) {
     counts.answers++;
+    if (recorder.isOn()) {
+      record(q, octets);
+    }
     q.answer(octets);
   }
 
+  /** An answer is what its client makes of it: a cut one over UDP, too, is none. */
+  private void record(Query q, byte[] octets) {
+    int rcode = octets[3] & 0xF;
+    boolean cut = (Message.get16(octets, 2) & Message.TC) != 0;
+    boolean served = !cut && (rcode == Message.NOERROR || rcode == Message.NXDOMAIN);
+    String word = q.reason != null ? q.reason : served ? "served" : cut ? "truncated" : "rcode_" + rcode;
+    recordAs(q, word, q.client.isGone() ? Entry.GONE : served ? Entry.SERVED : rcode == Message.REFUSED || cut ? Entry.REFUSED
+        : Entry.FAILED);
+  }
+
+  private void recordAs(Query q, String word, int kind) {
+    RequestClass type = q.question() == null ? null : type(q);
+    recorder.answered(0, null, type == null ? null : type.name(), q.tenant, word, kind, clock.now() - q.arrivedAt);
+  }
+
+  /** Its client has left, or it was dropped: no answer is owed. */
+  void unanswered(Query q, String word) {
+    if (recorder.isOn()) {
+      recordAs(q, word, Entry.GONE);
+    }
+  }
+
   /** What was held past its TTL, marked as such. */
   void stale(Query q, Cache.Entry e) {
     counts.stale++;
@@ -418,7 +448,8 @@
    */
   byte[] failure(Query q, Verdict verdict) {
     counts.end(verdict.reason());
-    String word = verdict.reason().name().toLowerCase(Locale.ROOT);
+    String word = verdict.reason().word();
+    q.reason = word;
     long millis = TimeUnit.NANOSECONDS.toMillis(verdict.retryAfterNanos());
     String text = millis > 0 ? word + ", come back in " + millis + " ms" : word;
     int rcode = switch (verdict.reason()) {
--- a/dns/src/main/java/cloverpulley/dns/TcpFront.java
+++ b/dns/src/main/java/cloverpulley/dns/TcpFront.java
@@ -262,7 +262,10 @@
         byClient.computeIfPresent(address, (a, n) -> n == 1 ? null : n - 1);
         Map<Query, DnsExchange> left = Map.copyOf(waiting);
         waiting.clear();
-        left.forEach((q, by) -> by.gone(q));
+        left.forEach((q, by) -> {
+          by.gone(q);
+          resolver.unanswered(q, "gone");
+        });
       }
     }
 
--- a/engine/src/main/java/cloverpulley/engine/Clock.java
+++ b/engine/src/main/java/cloverpulley/engine/Clock.java
@@ -23,4 +23,14 @@
   public long atUnixMillis(long millis) {
     return millis <= 0 ? 0 : Math.max(1, ORIGIN + TimeUnit.MILLISECONDS.toNanos(millis - startMillis));
   }
+
+  /** Unix time at a clock reading, microseconds: as the wall clock stood at the start, whatever it has done since. */
+  public long unixMicros(long reading) {
+    return startMillis * 1000 + (reading - ORIGIN) / 1000;
+  }
+
+  /** When this clock was made, Unix time in microseconds. */
+  public long startMicros() {
+    return startMillis * 1000;
+  }
 }
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -56,6 +56,7 @@
   private final Fleet fleet;
   private final ListSource lists;
   private final PeerSender peers;
+  private final Witness witness;
   private final List<Transport> transports = new ArrayList<>(1);
   private final Map<String, Exchange> exchanges = new HashMap<>();
   /** What has happened and the module has not been told; an entry is worded when its turn comes. */
@@ -84,6 +85,13 @@
    */
   public Engine(ScheduledExecutorService loop, Clock clock, Settings settings, LongFunction<Balancer> modules, Fleet fleet,
       ListSource lists, PeerSender peers) {
+    this(loop, clock, settings, modules, fleet, lists, peers, Witness.NONE);
+  }
+
+  /** The same, with somebody who is told of all that happens. */
+  public Engine(ScheduledExecutorService loop, Clock clock, Settings settings, LongFunction<Balancer> modules, Fleet fleet,
+      ListSource lists, PeerSender peers, Witness witness) {
+    this.witness = witness;
     this.loop = loop;
     this.clock = clock;
     this.settings = settings;
@@ -103,8 +111,10 @@
 
   /** A client's request has come in whole. */
   public void take(Exchange x) {
-    x.id = "r" + taken++;
+    x.number = ++taken;
+    x.id = "r" + taken;
     exchanges.put(x.id, x);
+    witness.taken(x);
     Exchange.Facts f = x.facts();
     long due = f.answerBy() > 0 ? Math.min(f.answerBy(), f.deadline()) : f.deadline();
     x.guard = loop.schedule(() -> overdue(x), due + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
@@ -114,12 +124,16 @@
 
   /** The client has gone, or has been answered by its front without the module. */
   public void clientGone(Exchange x) {
+    if (x.id != null) {
+      finish(x, Witness.End.GONE, null);
+    }
     x.end();
     enqueue(() -> known(x) ? new ClientGone(x.id) : null);
   }
 
   private void overdue(Exchange x) {
     if (!x.isEnded()) {
+      finish(x, Witness.End.FAILED, Reason.DEADLINE);
       x.end();
       x.answer(Verdict.failed(Reason.DEADLINE));
       clientGone(x);
@@ -129,10 +143,18 @@
   /** A source of the list has said something; with FAILED it has not, and the list is unused. */
   public void news(ListKind kind, ServerList list) {
     if (kind == ListKind.FAILED) {
+      witness.listed(kind, ServerList.NONE, List.of());
       enqueue(() -> new ListNews(kind, List.of()));
       return;
     }
     ListNews news = fleet.take(kind, list);
+    if (witness != Witness.NONE) {
+      List<Witness.Numbered> told = new ArrayList<>(news.entries().size());
+      for (int i = 0; i < news.entries().size(); i++) {
+        told.add(new Witness.Numbered(news.entries().get(i).upstream(), list.members().get(i)));
+      }
+      witness.listed(kind, list, told);
+    }
     enqueue(() -> news);
     // After the news, so that the module knows why what was still connecting comes back unsent.
     transports.forEach(t -> t.withdraw(upstream -> !fleet.isReady(upstream)));
@@ -166,6 +188,7 @@
   public void failAll() {
     for (Exchange x : List.copyOf(exchanges.values())) {
       if (!x.isEnded()) {
+        finish(x, Witness.End.FAILED, Reason.STOPPING);
         x.end();
         x.answer(Verdict.failed(Reason.STOPPING));
         clientGone(x);
@@ -187,9 +210,13 @@
     attempt.ended = true;
     Exchange x = attempt.exchange();
     long latency = clock.now() - attempt.sentAt();
+    witness.outcome(attempt, status, latency);
     enqueue(() -> {
       x.outstanding--;
       inTurn.run();
+      if (x.isEnded()) {
+        finish(x, Witness.End.SERVED, null); // By its front, in this turn or before it: an end that was told already stays.
+      }
       return known(x) ? new Outcome(x.id, attempt.number(), attempt.upstream(), status, latency, x.isEnded(), load) : null;
     });
   }
@@ -235,6 +262,7 @@
       loop.execute(() -> Runtime.getRuntime().halt(1));
       return;
     }
+    witness.replaced(cause.getClass().getSimpleName());
     List<Exchange> all = List.copyOf(exchanges.values());
     for (Exchange x : all) {
       x.attempts.forEach(Engine::cancel);
@@ -248,6 +276,14 @@
     enqueue(() -> held);
   }
 
+  /** Tells of a request's end, the first time. */
+  private void finish(Exchange x, Witness.End end, Reason reason) {
+    if (!x.told) {
+      x.told = true;
+      witness.ended(x, end, reason);
+    }
+  }
+
   private boolean known(Exchange x) {
     return exchanges.get(x.id) == x;
   }
@@ -309,6 +345,7 @@
   private void end(String id, Verdict verdict) {
     Exchange x = exchanges.get(id);
     if (x != null && !x.isEnded()) {
+      finish(x, verdict.refused() ? Witness.End.REFUSED : Witness.End.FAILED, verdict.reason());
       x.end();
       x.answer(verdict);
     }
@@ -321,6 +358,7 @@
     Attempt attempt = new Attempt(x, number, send.upstream(), now);
     x.attempts.add(attempt);
     x.outstanding++;
+    witness.sent(attempt);
     if (x.facts().answerBy() > 0) {
       x.guard.cancel(false); // The sending is the answer; its own time-out bounds it from here on.
     }
--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -30,6 +30,9 @@
   private final Facts facts;
   final List<Attempt> attempts = new ArrayList<>(1);
   String id;
+  long number;
+  /** Whether its end has been told to the engine's witness. */
+  boolean told;
   Future<?> guard;
   int outstanding;
   private boolean ended;
@@ -47,6 +50,16 @@
     return id;
   }
 
+  /** The engine's number for it, from 1; 0 before it is taken. */
+  public final long number() {
+    return number;
+  }
+
+  /** What its caller calls it; null where it names none. */
+  public String name() {
+    return null;
+  }
+
   /** Whether it has its final answer, or the client has gone. */
   public final boolean isEnded() {
     return ended;
--- /dev/null
+++ b/engine/src/main/java/cloverpulley/engine/Witness.java
@@ -0,0 +1,58 @@
+package cloverpulley.engine;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Reason;
+import java.util.List;
+
+/**
+ * Told of what the engine does, each thing once, at the one place where it happens, on the engine's loop. It must not block: the loop
+ * waits for it.
+ */
+public interface Witness {
+
+  /** Sees nothing. */
+  Witness NONE = new Witness() {
+    @Override
+    public void taken(Exchange x) {}
+
+    @Override
+    public void sent(Attempt attempt) {}
+
+    @Override
+    public void outcome(Attempt attempt, Status status, long latencyNanos) {}
+
+    @Override
+    public void ended(Exchange x, End end, Reason reason) {}
+
+    @Override
+    public void listed(ListKind kind, ServerList list, List<Numbered> servers) {}
+
+    @Override
+    public void replaced(String event) {}
+  };
+
+  /** How a request ended: by an upstream's answer, by a refusal, by a failure, or its client left. */
+  enum End { SERVED, REFUSED, FAILED, GONE }
+
+  /** A server of a list, with the module's number of it. */
+  record Numbered(long upstream, ServerList.Server server) {}
+
+  /** A request has come in. */
+  void taken(Exchange x);
+
+  /** An attempt has gone to a front to be sent. */
+  void sent(Attempt attempt);
+
+  /** It has ended; told for each one that was told as sent. */
+  void outcome(Attempt attempt, Status status, long latencyNanos);
+
+  /** A request has its one end; {@code reason} is null for SERVED and GONE. */
+  void ended(Exchange x, End end, Reason reason);
+
+  /** A source has spoken; the servers are those of which this was news, none where it was not believed or failed. */
+  void listed(ListKind kind, ServerList list, List<Numbered> servers);
+
+  /** The module failed at an event and was replaced. */
+  void replaced(String event);
+}
--- /dev/null
+++ b/incident/src/main/java/cloverpulley/incident/tool/HtmlReport.java
@@ -0,0 +1,417 @@
+package cloverpulley.incident.tool;
+
+import cloverpulley.incident.Audit;
+import cloverpulley.incident.Causes;
+import cloverpulley.incident.Clocks;
+import cloverpulley.incident.Course;
+import cloverpulley.incident.Course.Cell;
+import cloverpulley.incident.Entry;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/**
+ * An incident on one page of HTML that needs nothing else: no script, no picture from elsewhere. What came from requests is escaped
+ * everywhere. Each figure names the question that lists its records.
+ */
+public final class HtmlReport {
+
+  private static final int WIDTH = 960;
+  private static final int LEFT = 150;
+  private static final int BAND = 150;
+  private static final int LANE = 16;
+  /** Rows of a table or lanes beyond this are counted and not drawn. */
+  private static final int MOST_ROWS = 200;
+  private static final int MOST_SPANS = 2000;
+  private static final String[] COLOURS = {"#3a9d5d", "#e2a33b", "#c8443c", "#8a8f98"};
+  private static final Map<String, String> STATE_COLOURS =
+      Map.of("ready", "#3a9d5d", "cold", "#7fb7e6", "draining", "#e2a33b", "gone", "#c9ccd1");
+  private static final String CSS = """
+      body{font:14px/1.45 system-ui,sans-serif;max-width:1000px;margin:2em auto;padding:0 1em;color:#1f2328}
+      table{border-collapse:collapse;margin:.6em 0}td,th{padding:.2em .7em;border-bottom:1px solid #d8dce1;text-align:right}
+      td:first-child,th:first-child{text-align:left}code{background:#f2f4f6;padding:.1em .3em;word-break:break-all}
+      h2{margin-top:1.8em}.bad{color:#b3261e;font-weight:600}.unsure{color:#8a6100}.gap{background:#fbf0d9}svg{display:block}
+      summary{cursor:pointer}text{font-size:11px;fill:#444}""";
+
+  private final Study s;
+  private final Course c;
+  private final StringBuilder h = new StringBuilder();
+  private final List<Long> spans;
+  private final long from;
+  private final long to;
+  private final List<Course.Gap> gaps;
+
+  public HtmlReport(Study study) {
+    s = study;
+    c = study.course;
+    List<Long> all = c.spans();
+    spans = all.size() > MOST_SPANS ? all.subList(0, MOST_SPANS) : all;
+    gaps = c.gaps(s.clocks);
+    long least = Long.MAX_VALUE;
+    long most = Long.MIN_VALUE;
+    for (Course.Life l : c.lives()) {
+      long o = s.clocks.offset(l.origin.instance(), l.first).middle();
+      least = Math.min(least, l.first + o);
+      most = Math.max(most, l.last + o);
+    }
+    from = Math.max(least, s.wanted.from());
+    to = Math.max(from + 1, Math.min(most, s.wanted.to()));
+  }
+
+  private static String say(String format, Object... args) {
+    return String.format(Locale.ROOT, format, args);
+  }
+
+  static String time(long micros) {
+    return Instant.ofEpochSecond(Math.floorDiv(micros, 1_000_000L), Math.floorMod(micros, 1_000_000L) * 1000).toString();
+  }
+
+  private static String seconds(long micros) {
+    return say("%.3f s", micros / 1e6);
+  }
+
+  /** The page. */
+  public String html() {
+    h.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Incident</title><style>").append(CSS)
+        .append("</style></head><body><h1>Incident ").append(time(from)).append(" to ").append(time(to)).append("</h1>");
+    h.append(say("<p>%d records of %d instances, %d requests answered, %d retries, %d requests whose end is not known.</p>",
+        s.read.records(), s.clocks.instances().size(), c.count(null, null, null, null),
+        c.retries().values().stream().mapToLong(n -> n).sum(), c.unknown()));
+    unknown();
+    rules();
+    requests();
+    latency();
+    table("By class", c.classes().stream().toList(), true);
+    table("By tenant", c.tenants().stream().toList(), false);
+    reasons();
+    retries();
+    lanes();
+    causes();
+    clocks();
+    h.append("</body></html>\n");
+    return h.toString();
+  }
+
+  private void query(String question) {
+    h.append("<p>Records: <code>ashdeck incident query '").append(Safe.html(question)).append("' DIR</code></p>");
+  }
+
+  // ---- What is not known ---------------------------------------------------------------------------------
+
+  private void unknown() {
+    h.append("<h2>What is not known</h2>");
+    Map<String, Long> reasons = new TreeMap<>();
+    if (gaps.isEmpty() && s.read.spoiltBlocks() == 0 && s.read.tornOctets() == 0 && s.read.unread().isEmpty()) {
+      h.append("<p>Nothing: every instance told its start and its end, no record was dropped, none is spoilt.</p>");
+      return;
+    }
+    h.append("<table><tr><th>instance</th><th>from</th><th>to</th><th>requests</th><th>why</th></tr>");
+    for (Course.Gap g : gaps) {
+      h.append("<tr class=\"gap\"><td>").append(Safe.html(g.instance())).append("</td><td>").append(time(g.from())).append("</td><td>")
+          .append(time(g.to())).append("</td><td>").append(g.isOpen() ? g.least() + " or more" : g.least() == g.most() ? "" + g.most()
+              : g.least() + " to " + g.most()).append("</td><td>").append(Safe.html(g.why())).append("</td></tr>");
+    }
+    h.append("</table>");
+    if (s.read.spoiltBlocks() > 0 || s.read.tornOctets() > 0) {
+      h.append(say("<p class=\"unsure\">%d blocks (%d octets) are spoilt, %d octets at ends are cut off.</p>", s.read.spoiltBlocks(),
+          s.read.lostOctets(), s.read.tornOctets()));
+    }
+    s.read.unread().forEach(u -> reasons.merge(String.valueOf(u.problem()), 1L, Long::sum));
+    reasons.forEach((why, n) -> h.append("<p class=\"unsure\">").append(n).append(" segments were not read: ").append(Safe.html(why))
+        .append("</p>"));
+  }
+
+  // ---- The rules -----------------------------------------------------------------------------------------
+
+  private static String word(Audit.Check check) {
+    return switch (check) {
+      case ONE_ANSWER -> "1 one final answer each, in time";
+      case NO_EFFECT_TWICE -> "2 no effect twice";
+      case NOTHING_TO_DRAINED -> "3 nothing new to a drained server after 2 s";
+      case COLD_NOT_PUSHED_OVER -> "4 no cold server pushed over";
+      case SUMS -> "sums: taken = ended + open, sends = outcomes + out";
+    };
+  }
+
+  private void rules() {
+    h.append("<h2>The four rules, from the records alone</h2><table><tr><th>rule</th><th>checked</th><th>broken</th><th>unsettled"
+        + "</th></tr>");
+    List<Audit.Finding> findings = s.audit.findings();
+    s.audit.checked().forEach((check, n) -> {
+      long broken = findings.stream().filter(f -> f.check() == check && f.certain()).count();
+      long unsure = findings.stream().filter(f -> f.check() == check && !f.certain()).count();
+      h.append("<tr><td>").append(word(check)).append("</td><td>").append(n == 0 ? "never put to the test" : n).append("</td><td")
+          .append(broken > 0 ? " class=\"bad\"" : "").append(">").append(broken).append("</td><td")
+          .append(unsure > 0 ? " class=\"unsure\"" : "").append(">").append(unsure).append("</td></tr>");
+    });
+    h.append("</table>");
+    if (!findings.isEmpty()) {
+      h.append("<details><summary>").append(findings.size()).append(" findings</summary><table>");
+      findings.stream().limit(MOST_ROWS).forEach(f -> h.append("<tr><td>").append(f.at() == 0 ? "" : time(f.at())).append("</td><td>")
+          .append(Safe.html(f.origin().instance())).append("</td><td><code>").append(Safe.html(f.request())).append("</code></td><td>")
+          .append(Safe.html(f.what())).append(f.certain() ? "" : " (records are missing that could explain it)").append("</td></tr>"));
+      h.append("</table></details>");
+    }
+  }
+
+  // ---- Requests over time --------------------------------------------------------------------------------
+
+  private double x(long at) {
+    return LEFT + (WIDTH - LEFT - 10.0) * Math.max(0, Math.min(1, (at - from) / (double) (to - from)));
+  }
+
+  private void svg(int height) {
+    h.append(say("<svg width=\"%d\" height=\"%d\" viewBox=\"0 0 %d %d\" role=\"img\">", WIDTH, height, WIDTH, height));
+  }
+
+  private void shadeGaps(int height) {
+    for (Course.Gap g : gaps) {
+      h.append(say("<rect x=\"%.1f\" y=\"0\" width=\"%.1f\" height=\"%d\" fill=\"#f3d9a4\" opacity=\".45\"><title>not known: %s, %s"
+          + "</title></rect>", x(g.from()), Math.max(1, x(g.to()) - x(g.from())), height, Safe.html(g.instance()), Safe.html(g.why())));
+    }
+  }
+
+  private void axis(int y) {
+    for (int i = 0; i <= 6; i++) {
+      long at = from + (to - from) * i / 6;
+      h.append(say("<text x=\"%.0f\" y=\"%d\" text-anchor=\"middle\">%s</text>", x(at), y, time(at).substring(11, 19)));
+    }
+  }
+
+  private void requests() {
+    h.append("<h2>Requests by answer, in spans of ").append(c.span() / 1_000_000.0).append(" s</h2>");
+    Map<Long, long[]> bars = new TreeMap<>();
+    c.cells().forEach((cell, n) -> bars.computeIfAbsent(cell.span(), k -> new long[4])[Math.min(3, cell.answer())] += n);
+    long most = Math.max(1, bars.values().stream().mapToLong(b -> b[0] + b[1] + b[2] + b[3]).max().orElse(1));
+    svg(BAND + 30);
+    shadeGaps(BAND);
+    h.append(say("<text x=\"5\" y=\"14\">%d a span</text>", most));
+    bars.forEach((span, counts) -> {
+      double x0 = x(span);
+      double w = Math.max(0.5, x(span + c.span()) - x0 - 0.5);
+      double y = BAND;
+      for (int i = 0; i < 4; i++) {
+        double height = counts[i] * (BAND - 10.0) / most;
+        y -= height;
+        if (counts[i] > 0) {
+          h.append(say("<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"><title>%s: %d %s</title></rect>", x0, y, w,
+              height, COLOURS[i], time(span), counts[i], Entry.answer(i)));
+        }
+      }
+    });
+    axis(BAND + 16);
+    h.append("</svg><p>");
+    for (int i = 0; i < 4; i++) {
+      h.append("<span style=\"color:").append(COLOURS[i]).append("\">&#9632;</span> ").append(Entry.answer(i)).append("&ensp;");
+    }
+    h.append("<span style=\"color:#e9c27a\">&#9632;</span> not known</p><details><summary>the figures</summary><table><tr><th>span</th>");
+    for (int i = 0; i < 4; i++) {
+      h.append("<th>").append(Entry.answer(i)).append("</th>");
+    }
+    h.append("</tr>");
+    int rows = 0;
+    for (Map.Entry<Long, long[]> b : bars.entrySet()) {
+      if (rows++ >= MOST_ROWS) {
+        h.append("<tr><td>").append(bars.size() - MOST_ROWS).append(" more spans</td></tr>");
+        break;
+      }
+      h.append("<tr><td>").append(time(b.getKey())).append("</td>");
+      for (long n : b.getValue()) {
+        h.append("<td>").append(n).append("</td>");
+      }
+      h.append("</tr>");
+    }
+    h.append("</table></details>");
+    query("kind=answered and at>=" + time(from) + " and at<" + time(to));
+  }
+
+  private void latency() {
+    h.append("<h2>Latency</h2>");
+    double most = 1;
+    double[] percentiles = {50, 90, 99};
+    for (long span : spans) {
+      most = Math.max(most, c.latency(span, 99));
+    }
+    svg(BAND + 30);
+    shadeGaps(BAND);
+    h.append(say("<text x=\"5\" y=\"14\">%.1f ms</text>", most / 1000));
+    for (int i = 0; i < percentiles.length; i++) {
+      StringBuilder points = new StringBuilder();
+      for (long span : spans) {
+        points.append(say("%.1f,%.1f ", x(span + c.span() / 2), BAND - (BAND - 10) * Math.sqrt(c.latency(span, percentiles[i]) / most)));
+      }
+      h.append("<polyline fill=\"none\" stroke-width=\"1.5\" stroke=\"").append(COLOURS[i]).append("\" points=\"").append(points)
+          .append("\"/>");
+    }
+    axis(BAND + 16);
+    h.append("</svg><p>p50 green, p90 yellow, p99 red; the scale is that of the square root.</p>");
+  }
+
+  // ---- Tables --------------------------------------------------------------------------------------------
+
+  private void table(String title, List<String> names, boolean classes) {
+    h.append("<h2>").append(title).append("</h2><table><tr><th></th><th>answered</th><th>served</th><th>refused</th><th>failed</th>"
+        + "<th>gone</th><th>part served</th>").append(classes ? "" : "<th>of all served</th><th>due</th>").append("</tr>");
+    long allServed = c.count(null, null, null, Entry.SERVED);
+    int rows = 0;
+    for (String name : names) {
+      if (rows++ >= MOST_ROWS) {
+        h.append("<tr><td>").append(names.size() - MOST_ROWS).append(" more</td></tr>");
+        break;
+      }
+      long[] n = new long[4];
+      long all = 0;
+      for (int i = 0; i < 4; i++) {
+        n[i] = classes ? c.count(null, name, null, i) : c.count(null, null, name, i);
+        all += n[i];
+      }
+      h.append("<tr><td>").append(name.isEmpty() ? "(none)" : Safe.html(name)).append("</td><td>").append(all).append("</td>");
+      for (long count : n) {
+        h.append("<td>").append(count).append("</td>");
+      }
+      h.append(say("<td>%.2f%%</td>", all - n[3] == 0 ? 0 : 100.0 * n[0] / (all - n[3])));
+      if (!classes) {
+        Long due = c.shares().get(name);
+        h.append(say("<td>%.1f%%</td><td>%s</td>", allServed == 0 ? 0 : 100.0 * n[0] / allServed, due == null ? "-"
+            : say("%.1f%%", due / 1e4)));
+      }
+      h.append("</tr>");
+    }
+    h.append("</table>");
+  }
+
+  private void reasons() {
+    Map<String, Long> by = new TreeMap<>();
+    c.cells().forEach((cell, n) -> {
+      if (cell.answer() != Entry.SERVED) {
+        by.merge(Entry.answer(cell.answer()) + " " + cell.word(), n, Long::sum);
+      }
+    });
+    h.append("<h2>Why requests were not served</h2>");
+    if (by.isEmpty()) {
+      h.append("<p>All were.</p>");
+      return;
+    }
+    h.append("<table>");
+    by.forEach((word, n) -> h.append("<tr><td>").append(Safe.html(word)).append("</td><td>").append(n).append("</td></tr>"));
+    h.append("</table>");
+    query("kind=answered and answer!=served");
+  }
+
+  private void retries() {
+    h.append("<h2>Retries by class</h2>");
+    Map<String, Long> by = new TreeMap<>();
+    for (Map.Entry<Cell, Long> e : c.retries().entrySet()) {
+      by.merge(e.getKey().className() + " ended " + e.getKey().word(), e.getValue(), Long::sum);
+    }
+    if (by.isEmpty()) {
+      h.append("<p>None.</p>");
+      return;
+    }
+    h.append("<table>");
+    by.forEach((what, n) -> h.append("<tr><td>").append(Safe.html(what)).append("</td><td>").append(n).append("</td></tr>"));
+    h.append("</table>");
+    query("kind=outcome and attempt>0");
+  }
+
+  // ---- The fleet -----------------------------------------------------------------------------------------
+
+  private void lanes() {
+    h.append("<h2>The fleet, as each instance was told</h2>");
+    List<Lanes.Lane> all = Lanes.of(c, to, s.wanted.limits().warmWithin());
+    Map<String, List<Lanes.Lane>> byServer = all.stream().collect(Collectors.groupingBy(Lanes.Lane::server, TreeMap::new,
+        Collectors.toList()));
+    // Where all were told the same, one lane stands for all.
+    List<Lanes.Lane> shown = new ArrayList<>();
+    byServer.forEach((server, lanes) -> {
+      if (lanes.size() > 1 && !Lanes.disagree(lanes, s.wanted.limits().drainGrace())) {
+        shown.add(new Lanes.Lane(server, "all " + lanes.size(), lanes.get(0).pieces()));
+      } else {
+        shown.addAll(lanes);
+      }
+    });
+    int rows = Math.min(MOST_ROWS, shown.size());
+    svg(rows * LANE + 24);
+    for (int i = 0; i < rows; i++) {
+      Lanes.Lane lane = shown.get(i);
+      int y = i * LANE;
+      h.append(say("<text x=\"0\" y=\"%d\">%s</text>", y + 12, Safe.html(clip(lane.server()) + ", " + clip(lane.instance()))));
+      for (Lanes.Piece p : lane.pieces()) {
+        if (p.to() >= from && p.from() <= to) {
+          h.append(say("<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"%s\"><title>%s %s to %s</title></rect>", x(p.from()),
+              y + 2, Math.max(0.5, x(p.to()) - x(p.from())), LANE - 4, STATE_COLOURS.getOrDefault(p.state(), "#999"),
+              Safe.html(p.state()), time(p.from()), time(p.to())));
+        }
+      }
+    }
+    axis(rows * LANE + 16);
+    h.append("</svg><p>");
+    STATE_COLOURS.forEach((state, colour) -> h.append("<span style=\"color:").append(colour).append("\">&#9632;</span> ").append(state)
+        .append("&ensp;"));
+    h.append(shown.size() > rows ? (shown.size() - rows) + " more lanes are not drawn." : "").append("</p>");
+    query("kind=server");
+  }
+
+  private static String clip(String name) {
+    return name == null ? "" : name.length() <= 14 ? name : name.substring(0, 13) + "…";
+  }
+
+  // ---- What came before ----------------------------------------------------------------------------------
+
+  private void causes() {
+    h.append("<h2>What came before the rises of bad answers</h2>");
+    List<Causes.Rise> rises = s.causes.rises();
+    if (rises.isEmpty()) {
+      h.append("<p>No rise.</p>");
+      return;
+    }
+    List<Causes.Cause> causes = s.causes.causes();
+    for (Causes.Rise r : rises) {
+      h.append(say("<p>%s: from %.2f%% to %.2f%% of %d answers (by chance: %.2g).</p>", time(r.at()), 100 * r.before(), 100 * r.after(),
+          r.answers(), r.chance()));
+      List<Causes.Cause> mine = causes.stream().filter(x -> x.rise().equals(r)).limit(8).toList();
+      if (mine.isEmpty()) {
+        h.append("<p class=\"unsure\">Nothing that is recorded came before it.</p>");
+        continue;
+      }
+      h.append("<table><tr><th>came before</th><th>told to</th><th>before it by</th><th>one as near by chance</th></tr>");
+      for (Causes.Cause x : mine) {
+        h.append("<tr><td>").append(Safe.html(x.what())).append("</td><td>").append(Safe.html(x.instance())).append("</td><td>")
+            .append(seconds(r.at() - x.at())).append(say("</td><td>%.2g</td></tr>", x.byChance()));
+      }
+      h.append("</table>");
+    }
+  }
+
+  private void clocks() {
+    h.append("<h2>Clocks, against that of ").append(Safe.html(s.clocks.reference())).append("</h2><table><tr><th>instance</th>"
+        + "<th>offset at the start</th><th>at the end</th><th>known to</th></tr>");
+    for (String instance : s.clocks.instances()) {
+      Course.Life first = c.lives().stream().filter(l -> l.origin.instance().equals(instance)).findFirst().orElse(null);
+      if (first == null) {
+        continue;
+      }
+      Clocks.Offset a = s.clocks.offset(instance, first.first);
+      Clocks.Offset b = s.clocks.offset(instance, first.last);
+      h.append("<tr><td>").append(Safe.html(instance)).append("</td>");
+      if (a.isKnown()) {
+        h.append(say("<td>%s</td><td>%s</td><td>&plusmn; %s</td></tr>", seconds(a.middle()), seconds(b.middle()),
+            seconds(Math.max(a.width(), b.width()) / 2)));
+      } else {
+        h.append("<td colspan=\"3\" class=\"unsure\">not tied to the others: shown by its own clock, orders across are not settled</td></tr>");
+      }
+    }
+    h.append("</table>");
+    for (Clocks.Step step : s.clocks.steps()) {
+      h.append(say("<p class=\"unsure\">%s stepped between %s and %s by its own clock: from %s to %s.</p>", Safe.html(step.instance()),
+          time(step.from()), time(step.to()), seconds(step.before().middle()), seconds(step.after().middle())));
+    }
+    if (!s.clocks.contradicted().isEmpty()) {
+      h.append("<p class=\"unsure\">").append(s.clocks.contradicted().size()).append(" readings that no step explains were put aside.</p>");
+    }
+  }
+}
--- /dev/null
+++ b/incident/src/main/java/cloverpulley/incident/tool/Lines.java
@@ -0,0 +1,77 @@
+package cloverpulley.incident.tool;
+
+import cloverpulley.incident.Entry;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.util.Locale;
+
+/** A record as a line: for a person, or as JSON. */
+public final class Lines {
+
+  private static final JsonFactory FACTORY = new JsonFactory();
+
+  private Lines() {}
+
+  /** For a person; nothing in it moves a terminal. */
+  public static String text(Entry e) {
+    StringBuilder t = new StringBuilder(HtmlReport.time(e.at())).append(' ').append(Safe.plain(e.origin().instance())).append(' ')
+        .append(e.kind().name().toLowerCase(Locale.ROOT));
+    add(t, "request", e.asked());
+    add(t, "class", e.className());
+    add(t, "tenant", e.tenant());
+    add(t, "server", e.name());
+    add(t, "word", e.word());
+    if (e.kind() == cloverpulley.incident.Kind.ANSWERED || e.kind() == cloverpulley.incident.Kind.ENDED) {
+      add(t, "answer", Entry.answer(e.other()));
+    } else if (e.other() != 0) {
+      t.append(" other=").append(e.other());
+    }
+    if (e.attempt() != 0) {
+      t.append(" attempt=").append(e.attempt());
+    }
+    if (e.value() != 0) {
+      t.append(" value=").append(e.value());
+    }
+    return t.toString();
+  }
+
+  private static void add(StringBuilder t, String name, String value) {
+    if (value != null) {
+      t.append(' ').append(name).append('=').append(Safe.plain(value));
+    }
+  }
+
+  /** As one JSON object. */
+  public static String json(Entry e) throws IOException {
+    StringWriter text = new StringWriter();
+    try (JsonGenerator g = FACTORY.createGenerator(text)) {
+      g.writeStartObject();
+      g.writeStringField("instance", e.origin().instance());
+      g.writeNumberField("life", e.origin().start());
+      g.writeNumberField("seq", e.seq());
+      g.writeNumberField("at_us", e.at());
+      g.writeStringField("kind", e.kind().name().toLowerCase(Locale.ROOT));
+      field(g, "request", e.asked());
+      field(g, "class", e.className());
+      field(g, "tenant", e.tenant());
+      field(g, "server", e.name());
+      field(g, "word", e.word());
+      if (e.upstream() != 0) {
+        g.writeStringField("upstream", Long.toHexString(e.upstream()));
+      }
+      g.writeNumberField("attempt", e.attempt());
+      g.writeNumberField("value", e.value());
+      g.writeNumberField("other", e.other());
+      g.writeEndObject();
+    }
+    return text.toString();
+  }
+
+  private static void field(JsonGenerator g, String name, String value) throws IOException {
+    if (value != null) {
+      g.writeStringField(name, value);
+    }
+  }
+}
--- a/load/src/main/java/cloverpulley/load/LoadRun.java
+++ b/load/src/main/java/cloverpulley/load/LoadRun.java
@@ -24,8 +24,13 @@
 
   /** Plays a plan; {@code everySecond} is told while it goes on. */
   public static Results play(Plan plan, Consumer<Results> everySecond) throws InterruptedException {
+    return play(plan, everySecond, (planned, id, outcome, took) -> { });
+  }
+
+  /** The same, told of each try as well. */
+  public static Results play(Plan plan, Consumer<Results> everySecond, Runner.EachTry eachTry) throws InterruptedException {
     Draw draw = new Draw(plan);
-    return play(plan, draw::next, everySecond);
+    return play(plan, draw::next, everySecond, eachTry);
   }
 
   /** What came of a replay, and where the trace was damaged; null where it was not. */
@@ -40,7 +45,7 @@
       whole = Replay.plan(plan, reader, speed);
     }
     try (Trace.Reader reader = open(trace)) {
-      Results results = play(whole, new Replay(reader, whole, speed), everySecond);
+      Results results = play(whole, new Replay(reader, whole, speed), everySecond, (planned, id, outcome, took) -> { });
       return new Replayed(results, reader.damage());
     }
   }
@@ -49,14 +54,15 @@
     return new Trace.Reader(new BufferedInputStream(Files.newInputStream(trace)));
   }
 
-  private static Results play(Plan plan, Supplier<Planned> source, Consumer<Results> everySecond) throws InterruptedException {
+  private static Results play(Plan plan, Supplier<Planned> source, Consumer<Results> everySecond, Runner.EachTry eachTry)
+      throws InterruptedException {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     EventLoop loop = group.next();
     Driver driver = loop.submit(() -> driver(plan, loop)).syncUninterruptibly().getNow();
     try {
       // Two runs of one plan against one server have ids of their own: a server may remember them.
       String prefix = "l" + Long.toString(System.nanoTime(), 36) + "-";
-      Results results = new Runner(plan, loop, driver, prefix).everySecond(everySecond).run(source);
+      Results results = new Runner(plan, loop, driver, prefix).everySecond(everySecond).eachTry(eachTry).run(source);
       results.doubles = loop.submit(driver::doubles).syncUninterruptibly().getNow();
       return results;
     } finally {
--- a/load/src/main/java/cloverpulley/load/Runner.java
+++ b/load/src/main/java/cloverpulley/load/Runner.java
@@ -36,6 +36,7 @@
   private final AtomicInteger waiting = new AtomicInteger();
   private final CountDownLatch over = new CountDownLatch(1);
   private Consumer<Results> everySecond = r -> { };
+  private EachTry eachTry = (planned, id, outcome, tookNanos) -> { };
   private long startNanos;
   private long open;
   private boolean allStarted;
@@ -51,6 +52,16 @@
     random = new SplittableRandom(plan.seed() ^ 0x5deece66dL);
   }
 
+  /** Told of each try as it ends, on the loop. */
+  public interface EachTry {
+    void ended(Planned planned, String id, Outcome outcome, long tookNanos);
+  }
+
+  public Runner eachTry(EachTry told) {
+    eachTry = told;
+    return this;
+  }
+
   /** Told on the loop once a second while the run goes on. */
   public Runner everySecond(Consumer<Results> told) {
     everySecond = told;
@@ -135,7 +146,11 @@
       firstSent = tries == 0 ? now : firstSent;
       results.sent(planned, (now - startNanos) / 1e9, now - due);
       int attempt = tries++;
-      driver.send(planned, prefix + planned.number() + "." + attempt, attempt, this::ended);
+      String id = prefix + planned.number() + "." + attempt;
+      driver.send(planned, id, attempt, (outcome, retryAfter) -> {
+        eachTry.ended(planned, id, outcome, System.nanoTime() - now);
+        ended(outcome, retryAfter);
+      });
     }
 
     private void ended(Outcome outcome, double retryAfterMillis) {
--- a/processor/src/main/java/cloverpulley/processor/CallExchange.java
+++ b/processor/src/main/java/cloverpulley/processor/CallExchange.java
@@ -38,6 +38,11 @@
     this.calls = calls;
   }
 
+  @Override
+  public String name() {
+    return call.id();
+  }
+
   @Override
   protected Attempt.Sending start(Attempt started, SocketAddress address, long timeoutNanos) {
     attempt = started;
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -9,12 +9,14 @@
 import cloverpulley.engine.Engine;
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList;
+import cloverpulley.engine.Witness;
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.Encoded;
 import cloverpulley.extproc.ExternalProcessor;
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.fleet.HeldList;
 import cloverpulley.fleet.WrittenList;
+import cloverpulley.records.Recorder;
 import cloverpulley.repeats.Repeats;
 import io.grpc.Metadata;
 import io.grpc.Server;
@@ -73,11 +75,13 @@
   private final Fleet fleet = new Fleet(clock);
   private final HeldList held;
   private final RecordsFile records;
+  private final Recorder recorder;
   private Engine engine;
   private Server server;
 
-  private ProcessorServer(ProcessorConfig config, FleetSource source) {
+  private ProcessorServer(ProcessorConfig config, FleetSource source, Recorder recorder) {
     this.config = config;
+    this.recorder = recorder;
     held = new HeldList(source.stateFile());
     records = config.recordsFile() == null ? RecordsFile.NONE : new RecordsFile(config.recordsFile(), config.recordsMostBytes());
     // One thread accepts and serves: a second would only pass connections on.
@@ -88,13 +92,24 @@
   /** Starts a processor and returns once it listens. */
   public static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, long seed)
       throws IOException {
-    return start(config, settings, source, n -> new Logic(settings, seed + n));
+    return start(config, settings, source, seed, Recorder.NONE);
+  }
+
+  /** The same with somebody who records what happens; whoever made the recorder ends it after this. */
+  public static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, long seed, Recorder recorder)
+      throws IOException {
+    return start(config, settings, source, n -> new Logic(settings, seed + n), recorder);
   }
 
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source,
       LongFunction<Balancer> modules) throws IOException {
-    ProcessorServer p = new ProcessorServer(config, source);
+    return start(config, settings, source, modules, Recorder.NONE);
+  }
+
+  private static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, LongFunction<Balancer> modules,
+      Recorder recorder) throws IOException {
+    ProcessorServer p = new ProcessorServer(config, source, recorder);
     try {
       p.onEngine(() -> {
         p.wire(settings, source, modules);
@@ -123,7 +138,8 @@
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS), source.discovery(), fleet::revision,
           this::news);
     }
-    engine = new Engine(engineLoop, clock, settings, modules, fleet, lists, (to, data) -> { });
+    engine = new Engine(engineLoop, clock, settings, modules, fleet, lists, (to, data) -> { },
+        recorder.isOn() ? recorder : Witness.NONE);
     engine.news(ListKind.CACHED, first);
   }
 
@@ -143,7 +159,7 @@
     Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts, records);
     Replies replies = new Replies(config);
     ProcessorStream.Shared shared = new ProcessorStream.Shared(config, new Mapping(config, settings), replies, engineLoop,
-        calls, clock, counts);
+        calls, clock, counts, recorder);
     ioGroup.forEach(loop -> loops.add(new StreamLoop(loop, config, replies, openStreams)));
     ProcessorConfig.Limits limits = config.limits();
     NettyServerBuilder builder = NettyServerBuilder.forAddress(config.listen()).bossEventLoopGroup(acceptors)
--- a/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
@@ -10,6 +10,8 @@
 import cloverpulley.extproc.ExtProc.ProcessingRequest;
 import cloverpulley.extproc.ExtProc.ProcessingRequest.RequestCase;
 import cloverpulley.extproc.Encoded;
+import cloverpulley.incident.Entry;
+import cloverpulley.records.Recorder;
 import cloverpulley.extproc.ExtProc.ProtocolConfiguration;
 import io.grpc.Metadata;
 import io.grpc.ServerCall;
@@ -27,7 +29,7 @@
 
   /** What all streams of a processor share. */
   record Shared(ProcessorConfig config, Mapping mapping, Replies replies, ScheduledExecutorService engineLoop, Calls calls,
-      Clock clock, Counts counts) {}
+      Clock clock, Counts counts, Recorder recorder) {}
 
   /** Where a call stands. */
   private enum State { NEW, ASKED, SENT, RECHECKING, ENDED }
@@ -55,6 +57,7 @@
   private boolean closed;
   /** The caller reads too slowly: nothing more is asked for until what was written has gone. */
   private boolean owesRequest;
+  private boolean verdictRecorded;
   private Status outcome;
   private Map<String, Double> load = Map.of();
   /** When the guard is due, {@code System.nanoTime()}. */
@@ -134,6 +137,7 @@
     Mapping.Read read = shared.mapping.read(headers);
     if (read instanceof Mapping.Bad bad) {
       shared.counts.count(Reason.BAD_REQUEST);
+      answered(Reason.BAD_REQUEST.word(), Entry.FAILED);
       finish(shared.replies.bad(bad.status(), bad.what(), Reason.BAD_REQUEST.word(), grpc));
       return;
     }
@@ -159,6 +163,7 @@
   /** The engine has no verdict in time: it may be stalled, and what it says later is not used. */
   void overdue() {
     shared.counts.guarded.increment();
+    answered(Reason.DEADLINE.word(), Entry.FAILED);
     finish(shared.replies.end(Verdict.failed(Reason.DEADLINE), grpc));
     hangUp();
   }
@@ -261,6 +266,7 @@
       boolean inBody = state == State.RECHECKING;
       state = State.SENT;
       told = true;
+      answered("served", Entry.SERVED);
       reply(loop.send(address, inBody, protocol));
       endIfHalfClosed();
     });
@@ -268,18 +274,20 @@
 
   @Override
   public void end(Verdict verdict) {
-    loop.execute(() -> endedBy(shared.replies.end(verdict, grpc)));
+    loop.execute(() -> endedBy(shared.replies.end(verdict, grpc), verdict.reason().word(), verdict.refused() ? Entry.REFUSED
+        : Entry.FAILED));
   }
 
   @Override
   public void bad(int status, String what, String reason) {
-    loop.execute(() -> endedBy(shared.replies.bad(status, what, reason, grpc)));
+    loop.execute(() -> endedBy(shared.replies.bad(status, what, reason, grpc), reason, Entry.FAILED));
   }
 
   /** Guards rule 1: a call that has its verdict gets no second one, whatever the engine comes to say of it. */
-  private void endedBy(Encoded last) {
+  private void endedBy(Encoded last, String word, int kind) {
     held = false;
     if (state == State.ASKED || state == State.RECHECKING) {
+      answered(word, kind);
       finish(last);
     }
   }
@@ -295,6 +303,16 @@
     }
   }
 
+  /** Records the verdict, the first one of a call: what is said of it after its destination is the attempt's. */
+  private void answered(String word, int kind) {
+    if (verdictRecorded || !shared.recorder.isOn()) {
+      return;
+    }
+    verdictRecorded = true;
+    shared.recorder.answered(0, request == null ? null : request.id(), request == null ? null : request.type().name(),
+        request == null ? null : request.tenant(), word, kind, request == null ? 0 : shared.clock.now() - receivedAt);
+  }
+
   private void reply(Encoded reply) {
     if (!closed) {
       write(reply);
@@ -335,6 +353,9 @@
   // ---- Ends ----------------------------------------------------------------------------------------------
 
   private void over() {
+    if (state == State.ASKED && !closed) {
+      answered("gone", Entry.GONE);
+    }
     closed = true;
     loop.left(this);
     hangUp();
@@ -373,6 +394,7 @@
   /** The processor ends: a call that has its verdict is let go, one that has none gets it. */
   void stop() {
     if (!closed && (state == State.ASKED || state == State.RECHECKING)) {
+      answered(Reason.STOPPING.word(), Entry.FAILED);
       finish(shared.replies.end(Verdict.failed(Reason.STOPPING), grpc));
     } else {
       close(io.grpc.Status.OK);
