ashdeck incident: report, why, verify, console; a scripted incident counted to the last request

Change: incident/ (HTML page without scripts, JLine console, explanations of one request), DemoRecords, structured logs on Logback with an object a line and exact counts of repeats, [log]; lists are tied by revision and what they hold; callers' records count what a crash took.

--- a/bench/src/main/java/cloverpulley/bench/Servers.java
+++ b/bench/src/main/java/cloverpulley/bench/Servers.java
@@ -13,6 +13,8 @@
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
 import cloverpulley.processor.ProcessorServer;
+import cloverpulley.records.Recorder;
+import cloverpulley.records.RecordsConfig;
 import cloverpulley.standins.ScriptedHttp;
 import io.grpc.Metadata;
 import io.grpc.Server;
@@ -27,6 +29,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 
 /** What is measured, in a process of its own: the processor over so many upstreams, or the null processor. */
 public final class Servers {
@@ -40,7 +43,7 @@
 
   /**
    * Prints its port and serves until it is ended; the argument is a number of upstreams, 0 for the null processor, or
-   * {@code http} for a null HTTP server.
+   * {@code http} for a null HTTP server; a second one is the folder of the processor's records.
    */
   public static void main(String[] args) throws IOException, BadFileException, InterruptedException {
     if (args[0].equals("http")) {
@@ -50,7 +53,7 @@
       System.exit(0);
     }
     int upstreams = Integer.parseInt(args[0]);
-    int port = upstreams == 0 ? nothing() : processor(upstreams);
+    int port = upstreams == 0 ? nothing() : processor(upstreams, args.length > 1 ? Path.of(args[1]) : null);
     System.out.println("port " + port);
     System.in.read(); // Ends with the process that started it.
     System.exit(0);
@@ -95,7 +98,7 @@
     }
   }
 
-  private static int processor(int upstreams) throws IOException, BadFileException {
+  private static int processor(int upstreams, Path records) throws IOException, BadFileException {
     StringBuilder text = new StringBuilder("""
         [service]
         zone = "a"
@@ -119,6 +122,8 @@
           .append("\naddress = \"127.").append(1 + i / 250).append(".0.").append(1 + i % 250).append(":8000\"\n");
     }
     Told told = OperatorsFile.parse("bench", text.toString(), Told::read);
-    return ProcessorServer.start(told.processor, told.settings, told.fleet, 1).address().getPort();
+    Recorder recorder = records == null ? Recorder.NONE
+        : Recorder.open(RecordsConfig.of(records, "p" + ProcessHandle.current().pid()), "process", told.settings);
+    return ProcessorServer.start(told.processor, told.settings, told.fleet, 1, recorder).address().getPort();
   }
 }
--- a/decision/src/main/java/cloverpulley/incident/Course.java
+++ b/decision/src/main/java/cloverpulley/incident/Course.java
@@ -80,6 +80,9 @@
   private final TreeSet<String> classes = new TreeSet<>();
   private final TreeSet<String> tenants = new TreeSet<>();
   private long unheld;
+  private final Map<String, Integer> called = new HashMap<>();
+  private final Map<String, Integer> answeredOnly = new HashMap<>();
+  private long unmatched;
   /** Shares in millionths, as the instances were told. */
   private final Map<String, Long> shares = new TreeMap<>();
 
@@ -152,7 +155,11 @@
   }
 
   private void answered(Entry e, Clocks clocks) {
-    if ("caller".equals(e.word())) {
+    boolean caller = "caller".equals(e.word());
+    if (e.id() != null && !(caller && e.other() == Entry.GONE)) {
+      match(e, caller);
+    }
+    if (caller) {
       return; // Its callee counts it.
     }
     long at = spanOf(e, clocks);
@@ -161,6 +168,31 @@
     histogram[bucket(e.value())]++;
   }
 
+  /** Callers' own words against those of who was called: what only a caller tells of was answered by one whose records are lost. */
+  private void match(Entry e, boolean caller) {
+    Map<String, Integer> mine = caller ? called : answeredOnly;
+    Map<String, Integer> theirs = caller ? answeredOnly : called;
+    if (theirs.remove(e.id()) == null) {
+      if (mine.size() >= MOST_OPEN) {
+        unmatched++;
+      } else {
+        mine.put(e.id(), (int) e.other());
+      }
+    }
+  }
+
+  /** Tries that callers had an answer to and of which no other record tells, by what the answer was; none where no caller recorded. */
+  public Map<Integer, Long> calledOnly() {
+    Map<Integer, Long> by = new TreeMap<>();
+    called.values().forEach(answer -> by.merge(answer, 1L, Long::sum));
+    return by;
+  }
+
+  /** Whether there were more calls than could be held against one another: then {@link #calledOnly} is too high by this at most. */
+  public long unmatched() {
+    return unmatched;
+  }
+
   /** Names that come from requests are bounded: past the bound they are counted together. */
   private static String name(TreeSet<String> known, String name) {
     String called = name == null ? "" : name;
--- a/decision/src/main/java/cloverpulley/incident/Kind.java
+++ b/decision/src/main/java/cloverpulley/incident/Kind.java
@@ -18,7 +18,10 @@
   ENDED(4),
   /** A front's final answer to a client: {@code value} its latency, {@code other} what it was. */
   ANSWERED(5),
-  /** News of the list: {@code word} the kind, {@code value} the revision, {@code other} how many servers it speaks of. */
+  /**
+   * News of the list: {@code word} the kind, {@code value} the revision, {@code other} how many servers it speaks of, {@code key} a hash of
+   * all that it holds.
+   */
   LIST(8),
   /** What it says of one: {@code name}, {@code word} ready, draining or gone, {@code value} the revision, {@code other} its start. */
   SERVER(8),
--- a/decision/src/main/java/cloverpulley/incident/Ties.java
+++ b/decision/src/main/java/cloverpulley/incident/Ties.java
@@ -21,14 +21,17 @@
 
   private record Seen(String instance, long at) {}
 
-  private final Map<Long, List<Seen>> revisions = new HashMap<>();
+  /** A list: two fleets may use one number. */
+  private record Held(long revision, long holds) {}
+
+  private final Map<Held, List<Seen>> revisions = new HashMap<>();
   private final Map<String, Entry> calls = new HashMap<>();
   private final List<Clocks.Tie> ties = new ArrayList<>();
 
   /** Takes a record, of any instance, in any order. */
   public void add(Entry e) {
     if (e.kind() == Kind.LIST && e.value() > 0) {
-      List<Seen> all = revisions.computeIfAbsent(e.value(), r -> new ArrayList<>(2));
+      List<Seen> all = revisions.computeIfAbsent(new Held(e.value(), e.key()), r -> new ArrayList<>(2));
       if (revisions.size() <= MOST_SEEN && all.stream().noneMatch(s -> s.instance.equals(e.origin().instance()))) {
         all.add(new Seen(e.origin().instance(), e.at()));
       }
@@ -69,7 +72,7 @@
       for (int i = 1; i < seen.size(); i++) {
         Seen a = seen.get(0);
         Seen b = seen.get(i);
-        all.add(new Clocks.Tie(a.instance, a.at, b.instance, b.at, -LIST_SLACK, LIST_SLACK, "revision " + revision));
+        all.add(new Clocks.Tie(a.instance, a.at, b.instance, b.at, -LIST_SLACK, LIST_SLACK, "revision " + revision.revision));
       }
     });
     return all;
--- a/dist/src/main/java/cloverpulley/cli/Demo.java
+++ b/dist/src/main/java/cloverpulley/cli/Demo.java
@@ -76,6 +76,9 @@
       [fleet]
       discovery = "DISCOVERY"
       state_file = "STATE"
+      [records]
+      folder = "RECORDS"
+      instance = "processor"
       """;
 
   private final int seconds;
@@ -107,7 +110,8 @@
       for (int i = 0; i < SERVERS; i++) {
         server(discovery, "s" + i, i / 2, 0);
       }
-      String text = CONFIG.replace("DISCOVERY", discovery.address()).replace("STATE", folder.resolve("held.json").toString());
+      String text = CONFIG.replace("DISCOVERY", discovery.address()).replace("STATE", folder.resolve("held.json").toString())
+          .replace("RECORDS", folder.resolve("records").toString());
       Path config = Files.writeString(folder.resolve("operators.toml"), text.replace("PORT", "0"));
       out.println("ashdeck demo: " + SERVERS + " servers, " + rate + " requests a second for " + seconds + " s, seed " + SEED);
       try (ChildFront first = new ChildFront("process", config, log)) {
@@ -121,7 +125,9 @@
       servers.values().forEach(StandInUpstream::close);
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
-    return report(out, log);
+    boolean kept = report(out, log);
+    DemoRecords.tell(out, folder);
+    return kept;
   }
 
   /** Through a proxy that is thrown away: what the stand-ins need for their own start is not to be taken for the processor's. */
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/DemoRecords.java
@@ -0,0 +1,34 @@
+package cloverpulley.cli;
+
+import cloverpulley.incident.Audit;
+import cloverpulley.incident.Entry;
+import cloverpulley.incident.tool.HtmlReport;
+import cloverpulley.incident.tool.Study;
+import cloverpulley.records.Archive;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The demo's incident, as the fronts' own records tell it. */
+final class DemoRecords {
+
+  private static final long SPAN_MICROS = 1_000_000L;
+
+  private DemoRecords() {}
+
+  /** Makes the report, and says in a line what it counts. */
+  static void tell(PrintStream out, Path folder) throws IOException {
+    Study s = new Study(new Archive(List.of(folder.resolve("records"))), new Study.Wanted(Long.MIN_VALUE, Long.MAX_VALUE, SPAN_MICROS,
+        null, Audit.Limits.USUAL), n -> { });
+    Path file = folder.resolve("incident.html");
+    Files.writeString(file, new HtmlReport(s).html());
+    List<Audit.Finding> findings = s.audit.findings();
+    out.printf("by the fronts' records: %d answered, %d of them served, %d with an end that is not known; rules broken: %d%n",
+        s.course.count(null, null, null, null), s.course.count(null, null, null, Entry.SERVED), s.course.unknown(),
+        findings.stream().filter(Audit.Finding::certain).count());
+    findings.stream().limit(5).forEach(f -> out.println("  " + f.check() + ": " + f.what()));
+    out.println("report: " + file);
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/DnsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -29,6 +29,7 @@
   @Override
   public Integer call() throws BadFileException, IOException, InterruptedException {
     Operators operators = Operators.read(config);
+    Logs.configure(operators.log());
     if (operators.dns() == null) {
       throw new IOException(config + ": dns: expected a table [dns], got nothing");
     }
--- a/dist/src/main/java/cloverpulley/cli/DnsDemo.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsDemo.java
@@ -70,6 +70,9 @@
       [dns.fleet]
       discovery = "DISCOVERY"
       state_file = "STATE"
+      [records]
+      folder = "RECORDS"
+      instance = "dns"
       """;
 
   private final int seconds;
@@ -99,7 +102,8 @@
         servers.put("d" + i, made);
         discovery.set("d" + i, made.hostPort(), i, "ready", 0);
       }
-      String text = CONFIG.replace("DISCOVERY", discovery.address()).replace("STATE", folder.resolve("held.json").toString());
+      String text = CONFIG.replace("DISCOVERY", discovery.address()).replace("STATE", folder.resolve("held.json").toString())
+          .replace("RECORDS", folder.resolve("records").toString());
       Path config = Files.writeString(folder.resolve("operators.toml"), text.replace("PORT", "0"));
       out.println("ashdeck demo, DNS: " + SERVERS + " servers, " + rate + " questions and changes a second for " + seconds
           + " s over UDP and TCP, seed " + SEED);
@@ -111,7 +115,9 @@
       servers.values().forEach(StandInDns::close);
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
-    return report(out, log);
+    boolean kept = report(out, log);
+    DemoRecords.tell(out, folder);
+    return kept;
   }
 
   private void serve(StandInDns.Asked asked) {
--- a/dist/src/main/java/cloverpulley/cli/LoadCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -119,6 +119,7 @@
           plan.tenants().get(planned.tenant()).name(), switch (outcome) {
             case SERVED -> Entry.SERVED;
             case REFUSED -> Entry.REFUSED;
+            case NO_CONNECTION, NO_ROOM -> Entry.GONE; // Nobody has taken it.
             default -> Entry.FAILED;
           }, took);
     }
--- /dev/null
+++ b/dist/src/main/java/cloverpulley/cli/Logs.java
@@ -0,0 +1,133 @@
+package cloverpulley.cli;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import cloverpulley.incident.tool.Safe;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import net.logstash.logback.composite.AbstractJsonProvider;
+import net.logstash.logback.encoder.LogstashEncoder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.slf4j.bridge.SLF4JBridgeHandler;
+
+/**
+ * The log of everything but the platform's program: SLF4J and Logback, to which what the parts say through {@code java.util.logging} is
+ * led. On standard error, for that is where it was; as lines for people or an object a line with the event's name, and every
+ * {@code key=value} of the message as a field of its own.
+ */
+final class Logs {
+
+  private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %level %plain%n";
+  private static final Pattern FIELD = Pattern.compile("(?<![\\w.])([a-z][a-z0-9_]{0,40})=([^\\s,;]{1,200})");
+  private static final Pattern FIGURE = Pattern.compile("-?\\d{1,15}");
+  private static final int MOST_FIELDS = 64;
+  private static final int MOST_EVENT = 60;
+
+  private Logs() {}
+
+  /** Takes the log over; called again it changes how. */
+  static void configure(LogConfig config) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    ConsoleAppender<ILoggingEvent> out = new ConsoleAppender<>();
+    out.setContext(context);
+    out.setTarget("System.err");
+    boolean json = config.format() == LogConfig.Format.JSON || config.format() == LogConfig.Format.AUTO && System.console() == null;
+    out.setEncoder(json ? json(context) : text(context));
+    out.start();
+    RepeatsAppender repeats = new RepeatsAppender(out, config.repeats(), config.windowMillis());
+    repeats.setContext(context);
+    repeats.start();
+    ch.qos.logback.classic.Logger root = context.getLogger(Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.valueOf(config.level().name()));
+    root.addAppender(repeats);
+    SLF4JBridgeHandler.removeHandlersForRootLogger();
+    SLF4JBridgeHandler.install();
+    // What is not wanted is not even made: the bridge costs a record each.
+    java.util.logging.Logger.getLogger("").setLevel(switch (config.level()) {
+      case DEBUG -> java.util.logging.Level.FINE;
+      case INFO -> java.util.logging.Level.INFO;
+      case WARN -> java.util.logging.Level.WARNING;
+      case ERROR -> java.util.logging.Level.SEVERE;
+    });
+  }
+
+  private static Encoder<ILoggingEvent> text(LoggerContext context) {
+    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    encoder.setContext(context);
+    // Whatever a message repeats of what came from outside, it can't move a terminal.
+    encoder.setPattern(PATTERN.replace("%plain", "%replace(%msg){'[\\p{Cc}\\u202A-\\u202E\\u2066-\\u2069]','?'}"));
+    encoder.start();
+    return encoder;
+  }
+
+  private static Encoder<ILoggingEvent> json(LoggerContext context) {
+    LogstashEncoder encoder = new LogstashEncoder();
+    encoder.setContext(context);
+    encoder.setIncludeContext(false);
+    encoder.setVersion(null);
+    encoder.getFieldNames().setLevelValue("[ignore]");
+    encoder.getFieldNames().setVersion("[ignore]");
+    encoder.addProvider(new AbstractJsonProvider<ILoggingEvent>() {
+      @Override
+      public void writeTo(JsonGenerator g, ILoggingEvent e) throws IOException {
+        g.writeStringField("event", event(e.getLoggerName(), e.getFormattedMessage()));
+        g.writeObjectFieldStart("fields");
+        Matcher m = FIELD.matcher(e.getFormattedMessage());
+        java.util.Set<String> seen = new java.util.HashSet<>();
+        while (m.find() && seen.size() < MOST_FIELDS) {
+          if (!seen.add(m.group(1))) {
+            continue; // A name twice would make an object that many readers refuse.
+          }
+          if (FIGURE.matcher(m.group(2)).matches()) {
+            g.writeNumberField(m.group(1), Long.parseLong(m.group(2)));
+          } else {
+            g.writeStringField(m.group(1), m.group(2));
+          }
+        }
+        g.writeEndObject();
+      }
+    });
+    encoder.start();
+    return encoder;
+  }
+
+  /** A name for what happened: who says it, and the words of the message up to its first figure or mark. */
+  static String event(String logger, String message) {
+    String by = logger == null ? "" : logger.substring(logger.lastIndexOf('.') + 1).toLowerCase(Locale.ROOT);
+    StringBuilder words = new StringBuilder();
+    for (char c : Safe.plain(message).toCharArray()) {
+      if (Character.isLetter(c)) {
+        words.append(Character.toLowerCase(c));
+      } else if (c == ' ' || c == '\'') {
+        if (words.length() > 0 && words.charAt(words.length() - 1) != '_') {
+          words.append('_');
+        }
+      } else {
+        break;
+      }
+      if (words.length() >= MOST_EVENT) {
+        break;
+      }
+    }
+    while (words.length() > 0 && words.charAt(words.length() - 1) == '_') {
+      words.setLength(words.length() - 1);
+    }
+    return words.length() == 0 ? by : by + "." + words;
+  }
+
+  /** Ends it: counts of what was held back are written. */
+  static void stop() {
+    if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+      context.stop();
+    }
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/Main.java
+++ b/dist/src/main/java/cloverpulley/cli/Main.java
@@ -17,8 +17,10 @@
 
   /** Runs a command and ends the process with its status. */
   public static void main(String[] args) {
-    System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
-    System.exit(run(args));
+    Logs.configure(LogConfig.USUAL);
+    int status = run(args);
+    Logs.stop();
+    System.exit(status);
   }
 
   /** Runs a command; its exit status. */
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -21,10 +21,11 @@
  * @param dns null where the file does not speak of it
  * @param dnssd what the fleet is found by, for the tools; null where it is not by DNS-SD
  * @param records where what happens is written down
+ * @param log how the program speaks of itself
  * @param publish null where the program does not register itself
  */
 record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns, DnsSdConfig dnssd,
-    PublishConfig publish, RecordsConfig records) {
+    PublishConfig publish, RecordsConfig records, LogConfig log) {
 
   static Operators read(Path path) throws BadFileException {
     return OperatorsFile.read(path, Operators::read);
@@ -34,7 +35,7 @@
     // A file that speaks of nothing but DNS needs no fleet of quote servers and no classes of quotes.
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
-      return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file));
+      return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file), LogConfig.read(file.table("log")));
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
@@ -43,7 +44,7 @@
     return new Operators(settings, FleetSource.read(fleet),
         ProcessorConfig.read(file.table("processor"), longest),
         file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
-        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file));
+        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file), LogConfig.read(file.table("log")));
   }
 
   private static RecordsConfig records(Section file) {
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -34,6 +34,7 @@
   @Override
   public Integer call() throws BadFileException, IOException, InterruptedException {
     Operators operators = Operators.read(config);
+    Logs.configure(operators.log());
     if (operators.processor() == null) {
       throw new IOException(config + ": processor: expected [[class]] and [fleet] for it, got [dns] alone");
     }
--- a/incident/src/main/java/cloverpulley/incident/tool/HtmlReport.java
+++ b/incident/src/main/java/cloverpulley/incident/tool/HtmlReport.java
@@ -105,10 +105,13 @@
   private void unknown() {
     h.append("<h2>What is not known</h2>");
     Map<String, Long> reasons = new TreeMap<>();
-    if (gaps.isEmpty() && s.read.spoiltBlocks() == 0 && s.read.tornOctets() == 0 && s.read.unread().isEmpty()) {
+    if (gaps.isEmpty() && s.read.spoiltBlocks() == 0 && s.read.tornOctets() == 0 && s.read.unread().isEmpty()
+        && c.calledOnly().isEmpty()) {
       h.append("<p>Nothing: every instance told its start and its end, no record was dropped, none is spoilt.</p>");
       return;
     }
+    c.calledOnly().forEach((answer, n) -> h.append(say("<p class=\"unsure\">%d tries that callers recorded as %s are in no other record: "
+        + "who answered them lost its own.</p>", n, Entry.answer(answer))));
     h.append("<table><tr><th>instance</th><th>from</th><th>to</th><th>requests</th><th>why</th></tr>");
     for (Course.Gap g : gaps) {
       h.append("<tr class=\"gap\"><td>").append(Safe.html(g.instance())).append("</td><td>").append(time(g.from())).append("</td><td>")
--- a/incident/src/main/java/cloverpulley/incident/tool/Why.java
+++ b/incident/src/main/java/cloverpulley/incident/tool/Why.java
@@ -120,6 +120,9 @@
         }
       }
       case ANSWERED -> {
+        if ("caller".equals(e.word())) {
+          return;
+        }
         k.recentAnswers++;
         k.recentRefusals += e.other() == Entry.REFUSED ? 1 : 0;
       }
@@ -138,7 +141,8 @@
       case OUTCOME -> "attempt " + e.attempt() + " at " + server(e, k) + " ended " + Safe.plain(e.word()) + " after " + e.value() / 1000.0
           + " ms";
       case ENDED -> "ended by the module: " + Entry.answer(e.other()) + ", " + Safe.plain(e.word());
-      case ANSWERED -> "answered: " + Entry.answer(e.other()) + ", " + Safe.plain(e.word()) + "; of " + k.recentAnswers
+      case ANSWERED -> "caller".equals(e.word()) ? "its caller had it: " + Entry.answer(e.other()) + " after " + e.value() / 1000.0 + " ms"
+          : "answered: " + Entry.answer(e.other()) + ", " + Safe.plain(e.word()) + "; of " + k.recentAnswers
           + " answers in the minute before " + k.recentRefusals + " were refusals";
       default -> e.kind().name().toLowerCase(Locale.ROOT);
     };
--- /dev/null
+++ b/incident/src/test/java/cloverpulley/incident/tool/SafeTest.java
@@ -0,0 +1,71 @@
+package cloverpulley.incident.tool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.incident.Audit;
+import cloverpulley.incident.Entry;
+import cloverpulley.incident.Kind;
+import cloverpulley.incident.Origin;
+import cloverpulley.records.Archive;
+import cloverpulley.records.Recorder;
+import cloverpulley.records.RecordsConfig;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Hostile text in every field reaches page, terminal and JSON harmless. */
+class SafeTest {
+
+  private static final List<String> HOSTILE = List.of("<script>alert(1)</script>", "\"><img src=x onerror=alert(1)>", "\u001b[2J\u001b]0;x\u0007",
+      "a\r\nb", "\u202Eevil", "'; drop", "&lt;", "\u0000", "\ud800", "x".repeat(5000), "</title><style>", "{\"a\":1}\n{");
+
+  @TempDir
+  Path folder;
+
+  @Test
+  void eachFieldIsHarmlessEverywhere() throws Exception {
+    Recorder r = Recorder.open(RecordsConfig.of(folder, "p"), "process", null);
+    for (String h : HOSTILE) {
+      r.answered(0, h, h, h, h, Entry.FAILED, 1000);
+      r.called(h + "2", h, h, Entry.SERVED, 2000);
+      r.replaced(h);
+    }
+    r.close();
+    Study s = new Study(new Archive(List.of(folder)), Study.Wanted.everything(), n -> { });
+    String html = new HtmlReport(s).html();
+    for (String bad : List.of("<script", "<img", "\u001b", "\u202E", "\u0000", "</title><style>alert", "onerror=alert(1)>")) {
+      assertFalse(html.contains(bad), bad);
+    }
+    assertEquals(1, html.split("<style>", -1).length - 1, "only our own");
+    int[] lines = {0};
+    s.archive.all(e -> {
+      String text = Lines.text(e);
+      assertTrue(text.chars().noneMatch(c -> Character.isISOControl(c) || c == 0x202E), text);
+      try (JsonParser p = new JsonFactory().createParser(Lines.json(e))) {
+        assertFalse(Lines.json(e).contains("\n"));
+        while (p.nextToken() != null) {
+          lines[0] += p.currentToken().isStructEnd() ? 1 : 0;
+        }
+      } catch (java.io.IOException x) {
+        throw new AssertionError(x);
+      }
+    }, n -> { });
+    assertEquals(s.read.records(), lines[0], "an object a record");
+    new Console(List.of(folder), 60_000_000L).draw(80, System.currentTimeMillis() * 1000)
+        .forEach(l -> assertTrue(l.toString().chars().noneMatch(Character::isISOControl), l.toString()));
+  }
+
+  @Test
+  void anEmptyCourseIsAPageToo() throws Exception {
+    Recorder.open(RecordsConfig.of(folder, "p"), "process", null).close();
+    Study s = new Study(new Archive(List.of(folder)), new Study.Wanted(0, Long.MAX_VALUE, 1_000_000L, null, Audit.Limits.USUAL), n -> { });
+    assertTrue(new HtmlReport(s).html().contains("never put to the test"));
+    Entry e = Entry.of(new Origin("p", 1), 1, 1, Kind.CLOCK);
+    assertTrue(Lines.text(e).startsWith("1970-01-01T00:00:00.000001Z p clock"), Lines.text(e));
+  }
+}
--- a/records/src/main/java/cloverpulley/records/Recorder.java
+++ b/records/src/main/java/cloverpulley/records/Recorder.java
@@ -225,6 +225,18 @@
     }
   }
 
+  /** Anything else that a part of the program wants recorded; its origin and number are set here, its time is kept. */
+  public void record(Entry e) {
+    if (queue != null) {
+      put(e);
+    }
+  }
+
+  /** Records that wait for the writer. */
+  public int waiting() {
+    return queue == null ? 0 : queue.size();
+  }
+
   /** A caller's own word on a call that it made: when it was sent is its end less what it took. */
   public void called(String id, String className, String tenant, int kind, long latencyNanos) {
     answered(0, id, className, tenant, "caller", kind, latencyNanos);
@@ -245,10 +257,6 @@
       put(Entry.of(origin, 0, now, Kind.LIST).says("failed", 0, 0));
       return;
     }
-    if (list.revision() != revision && !servers.isEmpty()) {
-      revision = list.revision();
-      put(Entry.of(origin, 0, now, Kind.LIST).says(word(kind), list.revision(), servers.size()));
-    }
     Set<Long> here = new HashSet<>();
     for (Numbered n : servers) {
       here.add(n.upstream());
@@ -272,6 +280,20 @@
         server(now, upstream, known.remove(upstream), State.GONE, list.revision());
       }
     }
+    if (list.revision() != revision && !servers.isEmpty()) {
+      revision = list.revision();
+      // What the list now is in all goes with it: two instances that hold the same under one revision heard of the same thing.
+      put(new Entry(origin, 0, now, Kind.LIST, 0, null, null, null, fingerprint(), 0, 0, null, word(kind), revision, servers.size()));
+    }
+  }
+
+  /** The same for the same servers in the same states, whatever their order. */
+  private long fingerprint() {
+    long sum = 0;
+    for (ServerList.Server s : known.values()) {
+      sum += hash(s.id() + ' ' + s.state() + ' ' + s.upSinceMillis());
+    }
+    return sum;
   }
 
   private void server(long now, long upstream, ServerList.Server s, State state, long told) {
