Nested quotas: the decisions, work-conserving with idle share lent by weight and paid back

Need: one dealer group eats its partner's whole share at month end; a tenant has one bucket a second, forgotten at a restart.

Change: pure package quota in decision/: a tree with guarantees, ceilings and weights in up to eight lanes (dimension and window). A node's own tokens never wait for a borrower; idle share is lent by the nearest node above that has it, the fuller it has to be the further ahead the borrower is of its siblings; who lent starts behind by its part. Ceilings count windows that move on in slots. Concurrency is charged and given back once. State kept and restored.

--- a/bench/src/main/java/cloverpulley/bench/IncidentBench.java
+++ b/bench/src/main/java/cloverpulley/bench/IncidentBench.java
@@ -41,7 +41,9 @@
   private static final long DAY = 1_764_547_200_000_000L;
   private static final long DAY_MICROS = 86_400_000_000L;
   private static final int BACKLOG = 30_000;
-  private static final List<String> OPTIONS = List.of("-XX:+UseParallelGC", "-Xmx512m");
+  private static final List<String> OPTIONS = List.of("-XX:+UseParallelGC", "-Xmx1g", "-Xms1g");
+  private static final String REMEMBERED = "1000000";
+  private static final int WARM_UPS = 3;
 
   private IncidentBench() {}
 
@@ -87,11 +89,15 @@
     List<Double> rate = new ArrayList<>();
     List<Double> cpu = new ArrayList<>();
     List<Double> p99 = new ArrayList<>();
-    try (Child without = new Child(OPTIONS, Servers.class, "100");
-        Child with = new Child(OPTIONS, Servers.class, "100", folder.toString());
+    try (Child without = new Child(OPTIONS, Servers.class, "100", "-", REMEMBERED);
+        Child with = new Child(OPTIONS, Servers.class, "100", folder.toString(), REMEMBERED);
         Caller to = new Caller(without.port(), SEED); Caller recorded = new Caller(with.port(), SEED)) {
-      to.closed(AT_ONCE, seconds);
-      recorded.closed(AT_ONCE, seconds);
+      for (int i = 0; i < WARM_UPS; i++) { // Compiled code on both sides, and in the caller, before anything counts.
+        to.closed(AT_ONCE, seconds);
+        recorded.closed(AT_ONCE, seconds);
+        to.open(5000, seconds);
+        recorded.open(5000, seconds);
+      }
       for (int i = 0; i < rounds; i++) {
         // Who goes first changes from round to round.
         Result[] full = new Result[2];
@@ -102,6 +108,7 @@
           Caller c = which == 0 ? to : recorded;
           Child child = which == 0 ? without : with;
           full[which] = c.closed(AT_ONCE, seconds);
+          TimeUnit.MILLISECONDS.sleep(500); // What is compiled or written behind the full load is not the next run's.
           double before = child.cpuMicros();
           open[which] = c.open(5000, seconds);
           spent[which] = (child.cpuMicros() - before) / open[which].calls();
@@ -111,6 +118,8 @@
         p99.add((double) open[1].verdicts().getValueAtPercentile(99) / open[0].verdicts().getValueAtPercentile(99));
         System.out.printf("round %d: %.0f and %.0f calls a second without and with records, CPU %.1f and %.1f us a call%n", i + 1,
             sent(full[0]), sent(full[1]), spent[0], spent[1]);
+        System.out.printf("         sent of all %.3f and %.3f%n", full[0].destinations() / (double) full[0].calls(),
+            full[1].destinations() / (double) full[1].calls());
       }
     }
     return new double[] {median(rate), median(cpu), median(p99)};
--- a/bench/src/main/java/cloverpulley/bench/Servers.java
+++ b/bench/src/main/java/cloverpulley/bench/Servers.java
@@ -43,7 +43,8 @@
 
   /**
    * Prints its port and serves until it is ended; the argument is a number of upstreams, 0 for the null processor, or
-   * {@code http} for a null HTTP server; a second one is the folder of the processor's records.
+   * {@code http} for a null HTTP server; a second one is the folder of the processor's records, or -; a
+   * third one how many requests it remembers.
    */
   public static void main(String[] args) throws IOException, BadFileException, InterruptedException {
     if (args[0].equals("http")) {
@@ -53,7 +54,8 @@
       System.exit(0);
     }
     int upstreams = Integer.parseInt(args[0]);
-    int port = upstreams == 0 ? nothing() : processor(upstreams, args.length > 1 ? Path.of(args[1]) : null);
+    int port = upstreams == 0 ? nothing() : processor(upstreams, args.length > 1 && !args[1].equals("-") ? Path.of(args[1]) : null,
+        args.length > 2 ? Integer.parseInt(args[2]) : 0);
     System.out.println("port " + port);
     System.in.read(); // Ends with the process that started it.
     System.exit(0);
@@ -98,7 +100,7 @@
     }
   }
 
-  private static int processor(int upstreams, Path records) throws IOException, BadFileException {
+  private static int processor(int upstreams, Path records, int remembered) throws IOException, BadFileException {
     StringBuilder text = new StringBuilder("""
         [service]
         zone = "a"
@@ -117,6 +119,10 @@
         [processor]
         listen = "127.0.0.1:0"
         """);
+    if (remembered > 0) {
+      // As many as come in their time: a full table refuses, which is cheap and no work done.
+      text.append("[processor.repeats]\nmost = ").append(remembered).append("\nkeep_ms = 6000\n");
+    }
     for (int i = 0; i < upstreams; i++) {
       text.append("[[fleet.server]]\nid = \"s").append(i).append("\"\nzone = \"a\"\ncell = ").append(i / 4)
           .append("\naddress = \"127.").append(1 + i / 250).append(".0.").append(1 + i % 250).append(":8000\"\n");
--- a/decision/src/main/java/cloverpulley/incident/Course.java
+++ b/decision/src/main/java/cloverpulley/incident/Course.java
@@ -188,6 +188,13 @@
     return by;
   }
 
+  /** The other side: answers of which no caller tells, though callers recorded; the caller may have gone before it came. */
+  public Map<Integer, Long> answeredOnly() {
+    Map<Integer, Long> by = new TreeMap<>();
+    answeredOnly.values().forEach(answer -> by.merge(answer, 1L, Long::sum));
+    return by;
+  }
+
   /** Whether there were more calls than could be held against one another: then {@link #calledOnly} is too high by this at most. */
   public long unmatched() {
     return unmatched;
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/quota/Dimension.java
@@ -0,0 +1,16 @@
+package cloverpulley.quota;
+
+import java.util.Locale;
+
+/** What is limited. */
+public enum Dimension {
+  REQUESTS, BYTES_IN, BYTES_OUT,
+  /** By hint, in milliseconds of a server's time. */
+  WORK,
+  /** Requests in flight at one time; it has no window. */
+  CONCURRENCY;
+
+  public String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/quota/Lane.java
@@ -0,0 +1,25 @@
+package cloverpulley.quota;
+
+/**
+ * A dimension over a window: every node of a tree has a guarantee and a ceiling in each lane.
+ *
+ * @param windowNanos 0 for {@link Dimension#CONCURRENCY} alone
+ */
+public record Lane(Dimension dimension, long windowNanos) {
+
+  public Lane {
+    if (dimension == Dimension.CONCURRENCY ? windowNanos != 0 : windowNanos < 1_000_000L || windowNanos > 3_600_000_000_000L) {
+      throw new IllegalArgumentException("a window of " + windowNanos + " ns for " + dimension.word()
+          + ": expected a millisecond to an hour, and none for concurrency");
+    }
+  }
+
+  boolean isLevel() {
+    return dimension == Dimension.CONCURRENCY;
+  }
+
+  @Override
+  public String toString() {
+    return isLevel() ? dimension.word() : dimension.word() + " in " + windowNanos / 1_000_000 + " ms";
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -0,0 +1,606 @@
+package cloverpulley.quota;
+
+import cloverpulley.quota.QuotaPlan.Child;
+import cloverpulley.quota.QuotaPlan.Spec;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/**
+ * Decides who may take how much, by a tree of nodes ({@link QuotaPlan}). Each node holds tokens in each lane, filled at its guarantee.
+ *
+ * <ul>
+ * <li>A request whose node has the tokens passes, whatever others do: a guarantee never waits for a borrower. What it takes is charged to
+ *     the node and to all above it, which may go below zero by it, to a bound.
+ * <li>Without them it borrows from the nearest node above that has them: idle share, for those above were charged for all that was used
+ *     below. First inside the same parent, then above.
+ * <li>Each child has an account of what it was lent for its weight. The further ahead of its siblings it is, the fuller the lender has to
+ *     be before it lends to it: who has had less is served down to the last token, who has had most only from about half on. So idle
+ *     share goes by weight and not by asking, and none of it is left unused (start-time fair queueing, Goyal, Vin and Cheng 1996, with
+ *     the level of the tokens in the queue's place).
+ * <li>Who comes back after lending starts behind those that borrowed meanwhile, by its fair part of what was lent, to a bound: that is
+ *     how it is paid back, out of idle share alone and never out of anybody's guarantee.
+ * </ul>
+ *
+ * A decision costs the depth of the tree. Idle nodes that are owed nothing and owe nothing are let go. One thread.
+ */
+public final class Quotas {
+
+  /** A borrower that has not asked for so long lends again. */
+  private static final long ASKING_NANOS = 1_000_000_000L;
+  /** How full a lender has to be for whoever is furthest ahead. */
+  private static final double AMPLE = 0.5;
+  /** In flight: what is kept back there is never used, so it is little. */
+  private static final double AMPLE_LEVEL = 0.02;
+  /** What is paid back, and how far behind one may be, is bounded: so many seconds of the lender's rate for each unit of weight. */
+  private static final double REPAID_SECONDS = 3;
+  /** But so many requests such as the present one at least: less would be the chance of who comes first. */
+  private static final double REPAID_REQUESTS = 16;
+  /** How much the accounts below weigh against those of the level above. */
+  private static final double BELOW_PART = 0.125;
+  /** Nodes charged for what others below were guaranteed go below zero by so many windows at most. */
+  private static final double BELOW = 1;
+  /** One request is charged for this many times what its node can ever hold, at most: a hint may lie. */
+  private static final double MOST_COST = 60;
+  private static final int SWEEP = 2;
+  private static final double SECOND = 1e9;
+  private static final int BITS = 4;
+  /** A verdict that refuses has this bit; below it stands the lane that binds. */
+  private static final long REFUSED = 1L << 62;
+
+  /** What only those who borrow have. */
+  static final class Loans {
+    final double[] had;
+    final double[] since;
+    final long[] tried;
+
+    Loans(int lanes) {
+      had = new double[lanes];
+      since = new double[lanes];
+      tried = new long[lanes];
+    }
+  }
+
+  /** What a node's children were lent in one lane. */
+  static final class Account {
+    /** For each unit of all known children's weight: the fair part of whoever had none of it. */
+    double lent;
+    /** What the one that has had most for its weight has had. */
+    double most;
+  }
+
+  /** One node's state. */
+  static final class Node {
+    final String path;
+    final Node parent;
+    final int depth;
+    final double weight;
+    final boolean named;
+    double[] guarantee;
+    double[] ceiling;
+    Child child;
+    final double[] tokens;
+    long filledAt;
+    Ceiling[] ceilings;
+    Loans loans;
+    Account[] accounts;
+    /** Nodes below it that are kept. */
+    int children;
+    int inFlight;
+    double lentWeight;
+
+    Node(String path, Node parent, double weight, boolean named, double[] guarantee, double[] ceiling, Child child, long now) {
+      this.path = path;
+      this.parent = parent;
+      this.weight = weight;
+      this.named = named;
+      this.guarantee = guarantee;
+      this.ceiling = ceiling;
+      this.child = child;
+      depth = parent == null ? 0 : parent.depth + 1;
+      tokens = guarantee.clone();
+      filledAt = now;
+    }
+  }
+
+  /** What is known of a node, for people. */
+  public record Status(String path, double[] tokens, double[] guarantee, int inFlight, double[] behind, double[] owed) {}
+
+  private QuotaPlan plan;
+  private List<Lane> lanes;
+  private final int mostNodes;
+  private final Map<String, Node> nodes = new LinkedHashMap<>(256, 0.75f, true);
+  private Node root;
+  private long now;
+  private long retryAt;
+
+  /** @param mostNodes unnamed nodes kept at one time; beyond it requests are decided at their nearest node that is kept */
+  public Quotas(QuotaPlan plan, int mostNodes, long now) {
+    this.mostNodes = mostNodes;
+    this.now = now;
+    take(plan, now);
+  }
+
+  /** Takes another plan: what nodes have used, owe and are owed stays with those that stay, and goes up to the parent of those that go. */
+  public void take(QuotaPlan next, long at) {
+    if (plan != null && !next.lanes().equals(lanes)) {
+      throw new IllegalArgumentException("quota: the lanes can't change while it runs");
+    }
+    now = Math.max(now, at);
+    lanes = next.lanes();
+    Map<String, Node> before = new HashMap<>(nodes);
+    plan = next;
+    if (!before.isEmpty()) {
+      before.values().forEach(this::fill);
+    }
+    nodes.clear();
+    root = null;
+    for (Spec s : next.nodes().values()) {
+      Node parent = s.path().isEmpty() ? null : nodes.get(QuotaPlan.parent(s.path()));
+      Node n = new Node(s.path(), parent, s.weight(), true, s.guarantee(), s.ceiling(), s.child(), now);
+      root = parent == null ? n : root;
+      nodes.put(s.path(), n);
+      Node old = before.get(s.path());
+      if (parent != null) {
+        parent.children++;
+      }
+      if (old != null) {
+        carry(old, n);
+      }
+    }
+    for (Node old : before.values()) {
+      if (!nodes.containsKey(old.path)) {
+        // A node that goes leaves what is in flight to whoever is above: its ends still come.
+        Node heir = nearest(old.path);
+        if (old.inFlight > 0 && heir.inFlight < old.inFlight) {
+          heir.inFlight = Math.max(heir.inFlight, old.inFlight);
+        }
+      }
+    }
+  }
+
+  /** A smaller quota is not below zero for what it was larger before; what was used of it counts on. */
+  private void carry(Node old, Node n) {
+    n.filledAt = old.filledAt;
+    n.inFlight = old.inFlight;
+    n.ceilings = old.ceilings;
+    for (int i = 0; i < lanes.size(); i++) {
+      n.tokens[i] = Math.max(-BELOW * n.guarantee[i], n.guarantee[i] - (old.guarantee[i] - old.tokens[i]));
+    }
+    if (old.loans != null) {
+      Loans l = loans(n);
+      System.arraycopy(old.loans.had, 0, l.had, 0, lanes.size());
+      System.arraycopy(old.loans.since, 0, l.since, 0, lanes.size());
+      System.arraycopy(old.loans.tried, 0, l.tried, 0, lanes.size());
+    }
+    n.accounts = old.accounts;
+  }
+
+  // ---- Finding a node ------------------------------------------------------------------------------------
+
+  private Node nearest(String path) {
+    String at = path;
+    while (true) {
+      Node n = nodes.get(at);
+      if (n != null || at.isEmpty()) {
+        return n != null ? n : root;
+      }
+      at = QuotaPlan.parent(at);
+    }
+  }
+
+  /** The node of a path: a named one, one made for an unnamed child where its parent gives those something, or the nearest above. */
+  private Node node(String path) {
+    Node n = nodes.get(path);
+    if (n != null) {
+      return n;
+    }
+    Node parent = nearest(QuotaPlan.parent(path));
+    if (path.isEmpty() || parent == root && root.child == null) {
+      return nodes.get(plan.others());
+    }
+    if (parent.child == null || !parent.path.equals(QuotaPlan.parent(path)) || parent.depth >= QuotaPlan.MOST_DEPTH) {
+      return parent;
+    }
+    sweep();
+    if (nodes.size() - plan.nodes().size() >= mostNodes) {
+      return parent;
+    }
+    double[] guarantee = parent.guarantee.clone();
+    for (int i = 0; i < guarantee.length; i++) {
+      guarantee[i] *= parent.child.guaranteePart();
+    }
+    n = new Node(path, parent, parent.child.weight(), false, guarantee, parent.child.ceiling(), null, now);
+    parent.children++;
+    nodes.put(path, n);
+    return n;
+  }
+
+  /** Lets go of unnamed nodes idle longest, a few with each new one: what is full, in no window and owed nothing tells nothing. */
+  private void sweep() {
+    var all = nodes.values().iterator();
+    for (int i = 0; i < SWEEP && all.hasNext(); i++) {
+      Node n = all.next();
+      if (n.named || n.children > 0 || n.inFlight > 0) {
+        continue;
+      }
+      fill(n);
+      if (isClear(n)) {
+        n.parent.children--;
+        all.remove();
+      }
+    }
+  }
+
+  private boolean isClear(Node n) {
+    for (int i = 0; i < lanes.size(); i++) {
+      if (n.tokens[i] < n.guarantee[i] * (1 - 1e-9)) {
+        return false;
+      }
+      if (n.ceilings != null && n.ceilings[i] != null && !n.ceilings[i].isEmpty(now)) {
+        return false;
+      }
+      if (n.loans != null && now - n.loans.tried[i] <= ASKING_NANOS) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Nodes that are kept, the named ones among them. */
+  public int nodes() {
+    return nodes.size();
+  }
+
+  // ---- The decision --------------------------------------------------------------------------------------
+
+  private void fill(Node n) {
+    long passed = now - n.filledAt;
+    if (passed <= 0) {
+      return;
+    }
+    n.filledAt = now;
+    for (int i = 0; i < n.tokens.length; i++) {
+      Lane lane = lanes.get(i);
+      if (!lane.isLevel()) {
+        n.tokens[i] = Math.min(n.guarantee[i], n.tokens[i] + n.guarantee[i] * ((double) passed / lane.windowNanos()));
+      }
+    }
+  }
+
+  /**
+   * Asks for what a request costs: a figure for each lane, which counts 1 for concurrency. What is granted is charged at once.
+   *
+   * @return the grant, to be given back to {@link #settle} and {@link #end}; for a refusal see {@link #isRefused}
+   */
+  public long ask(long at, String path, double[] cost) {
+    now = Math.max(now, at); // A clock that steps back stands still here.
+    Node leaf = node(path);
+    long grant = 0;
+    for (Node n = leaf; n != null; n = n.parent) {
+      fill(n);
+    }
+    for (int i = 0; i < cost.length; i++) {
+      double x = charged(leaf, i, cost[i]);
+      if (x <= 0) {
+        continue;
+      }
+      for (Node n = leaf; n != null; n = n.parent) {
+        if (!underCeiling(n, i, x)) {
+          return refuse(i, n, x, true);
+        }
+      }
+      int lender = lender(leaf, i, x);
+      if (lender < 0) {
+        return refuse(i, leaf, x, false);
+      }
+      grant |= (long) lender << BITS * i;
+    }
+    for (int i = 0; i < cost.length; i++) {
+      charge(leaf, i, charged(leaf, i, cost[i]), (int) (grant >>> BITS * i & 15));
+    }
+    for (Node n = leaf; n != null; n = n.parent) {
+      n.inFlight++;
+    }
+    return grant;
+  }
+
+  /** What a request is charged for: no more than some times what there ever is, however large its hint. */
+  private double charged(Node leaf, int lane, double x) {
+    return lanes.get(lane).isLevel() ? Math.min(1, x) : Math.min(x, MOST_COST * root.guarantee[lane]);
+  }
+
+  private boolean underCeiling(Node n, int lane, double x) {
+    double most = n.ceiling == null ? Double.POSITIVE_INFINITY : n.ceiling[lane];
+    if (most == Double.POSITIVE_INFINITY) {
+      return true;
+    }
+    if (lanes.get(lane).isLevel()) {
+      return n.inFlight + 1 <= most;
+    }
+    double sum = n.ceilings == null || n.ceilings[lane] == null ? 0 : n.ceilings[lane].sum(now);
+    // What is larger than all there is passes alone, or it never would.
+    return sum + x <= most || sum == 0;
+  }
+
+  private double tokens(Node n, int lane) {
+    return lanes.get(lane).isLevel() ? n.guarantee[lane] - n.inFlight : n.tokens[lane];
+  }
+
+  /** Enough for a request, or all there can be where that is larger: then it waits for all of it, and the rest is owed. */
+  private boolean has(Node n, int lane, double x) {
+    return n.guarantee[lane] > 0 && tokens(n, lane) >= Math.min(x, n.guarantee[lane]) * (1 - 1e-12);
+  }
+
+  /** Levels up to the node whose tokens it takes: 0 for its own; below 0 for none. */
+  private int lender(Node leaf, int lane, double x) {
+    if (has(leaf, lane, x)) {
+      return 0;
+    }
+    // The nearest that may lend: one may be too empty for who is that far ahead, and the one above it full enough all the same.
+    double ahead = 0;
+    int up = 1;
+    for (Node c = leaf; c.parent != null; c = c.parent, up++) {
+      ahead = ahead(c, lane, x) + BELOW_PART * ahead;
+      Node lender = c.parent;
+      double kept = (lanes.get(lane).isLevel() ? AMPLE_LEVEL : AMPLE) * ahead * lender.guarantee[lane] - 1;
+      if (has(lender, lane, x) && tokens(lender, lane) >= Math.min(lender.guarantee[lane], x + kept) * (1 - 1e-12)) {
+        return up;
+      }
+    }
+    return -1;
+  }
+
+  private Loans loans(Node n) {
+    if (n.loans == null) {
+      n.loans = new Loans(lanes.size());
+      for (int i = 0; i < lanes.size() && n.parent != null; i++) {
+        // One that is in the plan lent from the beginning on; one that was made for a stranger did not.
+        n.loans.since[i] = n.named ? 0 : account(n.parent, i).lent;
+        n.loans.tried[i] = now - 2 * ASKING_NANOS;
+      }
+    }
+    return n.loans;
+  }
+
+  private Account account(Node n, int lane) {
+    if (n.accounts == null) {
+      n.accounts = new Account[lanes.size()];
+    }
+    if (n.accounts[lane] == null) {
+      n.accounts[lane] = new Account();
+    }
+    return n.accounts[lane];
+  }
+
+  /** How far ahead of its siblings a child is that asks now: 0 for as far behind as counts, 1 for nobody before it. */
+  private double ahead(Node child, int lane, double x) {
+    Account a = account(child.parent, lane);
+    Loans l = loans(child);
+    double most = Math.max(repaid(child.parent, lane), REPAID_REQUESTS * x / child.weight);
+    double behind = now - l.tried[lane] > ASKING_NANOS ? Math.min(most, Math.max(0, a.lent - l.since[lane])) : most;
+    l.had[lane] = Math.max(l.had[lane], a.most - behind);
+    l.tried[lane] = now;
+    l.since[lane] = a.lent;
+    return Math.min(1, Math.max(0, 1 - (a.most - l.had[lane]) / most));
+  }
+
+  /** The most that anybody below a node is behind, for each unit of its weight. */
+  private double repaid(Node parent, int lane) {
+    Node n = parent;
+    while (n.guarantee[lane] <= 0 && n.parent != null) {
+      n = n.parent;
+    }
+    return REPAID_SECONDS * rate(n, lane) / weightBelow(parent);
+  }
+
+  private double rate(Node n, int lane) {
+    return lanes.get(lane).isLevel() ? n.guarantee[lane] : n.guarantee[lane] * SECOND / lanes.get(lane).windowNanos();
+  }
+
+  /** What a child that does not borrow is to be paid back, for each unit of its weight. */
+  private double owed(Node child, int lane) {
+    if (child.parent == null || child.parent.accounts == null || child.parent.accounts[lane] == null || child.loans == null
+        || now - child.loans.tried[lane] <= ASKING_NANOS) {
+      return 0;
+    }
+    return Math.max(0, Math.min(repaid(child.parent, lane), child.parent.accounts[lane].lent - child.loans.since[lane]));
+  }
+
+  private void charge(Node leaf, int lane, double x, int lender) {
+    if (x <= 0) {
+      return;
+    }
+    boolean level = lanes.get(lane).isLevel();
+    int up = 0;
+    for (Node n = leaf; n != null; n = n.parent, up++) {
+      if (up >= lender && !level) {
+        n.tokens[lane] = Math.max(-BELOW * Math.max(n.guarantee[lane], x), n.tokens[lane] - x);
+      } else if (up < lender && n.parent != null) {
+        borrowed(n, lane, x);
+      }
+      if (n.ceiling != null && n.ceiling[lane] != Double.POSITIVE_INFINITY && !level) {
+        if (n.ceilings == null) {
+          n.ceilings = new Ceiling[lanes.size()];
+        }
+        if (n.ceilings[lane] == null) {
+          n.ceilings[lane] = new Ceiling(lanes.get(lane).windowNanos(), now);
+        }
+        n.ceilings[lane].add(now, x);
+      }
+    }
+  }
+
+  private void borrowed(Node child, int lane, double x) {
+    Account a = account(child.parent, lane);
+    Loans l = loans(child);
+    l.had[lane] += x / child.weight;
+    a.most = Math.max(a.most, l.had[lane]);
+    a.lent += x / weightBelow(child.parent);
+  }
+
+  /** The weight of all that may claim a part: those in the plan, or those that are kept where it names none. */
+  private double weightBelow(Node n) {
+    if (n.lentWeight <= 0) {
+      for (String c : plan.children(n.path)) {
+        n.lentWeight += plan.nodes().get(c).weight();
+      }
+    }
+    return n.child == null ? Math.max(n.lentWeight, 1e-9) : Math.max(n.lentWeight, n.children * n.child.weight());
+  }
+
+  // ---- Refusals ------------------------------------------------------------------------------------------
+
+  private long refuse(int lane, Node n, double x, boolean ceiling) {
+    long wait;
+    if (lanes.get(lane).isLevel()) {
+      wait = 0; // When something ends nobody knows.
+    } else if (ceiling) {
+      Ceiling c = n.ceilings[lane];
+      wait = c.until(now, c.sum(now) + x - n.ceiling[lane]);
+    } else {
+      Node own = n;
+      while (own.parent != null && own.guarantee[lane] <= 0) {
+        own = own.parent; // Without a guarantee of its own it waits for whoever lends to it.
+      }
+      double missing = Math.min(x, own.guarantee[lane]) - own.tokens[lane];
+      wait = (long) Math.ceil(Math.max(0, missing) / own.guarantee[lane] * lanes.get(lane).windowNanos());
+    }
+    retryAt = now + wait;
+    return REFUSED | (ceiling ? 16 : 0) | lane;
+  }
+
+  /** Whether it was refused. */
+  public static boolean isRefused(long grant) {
+    return (grant & REFUSED) != 0;
+  }
+
+  /** Of a refusal: the lane that bound. */
+  public Lane bound(long refusal) {
+    return lanes.get((int) (refusal & 15));
+  }
+
+  /** Of a refusal: whether a ceiling bound, and not that nobody had anything to lend. */
+  public static boolean isCeiling(long refusal) {
+    return (refusal & 16) != 0;
+  }
+
+  /** When the share of whoever was refused last will really be there; a clock reading. */
+  public long retryAt() {
+    return retryAt;
+  }
+
+  /** How many levels up a lane's tokens came from: 0 for its own guarantee. */
+  public static int lent(long grant, int lane) {
+    return (int) (grant >>> BITS * lane & 15);
+  }
+
+  // ---- What comes after ----------------------------------------------------------------------------------
+
+  /** What it really took, once that is known: the difference is charged, or given back, where the estimate was. */
+  public void settle(long at, String path, long grant, double[] estimated, double[] actual) {
+    now = Math.max(now, at);
+    Node leaf = node(path);
+    for (int i = 0; i < actual.length; i++) {
+      if (lanes.get(i).isLevel()) {
+        continue;
+      }
+      double more = charged(leaf, i, actual[i]) - charged(leaf, i, estimated[i]);
+      int up = 0;
+      for (Node n = leaf; n != null; n = n.parent, up++) {
+        if (up >= lent(grant, i)) {
+          fill(n);
+          n.tokens[i] = Math.max(-BELOW * Math.max(n.guarantee[i], more), Math.min(n.guarantee[i], n.tokens[i] - more));
+        } else if (more > 0) {
+          borrowed(n, i, more);
+        }
+        if (more > 0 && n.ceilings != null && n.ceilings[i] != null) {
+          n.ceilings[i].add(now, more);
+        }
+      }
+    }
+  }
+
+  /** It is over, whatever its end: its place in flight is given back. To be called once for each grant. */
+  public void end(long at, String path, long grant) {
+    now = Math.max(now, at);
+    if (isRefused(grant)) {
+      return;
+    }
+    for (Node n = node(path); n != null; n = n.parent) {
+      n.inFlight = Math.max(0, n.inFlight - 1);
+    }
+  }
+
+  // ---- What is seen and kept of it -----------------------------------------------------------------------
+
+  /** Tells of all nodes that are kept, at a clock reading. */
+  public void each(long at, Consumer<Status> to) {
+    now = Math.max(now, at);
+    for (Node n : List.copyOf(nodes.values())) {
+      fill(n);
+      double[] behind = new double[lanes.size()];
+      double[] owed = new double[lanes.size()];
+      for (int i = 0; i < lanes.size(); i++) {
+        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= ASKING_NANOS;
+        behind[i] = asks ? account(n.parent, i).most - n.loans.had[i] : 0;
+        owed[i] = Math.max(0, owed(n, i));
+      }
+      to.accept(new Status(n.path, n.tokens.clone(), n.guarantee, n.inFlight, behind, owed));
+    }
+  }
+
+  /** One node's state as it is kept over a restart: nothing that is in flight, for that ends with the process. */
+  public record Kept(String path, double[] used, double[] behind, double[] owed) {}
+
+  /** What a successor has to know, at a clock reading; nodes of which nothing is to be known are left out. */
+  public List<Kept> keep(long at) {
+    now = Math.max(now, at);
+    List<Kept> all = new ArrayList<>();
+    for (Node n : nodes.values()) {
+      fill(n);
+      double[] used = new double[lanes.size()];
+      double[] behind = new double[lanes.size()];
+      double[] owed = new double[lanes.size()];
+      boolean any = false;
+      for (int i = 0; i < lanes.size(); i++) {
+        used[i] = lanes.get(i).isLevel() ? 0 : n.guarantee[i] - n.tokens[i];
+        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= ASKING_NANOS;
+        behind[i] = asks ? account(n.parent, i).most - n.loans.had[i] : 0;
+        owed[i] = Math.max(0, owed(n, i));
+        any |= used[i] > 1e-9 || behind[i] > 0 || owed[i] > 0;
+      }
+      if (any) {
+        all.add(new Kept(n.path, used, behind, owed));
+      }
+    }
+    return all;
+  }
+
+  /** Takes what a predecessor kept, {@code agoNanos} ago: what has been filled since is not used any more. */
+  public void restore(long at, long agoNanos, List<Kept> kept) {
+    now = Math.max(now, at);
+    long ago = Math.max(0, agoNanos); // A file from the future is as old as this moment.
+    for (Kept k : kept) {
+      Node n = node(k.path());
+      if (!n.path.equals(k.path())) {
+        continue; // Its node is not in the plan any more, nor could one be made for it.
+      }
+      fill(n);
+      for (int i = 0; i < Math.min(lanes.size(), k.used().length); i++) {
+        if (!lanes.get(i).isLevel()) {
+          double left = k.used()[i] - n.guarantee[i] * ((double) ago / lanes.get(i).windowNanos());
+          n.tokens[i] = Math.max(-BELOW * n.guarantee[i], Math.min(n.tokens[i], n.guarantee[i] - Math.max(0, left)));
+        }
+        if (n.parent != null && k.behind()[i] + k.owed()[i] > 0) {
+          // Counted from where the parent's account stands now; whoever is not named has had most.
+          Account a = account(n.parent, i);
+          loans(n).since[i] = a.lent - k.owed()[i] - k.behind()[i];
+        }
+      }
+    }
+  }
+}
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -111,8 +111,8 @@
 
   /** A client's request has come in whole. */
   public void take(Exchange x) {
-    x.number = ++taken;
     x.id = "r" + taken;
+    x.number = ++taken;
     exchanges.put(x.id, x);
     witness.taken(x);
     Exchange.Facts f = x.facts();
