--- a/decision/src/main/java/cloverpulley/Reason.java
+++ b/decision/src/main/java/cloverpulley/Reason.java
@@ -6,6 +6,8 @@
 public enum Reason {
   /** The line allows no more of this kind now. */
   OVER_RATE,
+  /** Its node of the quotas has had its share, and nobody has any to lend. */
+  QUOTA,
   /** As many requests are in hand as may be. */
   TABLE_FULL,
   /** No upstream is ready. */
--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -90,7 +90,10 @@
     /** Nodes below it that are kept. */
     int children;
     int inFlight;
-    double lentWeight;
+    /** Of the children that the plan names. */
+    double namedWeight;
+    /** Whether anything has been charged to it since it was last kept. */
+    boolean charged;
 
     Node(String path, Node parent, double weight, boolean named, double[] guarantee, double[] ceiling, Child child, long now) {
       this.path = path;
@@ -114,6 +117,7 @@
   private final int mostNodes;
   private final Map<String, Node> nodes = new LinkedHashMap<>(256, 0.75f, true);
   private Node root;
+  private final List<Node> charged = new ArrayList<>();
   private long now;
   private long retryAt;
 
@@ -146,6 +150,7 @@
       Node old = before.get(s.path());
       if (parent != null) {
         parent.children++;
+        parent.namedWeight += s.weight();
       }
       if (old != null) {
         carry(old, n);
@@ -304,6 +309,10 @@
     }
     for (Node n = leaf; n != null; n = n.parent) {
       n.inFlight++;
+      if (!n.charged) {
+        n.charged = true;
+        charged.add(n);
+      }
     }
     return grant;
   }
@@ -322,8 +331,8 @@
       return n.inFlight + 1 <= most;
     }
     double sum = n.ceilings == null || n.ceilings[lane] == null ? 0 : n.ceilings[lane].sum(now);
-    // What is larger than all there is passes alone, or it never would.
-    return sum + x <= most || sum == 0;
+    // One request of more work or octets than all there is passes alone, or it never would.
+    return sum + x <= most || sum == 0 && lanes.get(lane).dimension() != Dimension.REQUESTS;
   }
 
   private double tokens(Node n, int lane) {
@@ -423,17 +432,21 @@
         borrowed(n, lane, x);
       }
       if (n.ceiling != null && n.ceiling[lane] != Double.POSITIVE_INFINITY && !level) {
-        if (n.ceilings == null) {
-          n.ceilings = new Ceiling[lanes.size()];
-        }
-        if (n.ceilings[lane] == null) {
-          n.ceilings[lane] = new Ceiling(lanes.get(lane).windowNanos(), now);
-        }
-        n.ceilings[lane].add(now, x);
+        ceiling(n, lane).add(now, x);
       }
     }
   }
 
+  private Ceiling ceiling(Node n, int lane) {
+    if (n.ceilings == null) {
+      n.ceilings = new Ceiling[lanes.size()];
+    }
+    if (n.ceilings[lane] == null) {
+      n.ceilings[lane] = new Ceiling(lanes.get(lane).windowNanos(), now);
+    }
+    return n.ceilings[lane];
+  }
+
   private void borrowed(Node child, int lane, double x) {
     Account a = account(child.parent, lane);
     Loans l = loans(child);
@@ -444,12 +457,7 @@
 
   /** The weight of all that may claim a part: those in the plan, or those that are kept where it names none. */
   private double weightBelow(Node n) {
-    if (n.lentWeight <= 0) {
-      for (String c : plan.children(n.path)) {
-        n.lentWeight += plan.nodes().get(c).weight();
-      }
-    }
-    return n.child == null ? Math.max(n.lentWeight, 1e-9) : Math.max(n.lentWeight, n.children * n.child.weight());
+    return n.child == null ? Math.max(n.namedWeight, 1e-9) : Math.max(n.namedWeight, n.children * n.child.weight());
   }
 
   // ---- Refusals ------------------------------------------------------------------------------------------
@@ -459,8 +467,8 @@
     if (lanes.get(lane).isLevel()) {
       wait = 0; // When something ends nobody knows.
     } else if (ceiling) {
-      Ceiling c = n.ceilings[lane];
-      wait = c.until(now, c.sum(now) + x - n.ceiling[lane]);
+      Ceiling c = n.ceilings == null ? null : n.ceilings[lane];
+      wait = c == null ? lanes.get(lane).windowNanos() : c.until(now, c.sum(now) + x - n.ceiling[lane]);
     } else {
       Node own = n;
       while (own.parent != null && own.guarantee[lane] <= 0) {
@@ -553,28 +561,46 @@
     }
   }
 
-  /** One node's state as it is kept over a restart: nothing that is in flight, for that ends with the process. */
-  public record Kept(String path, double[] used, double[] behind, double[] owed) {}
+  /**
+   * One node's state as it is kept over a restart: nothing that is in flight, for that ends with the process.
+   *
+   * @param inWindow what counts against its ceilings
+   */
+  public record Kept(String path, double[] used, double[] behind, double[] owed, double[] inWindow) {}
 
   /** What a successor has to know, at a clock reading; nodes of which nothing is to be known are left out. */
   public List<Kept> keep(long at) {
+    return keep(at, nodes.values());
+  }
+
+  /** The same of those nodes alone to which something was charged since the last call. */
+  public List<Kept> keepCharged(long at) {
+    List<Kept> some = keep(at, charged);
+    charged.forEach(n -> n.charged = false);
+    charged.clear();
+    return some;
+  }
+
+  private List<Kept> keep(long at, java.util.Collection<Node> of) {
     now = Math.max(now, at);
     List<Kept> all = new ArrayList<>();
-    for (Node n : nodes.values()) {
+    for (Node n : of) {
       fill(n);
       double[] used = new double[lanes.size()];
       double[] behind = new double[lanes.size()];
       double[] owed = new double[lanes.size()];
+      double[] inWindow = new double[lanes.size()];
       boolean any = false;
       for (int i = 0; i < lanes.size(); i++) {
         used[i] = lanes.get(i).isLevel() ? 0 : n.guarantee[i] - n.tokens[i];
         boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= ASKING_NANOS;
         behind[i] = asks ? account(n.parent, i).most - n.loans.had[i] : 0;
         owed[i] = Math.max(0, owed(n, i));
-        any |= used[i] > 1e-9 || behind[i] > 0 || owed[i] > 0;
+        inWindow[i] = n.ceilings == null || n.ceilings[i] == null ? 0 : n.ceilings[i].sum(now);
+        any |= used[i] > 1e-9 || behind[i] > 0 || owed[i] > 0 || inWindow[i] > 0;
       }
       if (any) {
-        all.add(new Kept(n.path, used, behind, owed));
+        all.add(new Kept(n.path, used, behind, owed, inWindow));
       }
     }
     return all;
@@ -595,6 +621,10 @@
           double left = k.used()[i] - n.guarantee[i] * ((double) ago / lanes.get(i).windowNanos());
           n.tokens[i] = Math.max(-BELOW * n.guarantee[i], Math.min(n.tokens[i], n.guarantee[i] - Math.max(0, left)));
         }
+        if (k.inWindow()[i] > 0 && !lanes.get(i).isLevel() && ago < lanes.get(i).windowNanos()) {
+          // When in the window it was is not known: all of it counts as if it were now.
+          ceiling(n, i).add(now, k.inWindow()[i]);
+        }
         if (n.parent != null && k.behind()[i] + k.owed()[i] > 0) {
           // Counted from where the parent's account stands now; whoever is not named has had most.
           Account a = account(n.parent, i);
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -11,6 +11,7 @@
 import cloverpulley.dnssd.PublishConfig;
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.processor.ProcessorConfig;
+import cloverpulley.quota.service.QuotaConfig;
 import cloverpulley.records.RecordsConfig;
 import java.nio.file.Path;
 
@@ -21,11 +22,13 @@
  * @param dns null where the file does not speak of it
  * @param dnssd what the fleet is found by, for the tools; null where it is not by DNS-SD
  * @param records where what happens is written down
+ * @param quota who may have how much; null where the file does not speak of it
  * @param log how the program speaks of itself
  * @param publish null where the program does not register itself
  */
 record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns, DnsSdConfig dnssd,
-    PublishConfig publish, RecordsConfig records, LogConfig log) {
+    PublishConfig publish, RecordsConfig records, LogConfig log,
+    QuotaConfig quota) {
 
   static Operators read(Path path) throws BadFileException {
     return OperatorsFile.read(path, Operators::read);
@@ -35,7 +38,8 @@
     // A file that speaks of nothing but DNS needs no fleet of quote servers and no classes of quotes.
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
-      return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file), LogConfig.read(file.table("log")));
+      return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file), LogConfig.read(file.table("log")),
+          null);
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
@@ -44,7 +48,8 @@
     return new Operators(settings, FleetSource.read(fleet),
         ProcessorConfig.read(file.table("processor"), longest),
         file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
-        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file), LogConfig.read(file.table("log")));
+        fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file), LogConfig.read(file.table("log")),
+        file.has("quota") ? QuotaConfig.read(file.table("quota")) : null);
   }
 
   private static RecordsConfig records(Section file) {
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -45,7 +45,7 @@
     Recorder recorder = Recorder.open(operators.records(), "process", operators.settings());
     try {
       server = ProcessorServer.start(operators.processor(), operators.settings(), operators.fleet(),
-          new SecureRandom().nextLong(), recorder);
+          new SecureRandom().nextLong(), recorder, operators.quota());
     } catch (IOException e) {
       throw new IOException("can't listen at " + operators.processor().listen() + ": " + cause(e), e);
     }
@@ -76,12 +76,15 @@
   private void reload(ProcessorServer server) {
     try {
       Operators read = Operators.read(config);
+      if (read.quota() != null) {
+        server.quotas(read.quota().plan());
+      }
       if (read.fleet() != null && read.fleet().isWritten()) {
         server.listed(read.fleet().list());
         LOG.info(() -> "list of servers read again: " + read.fleet().list().members().size());
       }
-    } catch (BadFileException e) {
-      LOG.warning("not taken, the list before stays: " + e.getMessage());
+    } catch (BadFileException | IllegalStateException e) {
+      LOG.warning("not taken, all stays as it was: " + e.getMessage());
     }
   }
 }
--- a/dns/src/main/java/cloverpulley/dns/Resolver.java
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -453,7 +453,7 @@
     long millis = TimeUnit.NANOSECONDS.toMillis(verdict.retryAfterNanos());
     String text = millis > 0 ? word + ", come back in " + millis + " ms" : word;
     int rcode = switch (verdict.reason()) {
-      case OVER_RATE, TABLE_FULL, RECORD_FULL -> Message.REFUSED;
+      case OVER_RATE, TABLE_FULL, RECORD_FULL, QUOTA -> Message.REFUSED;
       default -> Message.SERVFAIL;
     };
     int code = switch (verdict.reason()) {
--- a/dns/src/test/java/cloverpulley/dns/CacheTest.java
+++ b/dns/src/test/java/cloverpulley/dns/CacheTest.java
@@ -80,7 +80,7 @@
 
   @Test
   void manyClientsOfOneQuestionAreOneFlight() throws Exception {
-    List<Asked> held = new ArrayList<>();
+    List<Asked> held = java.util.Collections.synchronizedList(new ArrayList<>());
     StandInDns server = rig.dns(held::add);
     rig.start("upstream.attempt_ms = 15000", "", server);
     List<Rig.Udp> clients = new ArrayList<>();
@@ -88,6 +88,7 @@
       clients.add(udp().send(Rig.question(i, i % 2 == 0 ? "www.example." : "WWW.example.")));
     }
     Rig.await("all have joined", () -> rig.server.onLoop(() -> rig.server.counts().joined) == 29);
+    Rig.await("the server has been asked", () -> held.size() == 1);
     held.get(0).reply(held.get(0).address(60, "10.0.0.1"));
     for (int i = 0; i < 30; i++) {
       Message m = clients.get(i).answer();
--- a/processor/src/main/java/cloverpulley/processor/CallExchange.java
+++ b/processor/src/main/java/cloverpulley/processor/CallExchange.java
@@ -17,6 +17,9 @@
   private final Calls calls;
   Attempt attempt;
   Future<?> timeout;
+  /** What its quota granted, to be given back once. */
+  boolean granted;
+  long grant;
 
   /** The side that the caller sees; each is called once at most, on the engine's loop. */
   interface Caller {
@@ -49,6 +52,11 @@
     return calls.started(this, address, timeoutNanos);
   }
 
+  @Override
+  protected void forgotten() {
+    calls.forgotten(this);
+  }
+
   @Override
   protected void answer(Verdict verdict) {
     calls.answered(this, verdict);
--- a/processor/src/main/java/cloverpulley/processor/Calls.java
+++ b/processor/src/main/java/cloverpulley/processor/Calls.java
@@ -10,6 +10,8 @@
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList.Server;
 import cloverpulley.engine.Verdict;
+import cloverpulley.quota.Quotas;
+import cloverpulley.quota.service.QuotaKeeper;
 import cloverpulley.repeats.Repeats;
 import cloverpulley.repeats.Repeats.Finding;
 import java.net.SocketAddress;
@@ -32,9 +34,12 @@
   private final Repeats repeats;
   private final Counts counts;
   private final RecordsFile records;
+  /** Null where there are none. */
+  private final QuotaKeeper quotas;
 
   Calls(ScheduledExecutorService loop, Clock clock, Engine engine, Fleet fleet, Repeats repeats, Counts counts,
-      RecordsFile records) {
+      RecordsFile records, QuotaKeeper quotas) {
+    this.quotas = quotas;
     this.loop = loop;
     this.clock = clock;
     this.engine = engine;
@@ -84,12 +89,34 @@
       caller.bad(409, "the request's id is that of a call in hand", Reason.IN_HAND.word());
       return null;
     }
+    long grant = 0;
+    if (quotas != null && finding instanceof Repeats.First) {
+      // A first alone: of what was asked before something may have run, and a refusal would say that nothing has.
+      grant = quotas.ask(call.quotaPath(), 1, 0, call.hintNanos() / 1e6, true);
+      if (Quotas.isRefused(grant)) {
+        if (call.id() != null) {
+          repeats.answered(clock.now(), call.id());
+        }
+        end(caller, new Verdict(true, Reason.QUOTA, quotas.retryAfterNanos()));
+        return null;
+      }
+    }
     CallExchange x = new CallExchange(new Exchange.Facts(call.type(), call.tenant(), call.key(), call.hintNanos(),
         call.retry(), receivedAt + call.waitNanos(), answerBy, earlier), call, caller, this);
+    x.granted = quotas != null && finding instanceof Repeats.First;
+    x.grant = grant;
     engine.take(x);
     return x;
   }
 
+  /** Nothing is left of it: its place in flight is given back, whatever its end. */
+  void forgotten(CallExchange x) {
+    if (x.granted) {
+      x.granted = false;
+      quotas.end(x.call.quotaPath(), x.grant);
+    }
+  }
+
   private void end(CallExchange.Caller caller, Verdict verdict) {
     counts.count(verdict.reason());
     caller.end(verdict);
--- a/processor/src/main/java/cloverpulley/processor/Mapping.java
+++ b/processor/src/main/java/cloverpulley/processor/Mapping.java
@@ -32,9 +32,11 @@
    *
    * @param id null where the caller names none: then it has no repeats
    * @param count which attempt it is, from 1; 0 where the caller doesn't count
+   * @param quotaPath the node of the quotas that it is charged to; null for that of the unknown
    * @param waitNanos how long an answer is of use, counted from now
    */
-  record Call(String id, int count, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long waitNanos)
+  record Call(String id, int count, RequestClass type, String tenant, String key, long hintNanos, boolean retry, long waitNanos,
+      String quotaPath)
       implements Read {}
 
   /** What can't be read: the status to answer and what is wrong. */
@@ -98,7 +100,16 @@
     String hint = h.get(names.hint());
     long hintNanos = hint == null ? 0 : TimeUnit.MICROSECONDS.toNanos(Math.max(0, wholeNumber(hint)));
     boolean retry = count > 1 || "1".equals(h.get(names.retry()));
-    return new Call(id, (int) count, type, tenant, key(h), hintNanos, retry, wait);
+    return new Call(id, (int) count, type, tenant, key(h), hintNanos, retry, wait, quotaPath(tenant, h.get(names.quota())));
+  }
+
+  /** A tenant's node, or one below it that the caller names; nobody is charged for what another names. */
+  private static String quotaPath(String tenant, String below) {
+    if (tenant == null || tenant.isEmpty() || tenant.indexOf('/') >= 0) {
+      return null;
+    }
+    boolean isPath = below != null && below.length() <= MOST_NAME && below.matches("[^/\\p{Cntrl}]+(/[^/\\p{Cntrl}]+)*");
+    return isPath ? tenant + "/" + below : tenant;
   }
 
   private String id(Headers h) {
--- a/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorConfig.java
@@ -35,7 +35,7 @@
   /** What a caller sends under which name; header names are lower case, as HTTP/2 has them. */
   public record Names(String destination, List<String> strip, String metadata, List<String> id, String attemptCount,
       String className, String defaultClass, String tenant, String key, String keyCookie, String hint, String expires,
-      String retry, String idempotency) {}
+      String retry, String idempotency, String quota) {}
 
   /** Bounds on what callers can make the processor keep. Times in milliseconds, sizes in bytes. */
   public record Limits(int streams, int streamsPerConnection, int messageBytes, int headerBytes, int headers,
@@ -96,7 +96,8 @@
         header(h, "attempt_count", "x-envoy-attempt-count"), header(h, "class", "x-qos"), h.text("default_class", ""),
         header(h, "tenant", "x-customer"), header(h, "key", "cookie"), h.text("key_cookie", "sid"),
         header(h, "hint_us", "x-size-hint"), header(h, "expires_ms", "x-expires-in-ms"),
-        header(h, "retry", "x-second-try"), header(h, "idempotency_key", "idempotency-key"));
+        header(h, "retry", "x-second-try"), header(h, "idempotency_key", "idempotency-key"),
+        header(h, "quota", "x-quota-path"));
   }
 
   private static String header(Section h, String key, String absent) {
--- a/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorServer.java
@@ -16,6 +16,10 @@
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.fleet.HeldList;
 import cloverpulley.fleet.WrittenList;
+import cloverpulley.quota.QuotaPlan;
+import cloverpulley.quota.service.QuotaConfig;
+import cloverpulley.quota.service.QuotaKeeper;
+import cloverpulley.quota.service.RateLimitServer;
 import cloverpulley.records.Recorder;
 import cloverpulley.repeats.Repeats;
 import io.grpc.Metadata;
@@ -77,6 +81,8 @@
   private final RecordsFile records;
   private final Recorder recorder;
   private Engine engine;
+  private QuotaKeeper quotas;
+  private RateLimitServer rateLimits;
   private Server server;
 
   private ProcessorServer(ProcessorConfig config, FleetSource source, Recorder recorder) {
@@ -98,24 +104,32 @@
   /** The same with somebody who records what happens; whoever made the recorder ends it after this. */
   public static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, long seed, Recorder recorder)
       throws IOException {
-    return start(config, settings, source, n -> new Logic(settings, seed + n), recorder);
+    return start(config, settings, source, seed, recorder, null);
+  }
+
+  /** The same with quotas before the module's own line; null for none. */
+  public static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, long seed, Recorder recorder,
+      QuotaConfig quota) throws IOException {
+    return start(config, settings, source, n -> new Logic(settings, seed + n), recorder, quota);
   }
 
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source,
       LongFunction<Balancer> modules) throws IOException {
-    return start(config, settings, source, modules, Recorder.NONE);
+    return start(config, settings, source, modules, Recorder.NONE, null);
   }
 
   private static ProcessorServer start(ProcessorConfig config, Settings settings, FleetSource source, LongFunction<Balancer> modules,
-      Recorder recorder) throws IOException {
+      Recorder recorder, QuotaConfig quota) throws IOException {
     ProcessorServer p = new ProcessorServer(config, source, recorder);
     try {
       p.onEngine(() -> {
         p.wire(settings, source, modules);
+        p.quotas = quota == null ? null : new QuotaKeeper(quota, p.engineLoop, p.clock::now);
         return null;
       });
       p.listen(settings);
+      p.rateLimits = quota == null || quota.listen() == null ? null : new RateLimitServer(quota, p.quotas, p.engineLoop);
       p.health.setStatus(HealthStatusManager.SERVICE_NAME_ALL_SERVICES, ServingStatus.SERVING);
       p.health.setStatus(ExternalProcessor.SERVICE, ServingStatus.SERVING);
     } catch (IOException | RuntimeException e) {
@@ -150,13 +164,28 @@
     }
   }
 
+  /** The operators' quotas have changed: what was used, is owed and is in flight stays. */
+  public void quotas(QuotaPlan plan) {
+    if (quotas != null) {
+      onEngine(() -> {
+        quotas.take(plan);
+        return null;
+      });
+    }
+  }
+
+  /** Where the rate limit service listens; null where it does not. */
+  public InetSocketAddress rateLimitAddress() {
+    return rateLimits == null ? null : rateLimits.address();
+  }
+
   /** The operators' list has changed; one that comes from discovery is not touched. */
   public void listed(ServerList list) {
     engineLoop.execute(() -> engine.news(ListKind.FULL, list));
   }
 
   private void listen(Settings settings) throws IOException {
-    Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts, records);
+    Calls calls = new Calls(engineLoop, clock, engine, fleet, new Repeats(config.repeats()), counts, records, quotas);
     Replies replies = new Replies(config);
     ProcessorStream.Shared shared = new ProcessorStream.Shared(config, new Mapping(config, settings), replies, engineLoop,
         calls, clock, counts, recorder);
@@ -288,6 +317,15 @@
         Thread.currentThread().interrupt();
       }
     }
+    if (rateLimits != null) {
+      rateLimits.close();
+    }
+    if (quotas != null && !engineLoop.isShuttingDown()) {
+      onEngine(() -> {
+        quotas.close();
+        return null;
+      });
+    }
     held.close();
     records.close();
     ioGroup.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/processor/src/test/java/cloverpulley/processor/MappingTest.java
+++ b/processor/src/test/java/cloverpulley/processor/MappingTest.java
@@ -49,7 +49,7 @@
     Call call = assertInstanceOf(Call.class, read("x-request-id", "id", "x-envoy-attempt-count", "2", "x-qos", "keyed",
         "x-customer", "steppe-auto", "cookie", "a=b; sid=7f3a; c=d", "x-size-hint", "1500", "x-expires-in-ms", "480",
         "idempotency-key", "k"));
-    assertEquals(new Call("id", 2, call.type(), "steppe-auto", "7f3a", 1_500_000, true, 480_000_000), call);
+    assertEquals(new Call("id", 2, call.type(), "steppe-auto", "7f3a", 1_500_000, true, 480_000_000, "steppe-auto"), call);
     assertEquals("keyed", call.type().name());
   }
 
--- /dev/null
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
@@ -0,0 +1,170 @@
+package cloverpulley.quota.service;
+
+import cloverpulley.quota.Lane;
+import cloverpulley.quota.QuotaPlan;
+import cloverpulley.quota.Quotas;
+import cloverpulley.quota.Quotas.Kept;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.LongSupplier;
+import java.util.logging.Logger;
+
+/**
+ * Quotas on a loop, and their journal beside it: what was charged goes to the file some times a second, by a thread of its own that the
+ * loop never waits for. A disk that fails is named once; decisions go on, and all is written again once it can be. Everything but the
+ * start and the end is called on the loop.
+ */
+public final class QuotaKeeper implements AutoCloseable {
+
+  private static final Logger LOG = Logger.getLogger(QuotaKeeper.class.getName());
+  private static final long CLOSE_SECONDS = 5;
+
+  private final QuotaConfig config;
+  private final Quotas quotas;
+  private final QuotaJournal journal;
+  private final LongSupplier nanos;
+  private final ScheduledFuture<?> flushes;
+  private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+    Thread t = new Thread(task, "quota journal");
+    t.setDaemon(true);
+    return t;
+  });
+  private final AtomicBoolean writing = new AtomicBoolean();
+  private volatile boolean faulty;
+  private final double[] cost;
+
+  /** Reads the journal, if there is one, and starts; what a file lacks or spoils is told in the log. */
+  public QuotaKeeper(QuotaConfig config, ScheduledExecutorService loop, LongSupplier nanos) {
+    this.config = config;
+    this.nanos = nanos;
+    quotas = new Quotas(config.plan(), config.mostNodes(), nanos.getAsLong());
+    cost = new double[config.plan().lanes().size()];
+    journal = config.journal() == null ? null : new QuotaJournal(config.journal(), installation(config.plan()), config.mostBytes(),
+        config.force());
+    recover();
+    flushes = journal == null ? null : loop.scheduleWithFixedDelay(this::flush, config.flushMillis(), config.flushMillis(),
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Lanes are what a state's figures mean: a file with others is another installation's. */
+  static String installation(QuotaPlan plan) {
+    return plan.lanes().toString();
+  }
+
+  private void recover() {
+    if (journal == null) {
+      return;
+    }
+    try {
+      QuotaJournal.Recovered r = journal.open();
+      long now = System.currentTimeMillis();
+      for (QuotaJournal.Timed t : r.kept()) {
+        quotas.restore(nanos.getAsLong(), TimeUnit.MILLISECONDS.toNanos(now - t.unixMillis()), List.of(t.kept()));
+      }
+      LOG.info("quota journal read: nodes=" + r.kept().size() + " frames=" + r.frames() + " spoilt=" + r.spoilt() + " torn_octets="
+          + r.tornOctets());
+    } catch (IOException e) {
+      faulty = true;
+      LOG.warning("quotas start without what was owed: " + e.getMessage());
+    }
+  }
+
+  /** The decisions themselves. */
+  public Quotas quotas() {
+    return quotas;
+  }
+
+  /** One request of so much work; a grant, or a refusal ({@link Quotas#isRefused}). */
+  public long ask(String path, double requests, double bytesIn, double workMillis, boolean inFlight) {
+    List<Lane> lanes = config.plan().lanes();
+    for (int i = 0; i < cost.length; i++) {
+      cost[i] = switch (lanes.get(i).dimension()) {
+        case REQUESTS -> requests;
+        case BYTES_IN -> bytesIn;
+        case BYTES_OUT -> 0; // Not known yet.
+        case WORK -> workMillis;
+        case CONCURRENCY -> inFlight ? 1 : 0;
+      };
+    }
+    long grant = quotas.ask(nanos.getAsLong(), path == null ? "" : path, cost);
+    if (!inFlight && !Quotas.isRefused(grant)) {
+      quotas.end(nanos.getAsLong(), path == null ? "" : path, grant);
+    }
+    return grant;
+  }
+
+  /** The request of a grant is over, whatever its end; once for each grant of one that was in flight. */
+  public void end(String path, long grant) {
+    quotas.end(nanos.getAsLong(), path == null ? "" : path, grant);
+  }
+
+  /** In how many nanoseconds the share of whoever was refused last is there. */
+  public long retryAfterNanos() {
+    return Math.max(0, quotas.retryAt() - nanos.getAsLong());
+  }
+
+  /** Another plan; what was used, is owed and is in flight stays. */
+  public void take(QuotaPlan plan) {
+    quotas.take(plan, nanos.getAsLong());
+  }
+
+  private void flush() {
+    // One writing at a time: while the disk is slow, what is charged gathers in the nodes, and not in a queue.
+    if (!writing.compareAndSet(false, true)) {
+      return;
+    }
+    List<Kept> kept = faulty ? quotas.keep(nanos.getAsLong()) : quotas.keepCharged(nanos.getAsLong());
+    long now = System.currentTimeMillis();
+    writer.execute(() -> {
+      try {
+        journal.append(now, kept);
+        if (faulty) {
+          LOG.info("the quota journal can be written again");
+        }
+        faulty = false;
+      } catch (IOException e) {
+        if (!faulty) {
+          LOG.warning("the quota journal can't be written, a restart would forget: " + e);
+        }
+        faulty = true;
+      } finally {
+        writing.set(false);
+      }
+    });
+  }
+
+  /** Whether a restart now would forget what was charged lately. */
+  public boolean isFaulty() {
+    return faulty;
+  }
+
+  /** Writes what is owed. To be called after the loop's last decision. */
+  @Override
+  public void close() {
+    if (journal == null) {
+      return;
+    }
+    flushes.cancel(false);
+    List<Kept> kept = quotas.keep(nanos.getAsLong());
+    long now = System.currentTimeMillis();
+    writer.execute(() -> {
+      try (journal) {
+        journal.append(now, kept);
+      } catch (IOException e) {
+        LOG.warning("the quota journal could not be ended: " + e);
+      }
+    });
+    writer.shutdown();
+    try {
+      writer.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/quota/src/test/java/cloverpulley/quota/service/QuotaJournalTest.java
@@ -0,0 +1,211 @@
+package cloverpulley.quota.service;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.quota.Quotas.Kept;
+import java.io.IOException;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What a restart finds, whatever became of the file: held against an oracle that knows what was whole. */
+class QuotaJournalTest {
+
+  private static final long SEED = 20261201;
+  private static final String NAME = "[requests in 1000 ms]";
+
+  @TempDir
+  Path folder;
+
+  private final List<Map<String, Double>> oracle = new ArrayList<>();
+  private final List<Long> ends = new ArrayList<>();
+
+  private static Kept kept(String path, double used) {
+    return new Kept(path, new double[] {used}, new double[] {0}, new double[] {used / 2}, new double[] {0});
+  }
+
+  private Path write(int frames) throws IOException {
+    Path file = folder.resolve("q.journal");
+    SplittableRandom r = new SplittableRandom(SEED);
+    Map<String, Double> truth = new HashMap<>();
+    try (QuotaJournal j = new QuotaJournal(file, NAME, Long.MAX_VALUE, false)) {
+      j.open();
+      oracle.add(Map.of());
+      ends.add(j.size());
+      for (int i = 0; i < frames; i++) {
+        List<Kept> batch = new ArrayList<>();
+        for (int n = 1 + r.nextInt(5); n > 0; n--) {
+          String path = "n" + r.nextInt(20);
+          float used = r.nextInt(1000);
+          truth.put(path, (double) used);
+          batch.removeIf(k -> k.path().equals(path));
+          batch.add(kept(path, used));
+        }
+        j.append(1000 + i, batch);
+        oracle.add(new HashMap<>(truth));
+        ends.add(j.size());
+      }
+    }
+    return file;
+  }
+
+  private static Map<String, Double> read(Path file, QuotaJournal.Recovered[] into) throws IOException {
+    Map<String, Double> got = new HashMap<>();
+    try (QuotaJournal j = new QuotaJournal(file, NAME, Long.MAX_VALUE, false)) {
+      into[0] = j.open();
+      into[0].kept().forEach(t -> got.put(t.kept().path(), t.kept().used()[0]));
+    }
+    return got;
+  }
+
+  /** SIGKILL at each octet of a write: what was whole is there, what was not is cut off, and writing goes on behind it. */
+  @Test
+  void atEachOctetOfAWriteTheLastWholeStateIsFound() throws IOException {
+    Path file = write(30);
+    byte[] all = Files.readAllBytes(file);
+    Path cut = folder.resolve("cut");
+    QuotaJournal.Recovered[] r = new QuotaJournal.Recovered[1];
+    for (int at = 0; at <= all.length; at++) {
+      Files.write(cut, Arrays.copyOf(all, at));
+      int whole = 0;
+      while (whole + 1 < ends.size() && ends.get(whole + 1) <= at) {
+        whole++;
+      }
+      assertEquals(oracle.get(whole), read(cut, r), "cut at " + at);
+      assertEquals(0, r[0].spoilt(), "a tail is no spoilt frame: " + at);
+      assertEquals(Math.max(ends.get(0), ends.get(whole)), Files.size(cut), "cut at " + at);
+    }
+    try (QuotaJournal j = new QuotaJournal(cut, NAME, Long.MAX_VALUE, false)) {
+      j.open();
+      j.append(5000, List.of(kept("later", 7)));
+    }
+    assertEquals(7.0, read(cut, r).get("later"));
+  }
+
+  @Test
+  void aSpoiltFrameInTheMiddleCostsItselfAloneAndIsCounted() throws IOException {
+    Path file = write(40);
+    byte[] all = Files.readAllBytes(file);
+    SplittableRandom random = new SplittableRandom(SEED);
+    QuotaJournal.Recovered[] r = new QuotaJournal.Recovered[1];
+    Path spoilt = folder.resolve("spoilt");
+    for (int round = 0; round < 200; round++) {
+      byte[] b = all.clone();
+      int frame = random.nextInt(38);
+      int from = (int) (long) ends.get(frame);
+      int at = from + random.nextInt((int) (ends.get(frame + 1) - from));
+      b[at] ^= (byte) (1 + random.nextInt(255));
+      Files.write(spoilt, b);
+      Map<String, Double> got = read(spoilt, r);
+      assertEquals(39, r[0].frames(), "round " + round + " at " + at);
+      assertEquals(1, r[0].spoilt(), "round " + round + " at " + at);
+      assertTrue(got.keySet().containsAll(oracle.get(frame).keySet()));
+    }
+  }
+
+  @Test
+  void anothersFileIsRefusedAndLeftAsItIs() throws IOException {
+    Path file = write(3);
+    byte[] before = Files.readAllBytes(file);
+    QuotaJournal other = new QuotaJournal(file, "[work in 1000 ms]xxx", Long.MAX_VALUE, false);
+    assertTrue(assertThrows(IOException.class, other::open).getMessage().contains("no journal of this installation"));
+    Path text = Files.writeString(folder.resolve("text"), "something else, and rather long, so that it is no cut-off head of ours");
+    assertThrows(IOException.class, () -> new QuotaJournal(text, NAME, 100, false).open());
+    assertArrayEquals(before, Files.readAllBytes(file));
+  }
+
+  @Test
+  void itIsWrittenAnewAtItsBoundAndStaysWhole() throws IOException {
+    Path file = folder.resolve("q.journal");
+    QuotaJournal.Recovered[] r = new QuotaJournal.Recovered[1];
+    try (QuotaJournal j = new QuotaJournal(file, NAME, 20_000, false)) {
+      j.open();
+      for (int i = 0; i < 5000; i++) {
+        j.append(1_000_000 + i, List.of(kept("n" + i % 50, i)));
+        assertTrue(j.size() <= 20_100, "size " + j.size());
+      }
+    }
+    Map<String, Double> got = read(file, r);
+    assertEquals(50, got.size());
+    for (int i = 0; i < 50; i++) {
+      assertEquals(4950.0 + i, got.get("n" + i));
+    }
+    assertEquals(1_000_000 + 4999, r[0].kept().stream().mapToLong(QuotaJournal.Timed::unixMillis).max().orElse(0));
+  }
+
+  /** What nobody has charged for an hour is not carried on for ever. */
+  @Test
+  void theLongForgottenGoWithTheNextWritingAnew() throws IOException {
+    Path file = folder.resolve("q.journal");
+    try (QuotaJournal j = new QuotaJournal(file, NAME, 5000, false)) {
+      j.open();
+      j.append(1000, List.of(kept("old", 1)));
+      for (int i = 0; i < 200; i++) {
+        j.append(5_000_000 + i, List.of(kept("new", i)));
+      }
+    }
+    assertEquals(Map.of("new", 199.0), read(file, new QuotaJournal.Recovered[1]));
+  }
+
+  /** A full disk in the middle of a frame, and in the middle of writing anew: the file stays one that can be read. */
+  @Test
+  void aFullDiskLosesNothingThatWasWhole() throws IOException {
+    Path file = folder.resolve("q.journal");
+    QuotaJournal.Disk readOnlySecond = new QuotaJournal.Disk() {
+      private int opened;
+
+      @Override
+      public FileChannel open(Path f) throws IOException {
+        if (opened++ > 0 && f.toString().endsWith(".part")) {
+          throw new IOException("no space left on device");
+        }
+        return FileChannel.open(f, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.READ);
+      }
+    };
+    QuotaJournal j = new QuotaJournal(file, NAME, 2000, false, readOnlySecond);
+    j.open();
+    int failed = 0;
+    for (int i = 0; i < 100; i++) {
+      try {
+        j.append(1000 + i, List.of(kept("n" + i % 5, i)));
+      } catch (IOException e) {
+        failed++;
+      }
+    }
+    j.close();
+    assertTrue(failed > 0, "it is told");
+    Map<String, Double> got = read(file, new QuotaJournal.Recovered[1]);
+    assertEquals(99.0, got.get("n4"));
+  }
+
+  @Test
+  void randomOctetsNeverBreakIt() throws IOException {
+    byte[] good = Files.readAllBytes(write(10));
+    SplittableRandom random = new SplittableRandom(SEED);
+    Path file = folder.resolve("x");
+    for (int i = 0; i < 500; i++) {
+      byte[] b = good.clone();
+      for (int n = random.nextInt(30); n > 0; n--) {
+        b[random.nextInt(b.length)] = (byte) random.nextInt(256);
+      }
+      Files.write(file, b);
+      try {
+        read(file, new QuotaJournal.Recovered[1]).forEach((k, v) -> assertTrue(k.matches("n\\d+"), k));
+      } catch (IOException e) {
+        assertTrue(e.getMessage().contains("no journal"), e.getMessage());
+      }
+    }
+  }
+}
