Quota nodes in a plain map and a ring with a second chance; strangers share their guarantee's array

Guessed: the access-ordered map moves two neighbours at each look. Change: a hash map, and a ring whose hand lets go of who has not asked since it passed.

--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -4,7 +4,6 @@
 import cloverpulley.quota.QuotaPlan.Spec;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -94,6 +93,10 @@
     double namedWeight;
     /** Whether anything has been charged to it since it was last kept. */
     boolean charged;
+    /** Whether it has asked since the hand last passed. */
+    boolean recent;
+    /** What each unnamed child is guaranteed: one array for all of them. */
+    double[] childGuarantee;
 
     Node(String path, Node parent, double weight, boolean named, double[] guarantee, double[] ceiling, Child child, long now) {
       this.path = path;
@@ -115,9 +118,14 @@
   private QuotaPlan plan;
   private List<Lane> lanes;
   private final int mostNodes;
-  private final Map<String, Node> nodes = new LinkedHashMap<>(256, 0.75f, true);
+  private final Map<String, Node> nodes = new HashMap<>();
+  /** The unnamed ones, in a ring that a hand goes round: whoever has asked since it last passed stays (second chance). */
+  private final ArrayList<Node> ring = new ArrayList<>();
+  private int hand;
   private Node root;
   private final List<Node> charged = new ArrayList<>();
+  /** Whether anybody asks for what was charged: from the first time on. */
+  private boolean keeps;
   private long now;
   private long retryAt;
 
@@ -141,6 +149,8 @@
       before.values().forEach(this::fill);
     }
     nodes.clear();
+    ring.clear();
+    hand = 0;
     root = null;
     for (Spec s : next.nodes().values()) {
       Node parent = s.path().isEmpty() ? null : nodes.get(QuotaPlan.parent(s.path()));
@@ -201,6 +211,7 @@
   private Node node(String path) {
     Node n = nodes.get(path);
     if (n != null) {
+      n.recent = true;
       return n;
     }
     Node parent = nearest(QuotaPlan.parent(path));
@@ -214,29 +225,35 @@
     if (nodes.size() - plan.nodes().size() >= mostNodes) {
       return parent;
     }
-    double[] guarantee = parent.guarantee.clone();
-    for (int i = 0; i < guarantee.length; i++) {
-      guarantee[i] *= parent.child.guaranteePart();
+    if (parent.childGuarantee == null) {
+      parent.childGuarantee = parent.guarantee.clone();
+      for (int i = 0; i < lanes.size(); i++) {
+        parent.childGuarantee[i] *= parent.child.guaranteePart();
+      }
     }
-    n = new Node(path, parent, parent.child.weight(), false, guarantee, parent.child.ceiling(), null, now);
+    n = new Node(path, parent, parent.child.weight(), false, parent.childGuarantee, parent.child.ceiling(), null, now);
+    n.recent = true;
+    ring.add(n);
     parent.children++;
     nodes.put(path, n);
     return n;
   }
 
-  /** Lets go of unnamed nodes idle longest, a few with each new one: what is full, in no window and owed nothing tells nothing. */
+  /** Lets go of unnamed nodes that ask no more, a few with each new one: what is full, in no window and owed nothing tells nothing. */
   private void sweep() {
-    var all = nodes.values().iterator();
-    for (int i = 0; i < SWEEP && all.hasNext(); i++) {
-      Node n = all.next();
-      if (n.named || n.children > 0 || n.inFlight > 0) {
-        continue;
-      }
+    for (int i = 0; i < SWEEP && !ring.isEmpty(); i++) {
+      hand = hand >= ring.size() ? 0 : hand;
+      Node n = ring.get(hand);
       fill(n);
-      if (isClear(n)) {
-        n.parent.children--;
-        all.remove();
+      if (n.recent || n.children > 0 || n.inFlight > 0 || n.charged || !isClear(n)) {
+        n.recent = false;
+        hand++;
+        continue;
       }
+      n.parent.children--;
+      nodes.remove(n.path);
+      ring.set(hand, ring.get(ring.size() - 1));
+      ring.remove(ring.size() - 1);
     }
   }
 
@@ -309,7 +326,7 @@
     }
     for (Node n = leaf; n != null; n = n.parent) {
       n.inFlight++;
-      if (!n.charged) {
+      if (keeps && !n.charged) {
         n.charged = true;
         charged.add(n);
       }
@@ -575,6 +592,7 @@
 
   /** The same of those nodes alone to which something was charged since the last call. */
   public List<Kept> keepCharged(long at) {
+    keeps = true;
     List<Kept> some = keep(at, charged);
     charged.forEach(n -> n.charged = false);
     charged.clear();
