Quota leases: instances share what there is, at every moment no more than that

Need: shares are of the whole installation, and each process knew only its own.

Change: pure Leases and LeaseHolder in decision/ (max-min fair after demand; growth only by what others were seen to give up; fall back to an even part; two coordinators in a partition), a unary gRPC between instances in quota/, [quota.leases]. A reload keeps the state of nodes that the plan does not name.

--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -91,6 +91,8 @@
     int inFlight;
     /** Of the children that the plan names. */
     double namedWeight;
+    /** Units asked for since somebody asked for that; null for none, and in nodes that are not named. */
+    double[] asked;
     /** Whether anything has been charged to it since it was last kept. */
     boolean charged;
     /** Whether it has asked since the hand last passed. */
@@ -126,6 +128,8 @@
   private final List<Node> charged = new ArrayList<>();
   /** Whether anybody asks for what was charged: from the first time on. */
   private boolean keeps;
+  /** Whether anybody asks for what was asked. */
+  private boolean counts;
   private long now;
   private long retryAt;
 
@@ -166,6 +170,12 @@
         carry(old, n);
       }
     }
+    for (Node old : before.values()) {
+      Node parent = old.named ? null : nodes.get(QuotaPlan.parent(old.path));
+      if (parent != null && parent.child != null && !nodes.containsKey(old.path)) {
+        carry(old, stranger(parent, old.path));
+      }
+    }
     for (Node old : before.values()) {
       if (!nodes.containsKey(old.path)) {
         // A node that goes leaves what is in flight to whoever is above: its ends still come.
@@ -194,6 +204,52 @@
     n.accounts = old.accounts;
   }
 
+  /**
+   * Gives the named nodes other guarantees, such as this instance's part of the installation's; by node a figure for each lane. What was
+   * used, is owed and is in flight stays; ceilings go with the guarantees in their proportion, or their parent's where there is none.
+   */
+  public void scale(long at, Map<String, double[]> figures) {
+    now = Math.max(now, at);
+    for (Spec spec : plan.nodes().values()) {
+      Node n = nodes.get(spec.path());
+      double[] f = figures.get(spec.path());
+      if (f == null) {
+        continue;
+      }
+      fill(n);
+      double[] before = n.guarantee;
+      n.guarantee = f.clone();
+      n.ceiling = spec.ceiling().clone();
+      for (int i = 0; i < lanes.size(); i++) {
+        double part = spec.guarantee()[i] > 0 ? f[i] / spec.guarantee()[i]
+            : n.parent == null ? 1 : plan.nodes().get(n.parent.path).guarantee()[i] > 0
+                ? n.parent.guarantee[i] / plan.nodes().get(n.parent.path).guarantee()[i] : 1;
+        n.ceiling[i] *= part;
+        if (!lanes.get(i).isLevel()) {
+          // Half full stays half full: a lease that grows is no gift of tokens, one that shrinks no debt.
+          n.tokens[i] = before[i] > 0 ? n.tokens[i] * f[i] / before[i] : 0;
+        }
+        if (n.childGuarantee != null) {
+          n.childGuarantee[i] = f[i] * n.child.guaranteePart();
+        }
+      }
+    }
+  }
+
+  /** What was asked for of each named node since the last call, in units, whether it was granted or not. */
+  public Map<String, double[]> asked() {
+    counts = true;
+    Map<String, double[]> all = new HashMap<>();
+    for (String path : plan.nodes().keySet()) {
+      Node n = nodes.get(path);
+      if (n.asked != null) {
+        all.put(path, n.asked);
+        n.asked = null;
+      }
+    }
+    return all;
+  }
+
   // ---- Finding a node ------------------------------------------------------------------------------------
 
   private Node nearest(String path) {
@@ -225,13 +281,18 @@
     if (nodes.size() - plan.nodes().size() >= mostNodes) {
       return parent;
     }
+    return stranger(parent, path);
+  }
+
+  /** Makes a node for a child that the plan does not name. */
+  private Node stranger(Node parent, String path) {
     if (parent.childGuarantee == null) {
       parent.childGuarantee = parent.guarantee.clone();
       for (int i = 0; i < lanes.size(); i++) {
         parent.childGuarantee[i] *= parent.child.guaranteePart();
       }
     }
-    n = new Node(path, parent, parent.child.weight(), false, parent.childGuarantee, parent.child.ceiling(), null, now);
+    Node n = new Node(path, parent, parent.child.weight(), false, parent.childGuarantee, parent.child.ceiling(), null, now);
     n.recent = true;
     ring.add(n);
     parent.children++;
@@ -305,6 +366,9 @@
     for (Node n = leaf; n != null; n = n.parent) {
       fill(n);
     }
+    for (Node n = leaf; n != null && counts; n = n.parent) {
+      count(n, cost);
+    }
     for (int i = 0; i < cost.length; i++) {
       double x = charged(leaf, i, cost[i]);
       if (x <= 0) {
@@ -334,6 +398,19 @@
     return grant;
   }
 
+  private void count(Node n, double[] cost) {
+    if (!n.named) {
+      return;
+    }
+    if (n.asked == null) {
+      n.asked = new double[lanes.size()];
+    }
+    for (int i = 0; i < cost.length; i++) {
+      // Of a level the most at one time is what is asked for.
+      n.asked[i] = lanes.get(i).isLevel() ? Math.max(n.asked[i], n.inFlight + cost[i]) : n.asked[i] + cost[i];
+    }
+  }
+
   /** What a request is charged for: no more than some times what there ever is, however large its hint. */
   private double charged(Node leaf, int lane, double x) {
     return lanes.get(lane).isLevel() ? Math.min(1, x) : Math.min(x, MOST_COST * root.guarantee[lane]);
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaConfig.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaConfig.java
@@ -18,9 +18,10 @@
  * @param journal where state is kept over a restart; null for nowhere
  * @param listen where the rate limit service listens; null for nowhere
  * @param domain the domain that its callers name
+ * @param leases how it is shared among instances; null where there is one alone
  */
 public record QuotaConfig(QuotaPlan plan, int mostNodes, Path journal, long flushMillis, long mostBytes, boolean force,
-    InetSocketAddress listen, String domain) {
+    InetSocketAddress listen, String domain, LeaseConfig leases) {
 
   private static final double MOST = 1e15;
   private static final Map<String, Dimension> DIMENSIONS = new HashMap<>();
@@ -54,7 +55,7 @@
     }
     return new QuotaConfig(plan, (int) s.whole("most_nodes", 0, 10_000_000, 100_000), file.isEmpty() ? null : Path.of(file),
         j.whole("flush_ms", 1, 60_000, 100), j.whole("most_mb", 1, 100_000, 64) << 20, j.flag("force", false), listen,
-        r.text("domain", "ashdeck"));
+        r.text("domain", "ashdeck"), LeaseConfig.read(s));
   }
 
   private static QuotaPlan plan(Section s, List<Lane> lanes, List<Double> totals) {
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
@@ -5,6 +5,8 @@
 import cloverpulley.quota.Quotas;
 import cloverpulley.quota.Quotas.Kept;
 import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -35,6 +37,7 @@
     t.setDaemon(true);
     return t;
   });
+  private final LeaseLink link;
   private final AtomicBoolean writing = new AtomicBoolean();
   private volatile boolean faulty;
   private final double[] cost;
@@ -48,6 +51,11 @@
     journal = config.journal() == null ? null : new QuotaJournal(config.journal(), installation(config.plan()), config.mostBytes(),
         config.force());
     recover();
+    try {
+      link = config.leases() == null ? null : new LeaseLink(config.plan(), config.leases(), this, loop, nanos);
+    } catch (IOException e) {
+      throw new UncheckedIOException("quotas can't be divided at " + config.leases().listen() + ": " + e.getMessage(), e);
+    }
     flushes = journal == null ? null : loop.scheduleWithFixedDelay(this::flush, config.flushMillis(), config.flushMillis(),
         TimeUnit.MILLISECONDS);
   }
@@ -75,6 +83,11 @@
     }
   }
 
+  /** Where it divides the quotas among instances; null where it does not. */
+  public InetSocketAddress leaseAddress() {
+    return link == null ? null : link.address();
+  }
+
   /** The decisions themselves. */
   public Quotas quotas() {
     return quotas;
@@ -109,8 +122,16 @@
     return Math.max(0, quotas.retryAt() - nanos.getAsLong());
   }
 
-  /** Another plan; what was used, is owed and is in flight stays. */
+  /**
+   * Another plan; what was used, is owed and is in flight stays.
+   *
+   * @throws IllegalStateException where instances share the quotas
+   */
   public void take(QuotaPlan plan) {
+    if (link != null) {
+      // Others divide by the plan that they have: a change is one of all instances, each begun anew.
+      throw new IllegalStateException("quota: with [quota.leases] a change of quotas needs a restart, the quotas before stay");
+    }
     quotas.take(plan, nanos.getAsLong());
   }
 
@@ -147,6 +168,9 @@
   /** Writes what is owed. To be called after the loop's last decision. */
   @Override
   public void close() {
+    if (link != null) {
+      link.close();
+    }
     if (journal == null) {
       return;
     }
