Quotas of DNS clients; who names nobody is a stranger; Netty stays quiet in the log of the processor

Need: a partner's share counts over all fronts; the DNS front had none.

Change: each question is charged to its tenant, from the cache or not; a repeat of a change is not refused. Found by its test: a request that names nobody was decided at the root, as if it were all partners at once. With Logback there, Netty logs past java.util.logging, whose levels kept it quiet: quiet there as well.

--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -265,13 +265,13 @@
 
   /** The node of a path: a named one, one made for an unnamed child where its parent gives those something, or the nearest above. */
   private Node node(String path) {
-    Node n = nodes.get(path);
+    Node n = nodes.get(path.isEmpty() ? plan.others() : path); // Who names nobody is no more the root than a stranger is.
     if (n != null) {
       n.recent = true;
       return n;
     }
     Node parent = nearest(QuotaPlan.parent(path));
-    if (path.isEmpty() || parent == root && root.child == null) {
+    if (parent == root && root.child == null) {
       return nodes.get(plan.others());
     }
     if (parent.child == null || !parent.path.equals(QuotaPlan.parent(path)) || parent.depth >= QuotaPlan.MOST_DEPTH) {
--- a/decision/src/test/java/cloverpulley/quota/QuotasTest.java
+++ b/decision/src/test/java/cloverpulley/quota/QuotasTest.java
@@ -277,6 +277,7 @@
       given += Quotas.isRefused(q.ask(START, "nobody" + i, of(1))) ? 0 : 1;
     }
     assertEquals(5, given);
+    assertTrue(Quotas.isRefused(q.ask(START, "", of(1))), "who names nobody is a stranger, and not the root");
     assertEquals(3, q.nodes());
   }
 
--- a/dist/src/main/java/cloverpulley/cli/DnsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/DnsCommand.java
@@ -35,7 +35,8 @@
     }
     Warmup.run(operators.dns(), operators.dns().warmUpQueries());
     Recorder recorder = Recorder.open(operators.records(), "dns", operators.dns().settings());
-    DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong(), recorder);
+    DnsServer server = DnsServer.start(operators.dns(), operators.fleet(), new SecureRandom().nextLong(), recorder,
+        operators.quota());
     CountDownLatch term = Signals.term();
     Signals.onHup(() -> reload(server));
     System.out.println("dns listening on " + server.address().getAddress().getHostAddress() + ":" + server.address().getPort());
@@ -54,14 +55,17 @@
   private void reload(DnsServer server) {
     try {
       Operators read = Operators.read(config);
+      if (read.quota() != null) {
+        server.quotas(read.quota().plan());
+      }
       if (read.dns() != null) {
         boolean servers = read.dns().fleet() != null && read.dns().fleet().isWritten();
         boolean shown = read.fleet() != null && read.fleet().isWritten();
         server.listed(servers ? read.dns().fleet().list() : null, shown ? read.fleet().list() : null);
         LOG.info("lists of servers read again");
       }
-    } catch (BadFileException e) {
-      LOG.warning("not taken, the lists before stay: " + e.getMessage());
+    } catch (BadFileException | IllegalStateException e) {
+      LOG.warning("not taken, all stays as it was: " + e.getMessage());
     }
   }
 }
--- a/dist/src/main/java/cloverpulley/cli/Logs.java
+++ b/dist/src/main/java/cloverpulley/cli/Logs.java
@@ -124,6 +124,14 @@
     return words.length() == 0 ? by : by + "." + words;
   }
 
+  /** Nothing is said under these names, by those who log through Logback themselves (Netty does). */
+  static void quiet(String... names) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    for (String name : names) {
+      context.getLogger(name).setLevel(Level.OFF);
+    }
+  }
+
   /** Ends it: counts of what was held back are written. */
   static void stop() {
     if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -39,7 +39,7 @@
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
       return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file), LogConfig.read(file.table("log")),
-          null);
+          quota(file));
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
@@ -49,7 +49,11 @@
         ProcessorConfig.read(file.table("processor"), longest),
         file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
         fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file), LogConfig.read(file.table("log")),
-        file.has("quota") ? QuotaConfig.read(file.table("quota")) : null);
+        quota(file));
+  }
+
+  private static QuotaConfig quota(Section file) {
+    return file.has("quota") ? QuotaConfig.read(file.table("quota")) : null;
   }
 
   private static RecordsConfig records(Section file) {
--- a/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/ProcessCommand.java
@@ -40,6 +40,7 @@
     }
     // Guards the log: what a caller sends that can't be read would write a stack into it each time.
     QUIET.forEach(logger -> logger.setLevel(Level.OFF));
+    Logs.quiet(QUIET.stream().map(Logger::getName).toArray(String[]::new));
     ProcessorServer server;
     Warmup.run(operators.processor(), operators.settings(), operators.processor().warmUpCalls());
     Recorder recorder = Recorder.open(operators.records(), "process", operators.settings());
--- a/dns/src/main/java/cloverpulley/dns/DnsServer.java
+++ b/dns/src/main/java/cloverpulley/dns/DnsServer.java
@@ -18,6 +18,9 @@
 import cloverpulley.fleet.FleetSource;
 import cloverpulley.fleet.HeldList;
 import cloverpulley.fleet.WrittenList;
+import cloverpulley.quota.QuotaPlan;
+import cloverpulley.quota.service.QuotaConfig;
+import cloverpulley.quota.service.QuotaKeeper;
 import cloverpulley.records.Recorder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -89,6 +92,7 @@
   private Fleet shown;
   private Engine.ListSource shownDiscovery;
   private boolean wasQuiet;
+  private QuotaKeeper quotas;
 
   private DnsServer(DnsConfig config, Recorder recorder) {
     this.config = config;
@@ -108,17 +112,23 @@
 
   /** The same with somebody who records what happens; whoever made the recorder ends it after this. */
   public static DnsServer start(DnsConfig config, FleetSource shown, long seed, Recorder recorder) throws IOException {
+    return start(config, shown, seed, recorder, null);
+  }
+
+  /** The same with quotas of its clients; null for none. */
+  public static DnsServer start(DnsConfig config, FleetSource shown, long seed, Recorder recorder, QuotaConfig quota)
+      throws IOException {
     Settings settings = config.settings();
-    return start(config, shown, n -> new Logic(settings, seed + n), recorder);
+    return start(config, shown, n -> new Logic(settings, seed + n), recorder, quota);
   }
 
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static DnsServer start(DnsConfig config, FleetSource shown, LongFunction<Balancer> modules) throws IOException {
-    return start(config, shown, modules, Recorder.NONE);
+    return start(config, shown, modules, Recorder.NONE, null);
   }
 
-  private static DnsServer start(DnsConfig config, FleetSource shown, LongFunction<Balancer> modules, Recorder recorder)
-      throws IOException {
+  private static DnsServer start(DnsConfig config, FleetSource shown, LongFunction<Balancer> modules, Recorder recorder,
+      QuotaConfig quota) throws IOException {
     DnsServer s = new DnsServer(config, recorder);
     try {
       List<OwnZone> zones = new ArrayList<>();
@@ -126,6 +136,7 @@
         zones.add(zone(z));
       }
       s.onLoop(() -> {
+        s.quotas = quota == null ? null : new QuotaKeeper(quota, s.loop, s.clock::now);
         s.wire(modules, zones, shown);
         return null;
       });
@@ -162,7 +173,7 @@
         client.withdraw(from);
       }
     });
-    resolver = new Resolver(loop, clock, config, engine, client, counts, recorder);
+    resolver = new Resolver(loop, clock, config, engine, client, counts, recorder, quotas);
     engine.news(ListKind.CACHED, first);
     zones.forEach(resolver::add);
     if (config.fleetNames() != null && shownSource != null) {
@@ -219,6 +230,16 @@
     }
   }
 
+  /** The operators' quotas have changed: what was used and is owed stays. */
+  public void quotas(QuotaPlan plan) {
+    if (quotas != null) {
+      onLoop(() -> {
+        quotas.take(plan);
+        return null;
+      });
+    }
+  }
+
   /** The operators' lists have changed: of the servers that are forwarded to, and of the fleet that is shown. */
   public void listed(ServerList servers, ServerList fleetShown) {
     loop.execute(() -> {
@@ -423,6 +444,9 @@
       if (client != null) {
         client.close();
       }
+      if (quotas != null) {
+        quotas.close();
+      }
     });
     over.awaitUninterruptibly(LAST_WORD_MILLIS);
     held.close();
--- a/dns/src/main/java/cloverpulley/dns/Resolver.java
+++ b/dns/src/main/java/cloverpulley/dns/Resolver.java
@@ -19,6 +19,8 @@
 import cloverpulley.names.Freshness;
 import cloverpulley.names.Leaving;
 import cloverpulley.names.ResponseLimit;
+import cloverpulley.quota.Quotas;
+import cloverpulley.quota.service.QuotaKeeper;
 import cloverpulley.records.Recorder;
 import io.netty.channel.EventLoop;
 import java.io.IOException;
@@ -69,6 +71,8 @@
   Query.Replies replies;
   final Repeated repeated = new Repeated(MOST_REPEATS, REPEATS_KEPT);
   private final Recorder recorder;
+  /** Null where there are none. */
+  private final QuotaKeeper quotas;
   private final Cache cache;
   private final Cookies cookies;
   private final ResponseLimit limit;
@@ -77,8 +81,9 @@
   private final Set<String> tenants = new HashSet<>();
 
   Resolver(EventLoop loop, Clock clock, DnsConfig config, Engine engine, DnsClient client, DnsCounts counts,
-      Recorder recorder) {
+      Recorder recorder, QuotaKeeper quotas) {
     this.recorder = recorder;
+    this.quotas = quotas;
     this.loop = loop;
     this.clock = clock;
     this.config = config;
@@ -132,7 +137,7 @@
       reply(q, q.empty(replies, 0, Message.FORMERR, OTHER, "too long"));
     } else if (m.question().dnsClass() != Message.IN) {
       reply(q, q.empty(replies, 0, Message.REFUSED, NOT_SUPPORTED, "class IN only"));
-    } else if (knowsSender(q)) {
+    } else if (knowsSender(q) && hasQuota(q)) {
       if (m.opcode() == Message.QUERY) {
         query(q);
       } else {
@@ -205,6 +210,19 @@
     return true;
   }
 
+  /** Whether its tenant's quota allows it; false where it was answered. A repeat of what may have run is not refused. */
+  private boolean hasQuota(Query q) {
+    if (quotas == null || q.message.opcode() != Message.QUERY && !q.client.isTcp() && repeated.isKnown(new Repeated.Key(q))) {
+      return true;
+    }
+    long grant = quotas.ask(q.tenant, 1, q.message.bytes().length, 0, false);
+    if (Quotas.isRefused(grant)) {
+      fail(q, new Verdict(true, Reason.QUOTA, quotas.retryAfterNanos()));
+      return false;
+    }
+    return true;
+  }
+
   private static boolean isSigned(Query q, DnsConfig.Key key) {
     try {
       return key.tsig().verify(new org.xbill.DNS.Message(q.message.bytes()), q.message.bytes(), null) == 0;
