--- a/decision/src/main/java/cloverpulley/incident/Kind.java
+++ b/decision/src/main/java/cloverpulley/incident/Kind.java
@@ -8,7 +8,7 @@
   STOP(9),
   /** A class that it serves: {@code className}, {@code word} its effect and scope, {@code value} its dedup window, {@code other} its deadline. */
   CLASS(9),
-  /** The engine took a request; {@code value} is how long an answer is of use. */
+  /** The engine took a request; {@code value} is how long an answer is of use, {@code other} its hint, {@code key} a hash of its key. */
   TAKEN(1),
   /** An attempt went out: {@code attempt}, {@code upstream}. */
   SENT(2),
--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -1,6 +1,5 @@
 package cloverpulley.quota;
 
-import cloverpulley.quota.QuotaPlan.Child;
 import cloverpulley.quota.QuotaPlan.Spec;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -28,16 +27,10 @@
  */
 public final class Quotas {
 
-  /** A borrower that has not asked for so long lends again. */
-  private static final long ASKING_NANOS = 1_000_000_000L;
   /** How full a lender has to be for whoever is furthest ahead. */
   private static final double AMPLE = 0.5;
   /** In flight: what is kept back there is never used, so it is little. */
   private static final double AMPLE_LEVEL = 0.02;
-  /** What is paid back, and how far behind one may be, is bounded: so many seconds of the lender's rate for each unit of weight. */
-  private static final double REPAID_SECONDS = 3;
-  /** But so many requests such as the present one at least: less would be the chance of who comes first. */
-  private static final double REPAID_REQUESTS = 16;
   /** How much the accounts below weigh against those of the level above. */
   private static final double BELOW_PART = 0.125;
   /** Nodes charged for what others below were guaranteed go below zero by so many windows at most. */
@@ -45,75 +38,10 @@
   /** One request is charged for this many times what its node can ever hold, at most: a hint may lie. */
   private static final double MOST_COST = 60;
   private static final int SWEEP = 2;
-  private static final double SECOND = 1e9;
   private static final int BITS = 4;
   /** A verdict that refuses has this bit; below it stands the lane that binds. */
   private static final long REFUSED = 1L << 62;
 
-  /** What only those who borrow have. */
-  static final class Loans {
-    final double[] had;
-    final double[] since;
-    final long[] tried;
-
-    Loans(int lanes) {
-      had = new double[lanes];
-      since = new double[lanes];
-      tried = new long[lanes];
-    }
-  }
-
-  /** What a node's children were lent in one lane. */
-  static final class Account {
-    /** For each unit of all known children's weight: the fair part of whoever had none of it. */
-    double lent;
-    /** What the one that has had most for its weight has had. */
-    double most;
-  }
-
-  /** One node's state. */
-  static final class Node {
-    final String path;
-    final Node parent;
-    final int depth;
-    final double weight;
-    final boolean named;
-    double[] guarantee;
-    double[] ceiling;
-    Child child;
-    final double[] tokens;
-    long filledAt;
-    Ceiling[] ceilings;
-    Loans loans;
-    Account[] accounts;
-    /** Nodes below it that are kept. */
-    int children;
-    int inFlight;
-    /** Of the children that the plan names. */
-    double namedWeight;
-    /** Units asked for since somebody asked for that; null for none, and in nodes that are not named. */
-    double[] asked;
-    /** Whether anything has been charged to it since it was last kept. */
-    boolean charged;
-    /** Whether it has asked since the hand last passed. */
-    boolean recent;
-    /** What each unnamed child is guaranteed: one array for all of them. */
-    double[] childGuarantee;
-
-    Node(String path, Node parent, double weight, boolean named, double[] guarantee, double[] ceiling, Child child, long now) {
-      this.path = path;
-      this.parent = parent;
-      this.weight = weight;
-      this.named = named;
-      this.guarantee = guarantee;
-      this.ceiling = ceiling;
-      this.child = child;
-      depth = parent == null ? 0 : parent.depth + 1;
-      tokens = guarantee.clone();
-      filledAt = now;
-    }
-  }
-
   /** What is known of a node, for people. */
   public record Status(String path, double[] tokens, double[] guarantee, int inFlight, double[] behind, double[] owed) {}
 
@@ -125,6 +53,7 @@
   private final ArrayList<Node> ring = new ArrayList<>();
   private int hand;
   private Node root;
+  private Lending lending;
   private final List<Node> charged = new ArrayList<>();
   /** Whether anybody asks for what was charged: from the first time on. */
   private boolean keeps;
@@ -147,6 +76,7 @@
     }
     now = Math.max(now, at);
     lanes = next.lanes();
+    lending = lending == null ? new Lending(lanes) : lending;
     Map<String, Node> before = new HashMap<>(nodes);
     plan = next;
     if (!before.isEmpty()) {
@@ -196,7 +126,7 @@
       n.tokens[i] = Math.max(-BELOW * n.guarantee[i], n.guarantee[i] - (old.guarantee[i] - old.tokens[i]));
     }
     if (old.loans != null) {
-      Loans l = loans(n);
+      Node.Loans l = lending.loans(n, now);
       System.arraycopy(old.loans.had, 0, l.had, 0, lanes.size());
       System.arraycopy(old.loans.since, 0, l.since, 0, lanes.size());
       System.arraycopy(old.loans.tried, 0, l.tried, 0, lanes.size());
@@ -326,7 +256,7 @@
       if (n.ceilings != null && n.ceilings[i] != null && !n.ceilings[i].isEmpty(now)) {
         return false;
       }
-      if (n.loans != null && now - n.loans.tried[i] <= ASKING_NANOS) {
+      if (n.loans != null && now - n.loans.tried[i] <= Lending.ASKING_NANOS) {
         return false;
       }
     }
@@ -447,7 +377,7 @@
     double ahead = 0;
     int up = 1;
     for (Node c = leaf; c.parent != null; c = c.parent, up++) {
-      ahead = ahead(c, lane, x) + BELOW_PART * ahead;
+      ahead = lending.ahead(c, lane, x, now) + BELOW_PART * ahead;
       Node lender = c.parent;
       double kept = (lanes.get(lane).isLevel() ? AMPLE_LEVEL : AMPLE) * ahead * lender.guarantee[lane] - 1;
       if (has(lender, lane, x) && tokens(lender, lane) >= Math.min(lender.guarantee[lane], x + kept) * (1 - 1e-12)) {
@@ -457,62 +387,6 @@
     return -1;
   }
 
-  private Loans loans(Node n) {
-    if (n.loans == null) {
-      n.loans = new Loans(lanes.size());
-      for (int i = 0; i < lanes.size() && n.parent != null; i++) {
-        // One that is in the plan lent from the beginning on; one that was made for a stranger did not.
-        n.loans.since[i] = n.named ? 0 : account(n.parent, i).lent;
-        n.loans.tried[i] = now - 2 * ASKING_NANOS;
-      }
-    }
-    return n.loans;
-  }
-
-  private Account account(Node n, int lane) {
-    if (n.accounts == null) {
-      n.accounts = new Account[lanes.size()];
-    }
-    if (n.accounts[lane] == null) {
-      n.accounts[lane] = new Account();
-    }
-    return n.accounts[lane];
-  }
-
-  /** How far ahead of its siblings a child is that asks now: 0 for as far behind as counts, 1 for nobody before it. */
-  private double ahead(Node child, int lane, double x) {
-    Account a = account(child.parent, lane);
-    Loans l = loans(child);
-    double most = Math.max(repaid(child.parent, lane), REPAID_REQUESTS * x / child.weight);
-    double behind = now - l.tried[lane] > ASKING_NANOS ? Math.min(most, Math.max(0, a.lent - l.since[lane])) : most;
-    l.had[lane] = Math.max(l.had[lane], a.most - behind);
-    l.tried[lane] = now;
-    l.since[lane] = a.lent;
-    return Math.min(1, Math.max(0, 1 - (a.most - l.had[lane]) / most));
-  }
-
-  /** The most that anybody below a node is behind, for each unit of its weight. */
-  private double repaid(Node parent, int lane) {
-    Node n = parent;
-    while (n.guarantee[lane] <= 0 && n.parent != null) {
-      n = n.parent;
-    }
-    return REPAID_SECONDS * rate(n, lane) / weightBelow(parent);
-  }
-
-  private double rate(Node n, int lane) {
-    return lanes.get(lane).isLevel() ? n.guarantee[lane] : n.guarantee[lane] * SECOND / lanes.get(lane).windowNanos();
-  }
-
-  /** What a child that does not borrow is to be paid back, for each unit of its weight. */
-  private double owed(Node child, int lane) {
-    if (child.parent == null || child.parent.accounts == null || child.parent.accounts[lane] == null || child.loans == null
-        || now - child.loans.tried[lane] <= ASKING_NANOS) {
-      return 0;
-    }
-    return Math.max(0, Math.min(repaid(child.parent, lane), child.parent.accounts[lane].lent - child.loans.since[lane]));
-  }
-
   private void charge(Node leaf, int lane, double x, int lender) {
     if (x <= 0) {
       return;
@@ -523,7 +397,7 @@
       if (up >= lender && !level) {
         n.tokens[lane] = Math.max(-BELOW * Math.max(n.guarantee[lane], x), n.tokens[lane] - x);
       } else if (up < lender && n.parent != null) {
-        borrowed(n, lane, x);
+        lending.borrowed(n, lane, x, now);
       }
       if (n.ceiling != null && n.ceiling[lane] != Double.POSITIVE_INFINITY && !level) {
         ceiling(n, lane).add(now, x);
@@ -541,19 +415,6 @@
     return n.ceilings[lane];
   }
 
-  private void borrowed(Node child, int lane, double x) {
-    Account a = account(child.parent, lane);
-    Loans l = loans(child);
-    l.had[lane] += x / child.weight;
-    a.most = Math.max(a.most, l.had[lane]);
-    a.lent += x / weightBelow(child.parent);
-  }
-
-  /** The weight of all that may claim a part: those in the plan, or those that are kept where it names none. */
-  private double weightBelow(Node n) {
-    return n.child == null ? Math.max(n.namedWeight, 1e-9) : Math.max(n.namedWeight, n.children * n.child.weight());
-  }
-
   // ---- Refusals ------------------------------------------------------------------------------------------
 
   private long refuse(int lane, Node n, double x, boolean ceiling) {
@@ -617,7 +478,7 @@
           fill(n);
           n.tokens[i] = Math.max(-BELOW * Math.max(n.guarantee[i], more), Math.min(n.guarantee[i], n.tokens[i] - more));
         } else if (more > 0) {
-          borrowed(n, i, more);
+          lending.borrowed(n, i, more, now);
         }
         if (more > 0 && n.ceilings != null && n.ceilings[i] != null) {
           n.ceilings[i].add(now, more);
@@ -647,9 +508,9 @@
       double[] behind = new double[lanes.size()];
       double[] owed = new double[lanes.size()];
       for (int i = 0; i < lanes.size(); i++) {
-        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= ASKING_NANOS;
-        behind[i] = asks ? account(n.parent, i).most - n.loans.had[i] : 0;
-        owed[i] = Math.max(0, owed(n, i));
+        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= Lending.ASKING_NANOS;
+        behind[i] = asks ? lending.account(n.parent, i).most - n.loans.had[i] : 0;
+        owed[i] = lending.owed(n, i, now);
       }
       to.accept(new Status(n.path, n.tokens.clone(), n.guarantee, n.inFlight, behind, owed));
     }
@@ -688,9 +549,9 @@
       boolean any = false;
       for (int i = 0; i < lanes.size(); i++) {
         used[i] = lanes.get(i).isLevel() ? 0 : n.guarantee[i] - n.tokens[i];
-        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= ASKING_NANOS;
-        behind[i] = asks ? account(n.parent, i).most - n.loans.had[i] : 0;
-        owed[i] = Math.max(0, owed(n, i));
+        boolean asks = n.loans != null && n.parent != null && now - n.loans.tried[i] <= Lending.ASKING_NANOS;
+        behind[i] = asks ? lending.account(n.parent, i).most - n.loans.had[i] : 0;
+        owed[i] = lending.owed(n, i, now);
         inWindow[i] = n.ceilings == null || n.ceilings[i] == null ? 0 : n.ceilings[i].sum(now);
         any |= used[i] > 1e-9 || behind[i] > 0 || owed[i] > 0 || inWindow[i] > 0;
       }
@@ -722,8 +583,8 @@
         }
         if (n.parent != null && k.behind()[i] + k.owed()[i] > 0) {
           // Counted from where the parent's account stands now; whoever is not named has had most.
-          Account a = account(n.parent, i);
-          loans(n).since[i] = a.lent - k.owed()[i] - k.behind()[i];
+          Node.Account a = lending.account(n.parent, i);
+          lending.loans(n, now).since[i] = a.lent - k.owed()[i] - k.behind()[i];
         }
       }
     }
--- a/dist/src/main/java/cloverpulley/cli/LoadCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/LoadCommand.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.config.OperatorsFile;
 import cloverpulley.incident.Entry;
+import cloverpulley.load.ArchiveTrace;
 import cloverpulley.load.Comparison;
 import cloverpulley.load.Driver;
 import cloverpulley.load.LoadRun;
@@ -11,6 +12,7 @@
 import cloverpulley.load.Report;
 import cloverpulley.load.Results;
 import cloverpulley.load.Runner;
+import cloverpulley.records.Archive;
 import cloverpulley.records.Recorder;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
@@ -172,7 +174,7 @@
   @Command(name = "record", mixinStandardHelpOptions = true,
       description = "Writes a trace from a front's own records (processor.records_file), as they stand or while they are written.")
   static final class Record implements Callable<Integer> {
-    @Parameters(index = "0", paramLabel = "RECORDS")
+    @Parameters(index = "0", paramLabel = "RECORDS", description = "the processor's records_file, or the folder of [records]")
     private Path records;
 
     @Option(names = "--out", paramLabel = "TRACE", required = true)
@@ -187,6 +189,9 @@
       if (seconds == 0 && !Files.exists(records)) {
         throw new IOException("no records at " + records);
       }
+      if (Files.isDirectory(records)) {
+        return fromArchive();
+      }
       try (var to = new BufferedOutputStream(Files.newOutputStream(out))) {
         RecordsReader.Count count =
             seconds > 0 ? RecordsReader.follow(records, to, seconds) : RecordsReader.convert(records, to);
@@ -195,6 +200,18 @@
       }
       return 0;
     }
+
+    private int fromArchive() throws IOException {
+      if (seconds > 0) {
+        throw new IllegalArgumentException("--seconds goes with a file of lines: of a folder all that it holds is taken");
+      }
+      try (var to = new BufferedOutputStream(Files.newOutputStream(out))) {
+        ArchiveTrace.Count count = ArchiveTrace.convert(new Archive(java.util.List.of(records)), to);
+        System.out.println(out + ": " + count.requests() + " requests, " + count.unmatched() + " without a key or hint, " + count.dropped()
+            + " dropped by the front, " + count.spoiltBlocks() + " spoilt blocks");
+      }
+      return 0;
+    }
   }
 
   @Command(name = "compare", mixinStandardHelpOptions = true,
--- a/records/src/main/java/cloverpulley/records/Recorder.java
+++ b/records/src/main/java/cloverpulley/records/Recorder.java
@@ -181,7 +181,7 @@
       Exchange.Facts f = x.facts();
       long left = f.deadline() <= 0 ? 0 : f.type().deadlineNanos() / 1000;
       put(new Entry(origin, 0, micros.getAsLong(), Kind.TAKEN, x.number(), x.name(), f.type().name(), f.tenant(), hash(f.key()),
-          0, 0, null, null, left, 0));
+          0, 0, null, null, left, f.hintNanos() / 1000));
     }
   }
 
