--- a/incident/src/main/java/cloverpulley/incident/tool/HtmlReport.java
+++ b/incident/src/main/java/cloverpulley/incident/tool/HtmlReport.java
@@ -78,7 +78,7 @@
   public String html() {
     h.append("<!DOCTYPE html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Incident</title><style>").append(CSS)
         .append("</style></head><body><h1>Incident ").append(time(from)).append(" to ").append(time(to)).append("</h1>");
-    h.append(say("<p>%d records of %d instances, %d requests answered, %d retries, %d requests whose end is not known.</p>",
+    h.append(say("<p>%d records, %d instances, %d requests answered, %d retries, %d requests whose end is not known.</p>",
         s.read.records(), s.clocks.instances().size(), c.count(null, null, null, null),
         c.retries().values().stream().mapToLong(n -> n).sum(), c.unknown()));
     unknown();
@@ -181,7 +181,8 @@
   private void axis(int y) {
     for (int i = 0; i <= 6; i++) {
       long at = from + (to - from) * i / 6;
-      h.append(say("<text x=\"%.0f\" y=\"%d\" text-anchor=\"middle\">%s</text>", x(at), y, time(at).substring(11, 19)));
+      h.append(say("<text x=\"%.0f\" y=\"%d\" text-anchor=\"%s\">%s</text>", x(at), y, i == 6 ? "end" : "middle",
+          time(at).substring(11, 19)));
     }
   }
 
--- a/load/src/main/java/cloverpulley/load/RecordsReader.java
+++ b/load/src/main/java/cloverpulley/load/RecordsReader.java
@@ -29,7 +29,7 @@
   private static final int MOST_HELD = 65_536;
   private static final long POLL_MILLIS = 50;
   private static final Set<String> REFUSED = Set.of("over_rate", "table_full", "no_upstream", "no_room", "attempts",
-      "retry_budget", "record_full");
+      "retry_budget", "record_full", "quota");
   private static final Map<String, Outcome> OUTCOMES = Map.of("served", Outcome.SERVED, "full", Outcome.REFUSED, "timeout",
       Outcome.TIMEOUT, "connect_failed", Outcome.NO_CONNECTION, "reset", Outcome.BROKEN, "cancelled", Outcome.TIMEOUT);
 
--- /dev/null
+++ b/model/src/main/java/cloverpulley/model/Draws.java
@@ -0,0 +1,31 @@
+package cloverpulley.model;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Chance, a stream for each concern, so that a change in one place does not shift the draws of another. */
+final class Draws {
+
+  final UniformRandomProvider arrivals;
+  final UniformRandomProvider work;
+  final UniformRandomProvider network;
+  final UniformRandomProvider choice;
+  final UniformRandomProvider faults;
+
+  Draws(long seed) {
+    arrivals = stream(seed, 1);
+    work = stream(seed, 2);
+    network = stream(seed, 3);
+    choice = stream(seed, 4);
+    faults = stream(seed, 5);
+  }
+
+  private static UniformRandomProvider stream(long seed, int concern) {
+    return RandomSource.XO_SHI_RO_256_PP.create(new long[] {seed, concern, seed * 31 + concern, 0x9e3779b97f4a7c15L});
+  }
+
+  /** Exponential with a mean. */
+  static double exponential(UniformRandomProvider r, double mean) {
+    return -Math.log(1 - r.nextDouble()) * mean;
+  }
+}
--- /dev/null
+++ b/model/src/test/java/cloverpulley/model/WorldTest.java
@@ -0,0 +1,168 @@
+package cloverpulley.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.config.BadFileException;
+import cloverpulley.config.OperatorsFile;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import org.apache.commons.statistics.distribution.TDistribution;
+import org.junit.jupiter.api.Test;
+
+/** Queueing theory, repeatability, conservation, and the real module beside the simple ones. */
+class WorldTest {
+
+  private static final String CLASSES = """
+      [service]
+      zone = "a"
+      [[class]]
+      name = "safe"
+      effect = "safe"
+      aim_ms = %d
+      deadline_ms = %d
+      [[class]]
+      name = "unsafe"
+      effect = "unsafe"
+      aim_ms = %d
+      deadline_ms = %d
+      [model]
+      %s
+      """;
+
+  private static ModelPlan plan(int aim, int deadline, String model) throws BadFileException {
+    return OperatorsFile.parse("m", CLASSES.formatted(aim, deadline, aim, deadline, model), ModelPlan::read);
+  }
+
+  /** The mean time in a system over some seeds, with the half width of its 99.9% interval. */
+  private static double[] mean(ModelPlan plan, int seeds) {
+    double[] means = new double[seeds];
+    double sum = 0;
+    for (int i = 0; i < seeds; i++) {
+      Result r = new World(plan, Policies.RANDOM, 100 + i).run();
+      means[i] = r.latency.getMean() / 1000;
+      sum += means[i];
+    }
+    double mean = sum / seeds;
+    double squares = 0;
+    for (double m : means) {
+      squares += (m - mean) * (m - mean);
+    }
+    double t = TDistribution.of(seeds - 1).inverseCumulativeProbability(0.9995);
+    return new double[] {mean, t * Math.sqrt(squares / (seeds - 1) / seeds)};
+  }
+
+  @Test
+  void oneWorkerIsAnMM1Queue() throws Exception {
+    // 60 a second for 100 that it can do: 1 / (mu - lambda) = 25 ms.
+    double[] m = mean(plan(60_000, 600_000, "servers = 1\nworkers = 1\nwork_ms = 10\nrate = 60\nseconds = 600\nqueue = 100000\nnetwork_ms = 0"),
+        12);
+    assertEquals(25, m[0], Math.max(m[1], 0.5), "within " + m[1]);
+  }
+
+  @Test
+  void severalWorkersAreAnMMcQueue() throws Exception {
+    // Erlang's C formula: c = 4, a = 3.2; the wait is C / (c mu - lambda).
+    double a = 3.2;
+    double terms = 0;
+    double term = 1;
+    for (int k = 0; k < 4; k++) {
+      terms += term;
+      term *= a / (k + 1);
+    }
+    double last = term * 4 / (4 - a);
+    double wait = last / (terms + last) / (400 - 320) * 1000;
+    double[] m = mean(plan(60_000, 600_000, "servers = 1\nworkers = 4\nwork_ms = 10\nrate = 320\nseconds = 300\nqueue = 100000\nnetwork_ms = 0"),
+        12);
+    assertEquals(10 + wait, m[0], Math.max(m[1], 0.4), "within " + m[1]);
+  }
+
+  @Test
+  void theSameSeedIsTheSamePlayAndAnotherIsNot() throws Exception {
+    ModelPlan plan = plan(200, 1000, "servers = 20\nbalancers = 3\nrate = 3000\nseconds = 5\n[[model.fault]]\nkind = \"kill\"\nat_s = 2\npart = 0.25");
+    for (Policies p : Policies.values()) {
+      assertEquals(new World(plan, p, 7).run().hash(), new World(plan, p, 7).run().hash(), p.name());
+      assertNotEquals(new World(plan, p, 7).run().hash(), new World(plan, p, 8).run().hash(), p.name());
+    }
+  }
+
+  /** A quarter dies at once, another drains, the dead are replaced by cold ones: nothing is lost, twice, or sent to the drained. */
+  @Test
+  void theModuleKeepsTheRulesThroughDeathsDrainsAndColdStarts() throws Exception {
+    for (int seed = 1; seed <= 12; seed++) {
+      ModelPlan plan = plan(200, 1500, """
+          servers = 24
+          balancers = 3
+          rate = 4000
+          seconds = 8
+          list_ms = 200
+          [[model.fault]]
+          kind = "kill"
+          at_s = 2
+          part = 0.25
+          [[model.fault]]
+          kind = "slow"
+          at_s = 3
+          part = 0.5
+          factor = 2
+          [[model.fault]]
+          kind = "replace"
+          at_s = 4
+          part = 0.25
+          [[model.fault]]
+          kind = "drain"
+          at_s = 5
+          part = 0.4
+          """);
+      Result r = new World(plan, Policies.MODULE, seed).run();
+      assertTrue(r.rulesKept(), "seed " + seed + ": without " + r.withoutAnswer + ", second " + r.secondAnswers + ", unsafe twice "
+          + r.unsafeTwice + ", after drain " + r.afterDrain);
+      assertTrue(r.isConserved(), "seed " + seed + ": " + r.words + " of " + r.asked);
+      assertTrue(r.served > 0.6 * r.asked, "seed " + seed + ": " + r.words);
+    }
+  }
+
+  @Test
+  void theModuleIsBetterThanChanceWhereAQuarterDies() throws Exception {
+    ModelPlan plan = plan(100, 1000, "servers = 20\nrate = 4500\nseconds = 10\n[[model.fault]]\nkind = \"kill\"\nat_s = 3\npart = 0.25");
+    double module = new World(plan, Policies.MODULE, 3).run().g();
+    double chance = new World(plan, Policies.RANDOM, 3).run().g();
+    assertTrue(module > chance + 0.1, module + " against " + chance);
+  }
+
+  /** Simultaneous things happen in the order in which they were put; the agenda is a priority queue. */
+  @Test
+  void theAgendaIsAPriorityQueueWithAnOrderOfItsOwn() {
+    SplittableRandom random = new SplittableRandom(20261201);
+    Agenda agenda = new Agenda();
+    PriorityQueue<long[]> reference = new PriorityQueue<>((x, y) -> x[0] != y[0] ? Long.compare(x[0], y[0]) : Long.compare(x[1], y[1]));
+    List<Long> happened = new ArrayList<>();
+    long n = 0;
+    for (int i = 0; i < 200_000; i++) {
+      if (agenda.size() == 0 || random.nextInt(5) < 3) {
+        long at = random.nextInt(50);
+        long mine = n++;
+        agenda.put(at, () -> happened.add(mine));
+        reference.add(new long[] {at, mine});
+      } else {
+        assertEquals(reference.peek()[0], agenda.nextAt());
+        agenda.take().run();
+        assertEquals(reference.poll()[1], happened.get(happened.size() - 1));
+      }
+    }
+    assertTrue(happened.size() > 50_000);
+  }
+
+  @Test
+  void aPlanThatNeedsMoreThanThereIsIsRefusedWithTheFigure() {
+    BadFileException e = assertThrows(BadFileException.class,
+        () -> plan(1, 1, "servers = 100000\nbalancers = 10000\nrate = 10000000\nseconds = 86400\npolicies = [\"best\"]"));
+    for (String part : List.of("model.balancers", "GB", "model.rate", "model.policies")) {
+      assertTrue(e.getMessage().contains(part), e.getMessage());
+    }
+  }
+}
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaJournal.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaJournal.java
@@ -170,7 +170,10 @@
       return;
     }
     if (out == null) {
-      open();
+      if (size == 0) {
+        throw new IOException(file + ": the journal is not open");
+      }
+      out = disk.open(file); // Written anew, and then not to be opened: it may be now.
     }
     ByteBuffer frame = frame(unixMillis, changed);
     write(out, frame, size);
@@ -251,10 +254,17 @@
       size = before; // The old one goes on.
       throw e;
     }
-    out.close();
-    Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    try {
+      Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    } catch (IOException e) {
+      size = before;
+      throw e;
+    }
+    // The old one has no name any more: nothing may go there.
+    FileChannel old = out;
+    out = null;
+    old.close();
     out = disk.open(file);
-    out.position(size);
   }
 
   long size() {
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -40,6 +42,10 @@
   private final LeaseLink link;
   private final AtomicBoolean writing = new AtomicBoolean();
   private volatile boolean faulty;
+  /** The file is another's, or can't be opened: it is left as it is. */
+  private boolean broken;
+  /** The writer's: states that are not in the file yet, one a node. */
+  private final Map<String, Kept> unwritten = new HashMap<>();
   private final double[] cost;
 
   /** Reads the journal, if there is one, and starts; what a file lacks or spoils is told in the log. */
@@ -79,6 +85,7 @@
           + r.tornOctets());
     } catch (IOException e) {
       faulty = true;
+      broken = true;
       LOG.warning("quotas start without what was owed: " + e.getMessage());
     }
   }
@@ -137,14 +144,17 @@
 
   private void flush() {
     // One writing at a time: while the disk is slow, what is charged gathers in the nodes, and not in a queue.
-    if (!writing.compareAndSet(false, true)) {
+    if (broken || !writing.compareAndSet(false, true)) {
       return;
     }
-    List<Kept> kept = faulty ? quotas.keep(nanos.getAsLong()) : quotas.keepCharged(nanos.getAsLong());
+    List<Kept> kept = quotas.keepCharged(nanos.getAsLong());
     long now = System.currentTimeMillis();
     writer.execute(() -> {
+      // What could not be written is written with what came since; the latest of a node is all there is to know.
+      kept.forEach(k -> unwritten.put(k.path(), k));
       try {
-        journal.append(now, kept);
+        journal.append(now, unwritten.values());
+        unwritten.clear();
         if (faulty) {
           LOG.info("the quota journal can be written again");
         }
@@ -175,6 +185,10 @@
       return;
     }
     flushes.cancel(false);
+    if (broken) {
+      writer.shutdown();
+      return;
+    }
     List<Kept> kept = quotas.keep(nanos.getAsLong());
     long now = System.currentTimeMillis();
     writer.execute(() -> {
