--- a/incident/src/main/java/cloverpulley/incident/tool/Console.java
+++ b/incident/src/main/java/cloverpulley/incident/tool/Console.java
@@ -105,14 +105,14 @@
   private static String spark(Course c, int answer, int columns, long now) {
     List<Long> spans = c.spans();
     int from = Math.max(0, spans.size() - columns);
-    long most = 1;
+    long most = 0;
     for (long span : spans) {
       most = Math.max(most, c.count(span, null, null, answer));
     }
     StringBuilder t = new StringBuilder();
     for (int i = from; i < spans.size(); i++) {
       long n = c.count(spans.get(i), null, null, answer);
-      t.append(BARS.charAt((int) Math.ceil(n * 8.0 / most)));
+      t.append(BARS.charAt((int) Math.ceil(n * 8.0 / Math.max(1, most))));
     }
     return t + " most " + most;
   }
--- a/quota/src/main/java/cloverpulley/quota/service/RateLimitServer.java
+++ b/quota/src/main/java/cloverpulley/quota/service/RateLimitServer.java
@@ -33,7 +33,7 @@
 
   private static final int MOST_MESSAGE = 64 << 10;
   private static final int MOST_DESCRIPTORS = 64;
-  private static final int MOST_PATH = 1024;
+  private static final int MOST_PATH = 256;
   private static final long MOST_HITS = 1_000_000;
   private static final long STOP_SECONDS = 5;
   private static final int CALLS = 10_000;
