A retry after being turned away unseen costs a quarter; the log counts each second

Ruled out, tried and dropped: an idle time learned from new connections turned away, equal at all balancers. A handshake costs more than it saves here.

Change: a retry after FULL takes a quarter of a token, so that four in five requests may be turned away once; others still take one.

--- /dev/null
+++ b/balancer/src/main/java/cloverpulley/serve/Counts.java
@@ -0,0 +1,191 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Reason;
+import cloverpulley.engine.Attempt;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Exchange;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
+import cloverpulley.engine.Witness;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.logging.Logger;
+
+/**
+ * What this balancer did in a second, in one line of its log: what is harmless in one and harmful in all can be added up across
+ * a fleet. Counts alone, the words of {@link Reason}, nothing where nothing happened. All of it runs on the engine's loop.
+ */
+final class Counts implements Witness {
+
+  private static final Logger LOG = Logger.getLogger(Counts.class.getName());
+
+  /** Upstreams named in a line; the rest is one figure. Bounds the line in a fleet of any size. */
+  private static final int NAMED = 12;
+  private static final Status[] STATUSES = Status.values();
+  private static final Reason[] REASONS = Reason.values();
+
+  private final Fleet fleet;
+  private final LongSupplier unixMillis;
+  private final long warmMillis;
+  private final int[] statuses = new int[STATUSES.length];
+  private final int[] refused = new int[REASONS.length];
+  private final int[] failed = new int[REASONS.length];
+  private final Map<Long, Integer> opened = new HashMap<>();
+  private final Map<Long, Integer> noRoom = new HashMap<>();
+  private final Map<Long, Integer> cold = new HashMap<>();
+  private int idle;
+  private int taken;
+  private int sent;
+  private int again;
+  private int served;
+  private int gone;
+  private int asked;
+  private int unanswered;
+  private int lines;
+
+  /** {@code warmMillis} is how long after its start an upstream counts as cold. */
+  Counts(Fleet fleet, LongSupplier unixMillis, long warmMillis) {
+    this.fleet = fleet;
+    this.unixMillis = unixMillis;
+    this.warmMillis = warmMillis;
+  }
+
+  /** Writes a line a second for as long as the loop runs. */
+  void writeOn(io.netty.channel.EventLoop loop) {
+    loop.scheduleAtFixedRate(() -> {
+      String line = line();
+      if (!line.isEmpty()) {
+        LOG.info(line);
+      }
+    }, 1, 1, TimeUnit.SECONDS);
+  }
+
+  /** A source of lists whose calls are counted. */
+  Engine.ListSource counted(Engine.ListSource lists) {
+    return new Engine.ListSource() {
+      @Override
+      public void watch(boolean on) {
+        asked += on ? 1 : 0;
+        lists.watch(on);
+      }
+
+      @Override
+      public void fetch() {
+        asked++;
+        lists.fetch();
+      }
+    };
+  }
+
+  /** A new connection to an upstream is tried. */
+  void opened(long upstream) {
+    opened.merge(upstream, 1, Integer::sum);
+  }
+
+  /** The first request on a new connection was turned away: the upstream holds as many connections as it may, or is full. */
+  void noRoom(long upstream) {
+    noRoom.merge(upstream, 1, Integer::sum);
+  }
+
+  /** So many connections to upstreams wait for use, as last seen. */
+  void idle(int connections) {
+    idle = connections;
+  }
+
+  @Override
+  public void taken(Exchange x) {
+    taken++;
+  }
+
+  @Override
+  public void sent(Attempt attempt) {
+    sent++;
+    again += attempt.number() > 0 ? 1 : 0;
+    ServerList.Server server = fleet.server(attempt.upstream());
+    if (server != null && server.upSinceMillis() > 0 && unixMillis.getAsLong() - server.upSinceMillis() < warmMillis) {
+      cold.merge(attempt.upstream(), 1, Integer::sum);
+    }
+  }
+
+  @Override
+  public void outcome(Attempt attempt, Status status, long latencyNanos) {
+    statuses[status.ordinal()]++;
+  }
+
+  @Override
+  public void ended(Exchange x, End end, Reason reason) {
+    switch (end) {
+      case SERVED -> served++;
+      case GONE -> gone++;
+      case REFUSED -> refused[reason.ordinal()]++;
+      case FAILED -> failed[reason.ordinal()]++;
+    }
+  }
+
+  @Override
+  public void listed(ListKind kind, ServerList list, List<Numbered> servers) {
+    if (kind == ListKind.FAILED) {
+      unanswered++;
+    } else if (kind != ListKind.CACHED) {
+      lines += list.members().size();
+    }
+  }
+
+  @Override
+  public void replaced(String event) {}
+
+  /** What was counted since the last line; empty for nothing. */
+  String line() {
+    StringBuilder s = new StringBuilder(160);
+    put(s, "taken", taken);
+    put(s, "served", served);
+    put(s, "gone", gone);
+    for (Reason r : REASONS) {
+      put(s, "refused_" + r.word(), refused[r.ordinal()]);
+      put(s, "failed_" + r.word(), failed[r.ordinal()]);
+      refused[r.ordinal()] = 0;
+      failed[r.ordinal()] = 0;
+    }
+    put(s, "sent", sent);
+    put(s, "again", again);
+    for (Status status : STATUSES) {
+      if (status != Status.SERVED && statuses[status.ordinal()] > 0) {
+        put(s, "ended_" + status.name().toLowerCase(Locale.ROOT), statuses[status.ordinal()]);
+      }
+      statuses[status.ordinal()] = 0;
+    }
+    put(s, "list_asked", asked);
+    put(s, "list_unanswered", unanswered);
+    put(s, "list_lines", lines);
+    put(s, "opened", opened);
+    put(s, "no_room_for_new", noRoom);
+    put(s, "cold", cold);
+    put(s, "idle", idle);
+    taken = served = gone = sent = again = asked = unanswered = lines = 0;
+    return s.toString();
+  }
+
+  private static void put(StringBuilder s, String word, int count) {
+    if (count > 0) {
+      s.append(s.isEmpty() ? "counts " : " ").append(word).append('=').append(count);
+    }
+  }
+
+  private void put(StringBuilder s, String word, Map<Long, Integer> upstreams) {
+    put(s, word, upstreams.values().stream().mapToInt(n -> n).sum());
+    int named = 0;
+    for (Map.Entry<Long, Integer> e : upstreams.entrySet()) {
+      ServerList.Server server = fleet.server(e.getKey());
+      if (server != null && named++ < NAMED) {
+        s.append(named == 1 ? ":" : ",").append(server.id()).append('*').append(e.getValue());
+      }
+    }
+    upstreams.clear();
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -109,16 +109,19 @@
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(config.sockets());
+    Counts counts = new Counts(fleet, System::currentTimeMillis,
+        TimeUnit.NANOSECONDS.toMillis(config.settings().contract().warmWithinNanos()));
+    counts.writeOn(loop);
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true);
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos(), fleet::isReady, config.loadReports());
+        config.idleNanos(), fleet::isReady, config.loadReports(), counts);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
         connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
         config.discovery(), fleet::revision, this::news);
-    engine = new Engine(loop, clock, config.settings(), modules, fleet, discovery, peers);
+    engine = new Engine(loop, clock, config.settings(), modules, fleet, counts.counted(discovery), peers, counts);
     engine.attach(pool);
     frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
         config.memoryBytes() / BODIES_PART);
--- a/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -73,14 +73,19 @@
   private final long idleNanos;
   private final LongPredicate ready;
   private final boolean loadReports;
+  private final Counts counts;
   /** Idle connections of an upstream, the one used last in front. */
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
   private final Reuse reuse = new Reuse();
 
-  /** {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load. */
+  /**
+   * {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load;
+   * {@code counts} is told of connections that are opened and what becomes of them.
+   */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
-      LongPredicate ready, boolean loadReports) {
+      LongPredicate ready, boolean loadReports, Counts counts) {
+    this.counts = counts;
     this.sockets = sockets;
     this.ready = ready;
     this.loadReports = loadReports;
@@ -121,6 +126,7 @@
       return;
     }
     connecting.add(call);
+    counts.opened(call.upstream);
     call.channel = connect.channel();
     sockets.opened();
     call.channel.closeFuture().addListener(f -> sockets.closed());
@@ -220,6 +226,7 @@
         all.remove();
       }
     }
+    counts.idle(idle.values().stream().mapToInt(ArrayDeque::size).sum());
   }
 
   /** One connection, and the call on it. */
@@ -231,6 +238,7 @@
     /** How long it had stood idle before the call on it; -1 on a new one. */
     long stoodIdle = -1;
     private Call call;
+    private boolean fresh = true;
     /** Bytes of the answer that have been looked at. */
     private int begun;
     private int informational;
@@ -342,6 +350,10 @@
         // Guards the client: what came before its request had left is another's.
         status = Status.RESET;
       }
+      if (fresh && status == Status.FULL) {
+        counts.noRoom(upstream);
+      }
+      fresh = false;
       if (status != Status.RESET && answered.written && !answered.isDone() && HttpUtil.isKeepAlive(response)
           && ready.test(upstream)) {
         idleSince = System.nanoTime();
--- a/balancer/src/main/java/cloverpulley/serve/Warmup.java
+++ b/balancer/src/main/java/cloverpulley/serve/Warmup.java
@@ -96,10 +96,12 @@
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
     Sockets sockets = new Sockets(Integer.MAX_VALUE);
+    Counts counts = new Counts(fleet, System::currentTimeMillis, 0);
     UpstreamPool pool = new UpstreamPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
-        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady, false);
+        settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady, false,
+        counts);
     Engine engine = new Engine(group.next(), clock, settings, n -> new Logic(settings, n), fleet, new NoList(),
-        (to, data) -> { });
+        (to, data) -> { }, counts);
     engine.attach(pool);
     Frontend frontend = new Frontend(new HttpExchange.Front(engine, pool, false), clock, sockets, settings, Long.MAX_VALUE);
     engine.news(ListKind.CACHED, new ServerList(0, true,
--- /dev/null
+++ b/balancer/src/test/java/cloverpulley/serve/CountsTest.java
@@ -0,0 +1,84 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What a balancer's log says of each second, against what a client and an upstream saw. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class CountsTest {
+
+  private static final Logger LOG = Logger.getLogger(Counts.class.getName());
+
+  /** Adds a word's figure up over the lines until they show that many. */
+  private static void await(BlockingQueue<String> lines, StringBuilder seen, String word, int expected)
+      throws InterruptedException {
+    while (sum(seen, word) < expected) {
+      String line = lines.poll(Rig.LIMIT_S, TimeUnit.SECONDS);
+      assertTrue(line != null, word + " stayed at " + sum(seen, word) + " in " + seen);
+      seen.append(line).append('\n');
+    }
+  }
+
+  private static int sum(CharSequence lines, String word) {
+    Matcher m = Pattern.compile("(?<=[ ])" + word + "=(\\d+)").matcher(lines);
+    int sum = 0;
+    while (m.find()) {
+      sum += Integer.parseInt(m.group(1));
+    }
+    return sum;
+  }
+
+  @Test
+  void addedUpTheLinesTellEachRequestAndEachConnection() throws Exception {
+    BlockingQueue<String> lines = new LinkedBlockingQueue<>();
+    Handler handler = new Handler() {
+      @Override
+      public void publish(LogRecord entry) {
+        lines.add(entry.getMessage());
+      }
+
+      @Override
+      public void flush() {}
+
+      @Override
+      public void close() {}
+    };
+    String full = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
+    LOG.addHandler(handler);
+    try (StubServer stub = new StubServer(c -> {
+      for (int i = 0; c.next() != null; i++) {
+        c.write(i == 0 ? full : StubServer.ok("served"));
+      }
+    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(41, true, Rig.member("s-a", stub.address(), "ready"))));
+        Rig.Client client = rig.client()) {
+      int served = 0;
+      for (int i = 0; i < 5; i++) {
+        served += client.ask(Rig.get("id-" + i, "")).startsWith("HTTP/1.1 200") ? 1 : 0;
+      }
+      StringBuilder seen = new StringBuilder();
+      await(lines, seen, "taken", 5);
+      await(lines, seen, "served", served);
+      await(lines, seen, "ended_full", 1);
+      await(lines, seen, "no_room_for_new", 1);
+      await(lines, seen, "list_unanswered", 1);
+      assertEquals(5, sum(seen, "taken"), seen::toString);
+      assertEquals(served, sum(seen, "served"), seen::toString);
+      assertEquals(sum(seen, "no_room_for_new"), sum(seen, "ended_full"), seen::toString);
+      assertTrue(sum(seen, "opened") >= 1 && seen.indexOf("opened=") > 0 && seen.indexOf(":s-a*") > 0, seen::toString);
+      assertEquals(0, sum(seen, "cold"), "it started long ago");
+    } finally {
+      LOG.removeHandler(handler);
+    }
+  }
+}
--- a/decision/src/main/java/cloverpulley/Attempt.java
+++ b/decision/src/main/java/cloverpulley/Attempt.java
@@ -7,6 +7,7 @@
   boolean out = true;
   boolean mayHaveRun = true;
   boolean late;
+  boolean unseen;
 
   Attempt(Upstream upstream, long sentAt) {
     this.upstream = upstream;
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -72,6 +72,9 @@
   /** Retries and copies earned by a request admitted, and the most saved up: a fifth more load at worst. */
   private static final double RETRY_SHARE = 0.2;
   private static final double RETRY_MOST = 20;
+  /** What a retry costs after an upstream turned the request away unseen: next to no work was done, so that
+   * four in five requests may be turned away once. Guards requests where upstreams hold few connections. */
+  private static final double UNSEEN_COST = 0.25;
   /** A hinted request counts for this many mean ones at most, and no less than its inverse. */
   private static final double HINT_MOST = 4;
   /** And moves what is usual by no more than one of this many usual ones. */
@@ -449,13 +452,14 @@
   /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
-    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !first && retryTokens < 1
+    double cost = retryCost(r);
+    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || retryTokens < cost
         || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep
         || answerDue(r)
         || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
     Upstream u = over ? null : place(r);
     if (u != null) {
-      retryTokens -= first ? 0 : 1;
+      retryTokens -= cost;
       held.remove(r);
       send(r, u);
     } else if (over || first && now >= r.arrived + HOLD_PART * r.type.aimNanos() || !first && ready == 0) {
@@ -494,6 +498,11 @@
     }
   }
 
+  /** What the next attempt takes of the budget: nothing for the first. */
+  private static double retryCost(Open r) {
+    return r.attempts.isEmpty() ? 0 : r.attempts.get(r.attempts.size() - 1).unseen ? UNSEEN_COST : 1;
+  }
+
   private boolean answerDue(Open r) {
     return r.request.answerByNanos() > 0 && now >= r.request.answerByNanos();
   }
@@ -511,7 +520,7 @@
     return now >= r.request.deadlineNanos() - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
         : r.type.effect() != Effect.SAFE && r.mayHaveRun() ? Reason.MAY_HAVE_RUN
         : r.attempts.size() >= settings.limits().maxAttempts() ? Reason.ATTEMPTS
-        : !r.attempts.isEmpty() && retryTokens < 1 ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
+        : retryTokens < retryCost(r) ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
   }
 
   /** The request has its final answer: stops what it still has out, forgets it once nothing is. */
@@ -536,6 +545,7 @@
     Attempt a = r.attempts.get(o.attempt());
     a.out = false;
     a.mayHaveRun = !o.status().provesNotRun();
+    a.unseen = o.status() == Status.FULL;
     a.upstream.inFlight--;
     a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
     a.upstream.heardAt = now;
--- a/decision/src/test/java/cloverpulley/FourRulesTest.java
+++ b/decision/src/test/java/cloverpulley/FourRulesTest.java
@@ -101,6 +101,34 @@
   /** Guards against a retry storm: with every attempt failing, retries stay a fraction of the requests. */
   @Test
   void retriesAreBudgeted() {
+    int sends = sendsOf500(Status.ERROR);
+    assertTrue(sends > 500 && sends < 500 * 1.2 + 40, "sends: " + sends);
+  }
+
+  /** An upstream that holds few connections turns many away, for next to nothing: others can still serve them. Bounded too. */
+  @Test
+  void whoIsTurnedAwayUnseenIsSentOnMoreOften() {
+    int sends = sendsOf500(Status.FULL);
+    assertTrue(sends > 500 * 1.6 && sends < 500 * 1.8 + 100, "sends: " + sends);
+  }
+
+  /** Three in ten turned away once, as in a fleet whose upstreams have no connection to spare: nobody is refused for that. */
+  @Test
+  void aThirdTurnedAwayCostsNoRequest() {
+    Driver d = new Driver(Driver.safe()).upstreams(12);
+    for (int i = 0; i < 500; i++) {
+      String id = d.nextId();
+      long to = Driver.sentTo(d.request(id, "c", "k" + i));
+      if (i % 10 < 3) {
+        to = Driver.sentTo(d.end(id, to, Status.FULL, Driver.MS));
+        assertTrue(to >= 0, "request " + i + " was not sent on");
+      }
+      d.pass(Driver.MS);
+      d.end(id, to, Status.SERVED, Driver.MS);
+    }
+  }
+
+  private static int sendsOf500(Status status) {
     Driver d = new Driver(Driver.safe()).upstreams(12);
     int sends = 0;
     for (int i = 0; i < 500; i++) {
@@ -108,11 +136,11 @@
       long to = Driver.sentTo(d.request(id, "c", "k" + i));
       while (to >= 0) {
         sends++;
-        to = Driver.sentTo(d.end(id, to, Status.FULL, Driver.MS));
+        to = Driver.sentTo(d.end(id, to, status, Driver.MS));
       }
       d.pass(Driver.MS);
     }
-    assertTrue(sends > 500 && sends < 500 * 1.2 + 40, "sends: " + sends);
+    return sends;
   }
 
   @Test
