--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -26,6 +26,9 @@
   private static final double MAX_VALUE = 1.0;
   /** maxRate is what the key was offered in the window and a tenth more; minRate this part of it. */
   private static final double HEADROOM = 1.1;
+  /** So many samples count as much as what is known without them: for a key the fleet's mean, for the fleet
+   * health. Guards against one slow answer among few, where traffic is spread thin over many balancers. */
+  private static final double FEW = 5;
   private static final double MIN_PART = 0.02;
   /** The line of worthless excess lies at this part of the latencies: gone before in-share work suffers. */
   private static final double EXCESS_EARLY = 0.3;
@@ -273,7 +276,8 @@
     r.key.add(now, Metric.OFFERED, 1);
     r.endpoint.add(now, Metric.OFFERED, 1);
     fleet.add(now, Metric.OFFERED, 1);
-    double mean = Math.max(r.endpoint.mean(now), fleet.mean(now));
+    double all = fleet.mean(now, MIN_VALUE / 2, FEW);
+    double mean = Math.max(r.endpoint.mean(now, all, FEW), all);
     double maxRate = r.endpoint.total(now, Metric.OFFERED) * HEADROOM;
     double early = r.excess ? EXCESS_EARLY + (1 - EXCESS_EARLY) * settings.overShareWorth() : 1;
     double allowed = allowedRate(mean, MIN_VALUE * early, MAX_VALUE * early, maxRate, maxRate * MIN_PART);
--- a/decision/src/main/java/cloverpulley/Window.java
+++ b/decision/src/main/java/cloverpulley/Window.java
@@ -47,6 +47,12 @@
     return (count - Math.sqrt(count)) * 1e9 / (slotNanos * SLOTS);
   }
 
+  /** Mean of the samples and of so many more that are as expected: few samples move it little. */
+  double mean(long now, double expected, double weight) {
+    double samples = total(now, Metric.SAMPLES);
+    return samples < 0.5 ? 0 : (total(now, Metric.SUM) + expected * weight) / (samples + weight);
+  }
+
   /** Mean of the samples; 0 where there are none, which the line takes for healthy. */
   double mean(long now) {
     double samples = total(now, Metric.SAMPLES);
