Quotas: octets out charged as expected and set right by the answer; a racing test mended

Need: a bytes_out lane of the operators' file bound nothing, for its cost was always 0 (QuotaKeeper.ask).

Change: Expected (pure) holds a slow mean for each class and tenant, bounded in kinds and in what one answer teaches; the processor charges it at the grant and settles by content-length, by the pieces of the body where they come, or by nothing where no answer came. Found by the test of answers that never come: after five hang-ups the next was refused, since what settle gave back still counted against the ceiling (Ceiling.takeBack, oldest first, only while the window holds the charge). A first answer that lies about its length kept its kind away for good; an answer now teaches a tenth of the window's octets at most.

The platform's log counts lists that were older or empty and changed nothing (list_ignored).

Measured: a ceiling of 50,000 octets is reached after five answers of 10,000, and so after 20 hang-ups between the first and the rest; 40 of 100 octets pass.

--- a/balancer/src/main/java/cloverpulley/serve/Counts.java
+++ b/balancer/src/main/java/cloverpulley/serve/Counts.java
@@ -47,6 +47,7 @@
   private int gone;
   private int asked;
   private int unanswered;
+  private int ignored;
   private int lines;
 
   /** {@code warmMillis} is how long after its start an upstream counts as cold. */
@@ -134,6 +135,8 @@
       unanswered++;
     } else if (kind != ListKind.CACHED) {
       lines += list.members().size();
+      // A whole list without members would take the service away; a change without any is a version alone.
+      ignored += servers.isEmpty() && (kind == ListKind.FULL || !list.members().isEmpty()) ? 1 : 0;
     }
   }
 
@@ -162,12 +165,13 @@
     }
     put(s, "list_asked", asked);
     put(s, "list_unanswered", unanswered);
+    put(s, "list_ignored", ignored);
     put(s, "list_lines", lines);
     put(s, "opened", opened);
     put(s, "no_room_for_new", noRoom);
     put(s, "cold", cold);
     put(s, "idle", idle);
-    taken = served = gone = sent = again = asked = unanswered = lines = 0;
+    taken = served = gone = sent = again = asked = unanswered = ignored = lines = 0;
     return s.toString();
   }
 
--- a/balancer/src/test/java/cloverpulley/serve/CountsTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/CountsTest.java
@@ -41,21 +41,9 @@
 
   @Test
   void addedUpTheLinesTellEachRequestAndEachConnection() throws Exception {
-    BlockingQueue<String> lines = new LinkedBlockingQueue<>();
-    Handler handler = new Handler() {
-      @Override
-      public void publish(LogRecord entry) {
-        lines.add(entry.getMessage());
-      }
-
-      @Override
-      public void flush() {}
-
-      @Override
-      public void close() {}
-    };
     String full = "HTTP/1.1 503 Service Unavailable\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n";
-    LOG.addHandler(handler);
+    Lines lines = new Lines();
+    LOG.addHandler(lines);
     try (StubServer stub = new StubServer(c -> {
       for (int i = 0; c.next() != null; i++) {
         c.write(i == 0 ? full : StubServer.ok("served"));
@@ -67,18 +55,56 @@
         served += client.ask(Rig.get("id-" + i, "")).startsWith("HTTP/1.1 200") ? 1 : 0;
       }
       StringBuilder seen = new StringBuilder();
-      await(lines, seen, "taken", 5);
-      await(lines, seen, "served", served);
-      await(lines, seen, "ended_full", 1);
-      await(lines, seen, "no_room_for_new", 1);
-      await(lines, seen, "list_unanswered", 1);
+      await(lines.queue, seen, "taken", 5);
+      await(lines.queue, seen, "served", served);
+      await(lines.queue, seen, "ended_full", 1);
+      await(lines.queue, seen, "no_room_for_new", 1);
+      await(lines.queue, seen, "list_unanswered", 1);
       assertEquals(5, sum(seen, "taken"), seen::toString);
       assertEquals(served, sum(seen, "served"), seen::toString);
       assertEquals(sum(seen, "no_room_for_new"), sum(seen, "ended_full"), seen::toString);
       assertTrue(sum(seen, "opened") >= 1 && seen.indexOf("opened=") > 0 && seen.indexOf(":s-a*") > 0, seen::toString);
       assertEquals(0, sum(seen, "cold"), "it started long ago");
     } finally {
-      LOG.removeHandler(handler);
+      LOG.removeHandler(lines);
     }
   }
+
+  /** An older list and an empty one change nothing, and are counted. */
+  @Test
+  void listsThatAreNotBelievedAreCounted() throws Exception {
+    Lines lines = new Lines();
+    String known = Rig.list(41, true, Rig.member("s-a", "127.0.0.1:1", "ready"));
+    LOG.addHandler(lines);
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(40, true, Rig.member("s-old", "127.0.0.1:2", "ready"))));
+      c.write(Discoveries.chunk(Rig.list(50, true)));
+      c.write(Discoveries.chunk(Rig.list(42, false)));
+      c.next();
+    }); Rig rig = new Rig(Rig.config(discovery.address(), known))) {
+      StringBuilder seen = new StringBuilder();
+      await(lines.queue, seen, "list_ignored", 2);
+      assertEquals(2, sum(seen, "list_ignored"), seen::toString);
+      assertEquals(1, sum(seen, "list_lines"), seen::toString);
+    } finally {
+      LOG.removeHandler(lines);
+    }
+  }
+
+  /** The lines of the log. */
+  private static final class Lines extends Handler {
+    final BlockingQueue<String> queue = new LinkedBlockingQueue<>();
+
+    @Override
+    public void publish(LogRecord entry) {
+      queue.add(entry.getMessage());
+    }
+
+    @Override
+    public void flush() {}
+
+    @Override
+    public void close() {}
+  }
 }
--- a/decision/src/main/java/cloverpulley/quota/Ceiling.java
+++ b/decision/src/main/java/cloverpulley/quota/Ceiling.java
@@ -42,6 +42,22 @@
     sum += units;
   }
 
+  /**
+   * What was added at an earlier reading was not used after all. The oldest that may hold it lose it first: a window to come that
+   * holds none of them counts too much rather than too little. What has left the window already is not taken back.
+   */
+  void takeBack(long now, long added, double units) {
+    move(now);
+    long last = Math.min(at, Math.floorDiv(added, slot));
+    for (long s = at - SLOTS; s <= last && units > 0; s++) {
+      int i = (int) Math.floorMod(s, SLOTS + 1);
+      double back = Math.min(counts[i], units);
+      counts[i] -= back;
+      sum -= back;
+      units -= back;
+    }
+  }
+
   double sum(long now) {
     move(now);
     return sum;
--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -463,8 +463,13 @@
 
   // ---- What comes after ----------------------------------------------------------------------------------
 
-  /** What it really took, once that is known: the difference is charged, or given back, where the estimate was. */
-  public void settle(long at, String path, long grant, double[] estimated, double[] actual) {
+  /**
+   * What it really took, once that is known: the difference is charged, or given back, where the estimate was. What was borrowed and
+   * not used stays owed: it was not there for others meanwhile.
+   *
+   * @param askedAt clock reading at which it was granted
+   */
+  public void settle(long at, String path, long grant, long askedAt, double[] estimated, double[] actual) {
     now = Math.max(now, at);
     Node leaf = node(path);
     for (int i = 0; i < actual.length; i++) {
@@ -482,6 +487,8 @@
         }
         if (more > 0 && n.ceilings != null && n.ceilings[i] != null) {
           n.ceilings[i].add(now, more);
+        } else if (more < 0 && n.ceilings != null && n.ceilings[i] != null) {
+          n.ceilings[i].takeBack(now, askedAt, -more);
         }
       }
     }
--- a/decision/src/test/java/cloverpulley/quota/QuotasTest.java
+++ b/decision/src/test/java/cloverpulley/quota/QuotasTest.java
@@ -185,11 +185,27 @@
     QuotaPlan plan = new QuotaPlan.Builder(lanes, of(1000)).node("a", 1, of(1000), null, null).build();
     Quotas q = new Quotas(plan, 10, START);
     long g = q.ask(START, "a", of(900));
-    q.settle(START, "a", g, of(900), of(100));
+    q.settle(START, "a", g, START, of(900), of(100));
     assertFalse(Quotas.isRefused(q.ask(START, "a", of(900))), "what was not used is there again");
     assertTrue(Quotas.isRefused(q.ask(START, "a", of(100))));
   }
 
+  /** What an answer did not take is there again under a ceiling too, as long as its window holds what was charged. */
+  @Test
+  void whatWasNotUsedCountsAgainstNoCeiling() {
+    List<Lane> lanes = List.of(new Lane(Dimension.BYTES_OUT, SECOND));
+    QuotaPlan plan = new QuotaPlan.Builder(lanes, of(10_000)).node("a", 1, of(1000), of(1000), null).build();
+    Quotas q = new Quotas(plan, 10, START);
+    long g = q.ask(START, "a", of(900));
+    assertTrue(Quotas.isRefused(q.ask(START, "a", of(900))));
+    q.settle(START + SECOND / 10, "a", g, START, of(900), of(0));
+    long next = q.ask(START + SECOND / 10, "a", of(900));
+    assertFalse(Quotas.isRefused(next));
+    // The first has left the window by now: giving it back again may not make room for more than the ceiling.
+    q.settle(START + SECOND * 105 / 100, "a", g, START - SECOND / 5, of(900), of(0));
+    assertTrue(Quotas.isRefused(q.ask(START + SECOND * 105 / 100, "a", of(900))), "900 of 1,000 stand since a tenth of a second");
+  }
+
   @Test
   void aRefusalSaysWhenTheShareIsThere() {
     Quotas q = new Quotas(Play.requestsPerSecond(100).node("a", 1, of(10), null, null).node("b", 1, of(90), null, null).build(), 10, START);
--- a/dns/src/test/java/cloverpulley/dns/RulesTest.java
+++ b/dns/src/test/java/cloverpulley/dns/RulesTest.java
@@ -77,6 +77,8 @@
 
   private void list(List<ServerList.Server> members) {
     rig.server.listed(new ServerList(0, true, members), null);
+    // Its turn on the loop comes after the list's: a question sent before could still go by the list before, as it may.
+    rig.server.inHand();
   }
 
   // ---- Rule 1 --------------------------------------------------------------------------------------------
--- a/processor/src/main/java/cloverpulley/processor/CallExchange.java
+++ b/processor/src/main/java/cloverpulley/processor/CallExchange.java
@@ -20,6 +20,10 @@
   /** What its quota granted, to be given back once. */
   boolean granted;
   long grant;
+  long grantedAt;
+  double expectedOctets;
+  /** Octets of the answer's body that the caller spoke of; below 0 while there was none. */
+  long octets = -1;
 
   /** The side that the caller sees; each is called once at most, on the engine's loop. */
   interface Caller {
@@ -41,6 +45,15 @@
     this.calls = calls;
   }
 
+  /** Like which others it is answered: class and partner. */
+  String kind() {
+    return kind(call);
+  }
+
+  static String kind(Mapping.Call call) {
+    return call.type().name() + ' ' + call.tenant();
+  }
+
   @Override
   public String name() {
     return call.id();
--- a/processor/src/main/java/cloverpulley/processor/Calls.java
+++ b/processor/src/main/java/cloverpulley/processor/Calls.java
@@ -90,9 +90,11 @@
       return null;
     }
     long grant = 0;
+    double octets = 0;
     if (quotas != null && finding instanceof Repeats.First) {
       // A first alone: of what was asked before something may have run, and a refusal would say that nothing has.
-      grant = quotas.ask(call.quotaPath(), 1, 0, call.hintNanos() / 1e6, true);
+      octets = quotas.expectedOctets(CallExchange.kind(call));
+      grant = quotas.ask(call.quotaPath(), 1, 0, octets, call.hintNanos() / 1e6, true);
       if (Quotas.isRefused(grant)) {
         if (call.id() != null) {
           repeats.answered(clock.now(), call.id());
@@ -105,14 +107,17 @@
         call.retry(), receivedAt + call.waitNanos(), answerBy, earlier), call, caller, this);
     x.granted = quotas != null && finding instanceof Repeats.First;
     x.grant = grant;
+    x.grantedAt = clock.now();
+    x.expectedOctets = octets;
     engine.take(x);
     return x;
   }
 
-  /** Nothing is left of it: its place in flight is given back, whatever its end. */
+  /** Nothing is left of it: its place in flight is given back, whatever its end, and its answer's octets are charged. */
   void forgotten(CallExchange x) {
     if (x.granted) {
       x.granted = false;
+      quotas.answered(x.call.quotaPath(), x.grant, x.grantedAt, x.kind(), x.expectedOctets, x.octets);
       quotas.end(x.call.quotaPath(), x.grant);
     }
   }
@@ -155,6 +160,14 @@
     }
   }
 
+  /** The attempt has ended with an answer whose body had so many octets; see the other. */
+  void ended(CallExchange x, Status status, Map<String, Double> load, long octets) {
+    if (!x.isEnded()) {
+      x.octets = octets;
+    }
+    ended(x, status, load);
+  }
+
   /**
    * The attempt has ended, whatever a caller may do next: what comes for the same request then is a call of its own. A second
    * word on the same attempt is ignored.
--- a/processor/src/main/java/cloverpulley/processor/Mapping.java
+++ b/processor/src/main/java/cloverpulley/processor/Mapping.java
@@ -139,7 +139,12 @@
 
   /** The number, or -1 for anything but digits. */
   static long wholeNumber(String text) {
-    return digits(text, MOST_DIGITS) ? Long.parseLong(text) : -1;
+    return wholeNumber(text, MOST_DIGITS);
+  }
+
+  /** A number of so many digits at most, 18 at the most; -1 for anything else. */
+  static long wholeNumber(String text, int digits) {
+    return digits(text, digits) ? Long.parseLong(text) : -1;
   }
 
   private static boolean digits(String text, int most) {
--- a/processor/src/main/java/cloverpulley/processor/Outcomes.java
+++ b/processor/src/main/java/cloverpulley/processor/Outcomes.java
@@ -17,6 +17,9 @@
   private static final String ATTRIBUTES = "envoy.filters.http.ext_proc";
   private static final String DETAILS = "response.code_details";
 
+  /** Any length that a number holds; what it is charged as is bounded by the quotas. */
+  private static final int LENGTH_DIGITS = 18;
+
   private Outcomes() {}
 
   /** The outcome, or null for an answer that only announces another (1xx). */
@@ -51,6 +54,12 @@
     return word.contains("response_timeout") || word.contains("upstream_max_stream_duration") ? Status.TIMEOUT : null;
   }
 
+  /** The length that an answer's head states; 0 for none that can be read. */
+  static long octets(Headers h) {
+    String text = h.get("content-length");
+    return text == null ? 0 : Math.max(0, Mapping.wholeNumber(text, LENGTH_DIGITS));
+  }
+
   static Map<String, Double> load(Headers h) {
     return LoadReport.of(h.get(LoadReport.HEADER.toLowerCase(Locale.ROOT)));
   }
--- a/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
+++ b/processor/src/main/java/cloverpulley/processor/ProcessorStream.java
@@ -60,6 +60,9 @@
   private boolean verdictRecorded;
   private Status outcome;
   private Map<String, Double> load = Map.of();
+  /** Octets of the answer's body: as its head states them, then as they are seen where pieces of it come here. */
+  private long octets;
+  private boolean pieces;
   /** When the guard is due, {@code System.nanoTime()}. */
   private long guardAt;
   private long heardAt = System.nanoTime();
@@ -116,6 +119,8 @@
         case RESPONSE_HEADERS -> responseHeaders(message);
         case RESPONSE_BODY -> {
           HttpBody body = message.getResponseBody();
+          octets = (pieces ? octets : 0) + body.getBody().size();
+          pieces = true;
           reply(Replies.body(body, false, protocol.getResponseBodyMode()));
           if (body.getEndOfStream()) {
             answerEnded();
@@ -204,6 +209,7 @@
     if (status != null && outcome == null) {
       outcome = status;
       load = Outcomes.load(headers);
+      octets = head.getEndOfStream() ? 0 : Outcomes.octets(headers);
       if (head.getEndOfStream() || protocol.getResponseBodyMode() == BodySendMode.NONE) {
         answerEnded();
       }
@@ -216,7 +222,8 @@
       held = false;
       Status ended = outcome == null ? Status.CANCELLED : outcome;
       Map<String, Double> report = load;
-      shared.engineLoop.execute(() -> shared.calls.ended(exchange, ended, report));
+      long body = outcome == null ? -1 : octets;
+      shared.engineLoop.execute(() -> shared.calls.ended(exchange, ended, report, body));
     }
   }
 
--- a/processor/src/test/java/cloverpulley/processor/QuotaTest.java
+++ b/processor/src/test/java/cloverpulley/processor/QuotaTest.java
@@ -75,8 +75,11 @@
   }
 
   private StandInCaller start() throws Exception {
-    Told t = OperatorsFile.parse("test", Rig.CLASSES + QUOTA.replace("FILE", folder.resolve("q").toString())
-        + "[processor]\nlisten = \"127.0.0.1:0\"\nlame_ms = 0\n" + Rig.servers("127.0.0.1:7001", "127.0.0.1:7002"), Told::read);
+    return start(QUOTA.replace("FILE", folder.resolve("q").toString()));
+  }
+
+  private StandInCaller start(String quota) throws Exception {
+    Told t = OperatorsFile.parse("test", Rig.CLASSES + quota + "[processor]\nlisten = \"127.0.0.1:0\"\nlame_ms = 0\n" + Rig.servers("127.0.0.1:7001", "127.0.0.1:7002"), Told::read);
     rig.server = rig.keep(ProcessorServer.start(t.told.processor(), t.told.settings(), t.told.fleet(), 7, Recorder.NONE, t.quota));
     return rig.caller();
   }
@@ -210,4 +213,84 @@
     assertTrue(got.stream().filter(QuotaTest::sent).count() <= 50 - before + 1, before + " before, " + got.stream().filter(QuotaTest::sent)
         .count() + " after");
   }
+
+  private static final String OCTETS = """
+      [[tenant]]
+      name = "steppe"
+      [[tenant]]
+      name = "agro"
+      [quota]
+      [[quota.lane]]
+      dimension = "bytes_out"
+      window_ms = 600000
+      total = 100000.0
+      [[quota.node]]
+      path = "steppe"
+      guarantee = [50000]
+      ceiling = [50000]
+      [[quota.node]]
+      path = "agro"
+      guarantee = [50000]
+      ceiling = [50000]
+      """;
+
+  private static ProcessingRequest answer(String length, boolean over) {
+    return ProcessingRequest.newBuilder().setResponseHeaders(HttpHeaders.newBuilder().setEndOfStream(over)
+        .setHeaders(HeaderMap.newBuilder().addHeaders(header(":status", "200")).addHeaders(header("content-length", length)))).build();
+  }
+
+  /** Asks until refused or so often; each one sent is answered with a head that states the length. */
+  private int answeredWith(StandInCaller caller, String tenant, String length, boolean over, int most) throws Exception {
+    for (int i = 0; i < most; i++) {
+      List<ProcessingResponse> got = new ArrayList<>();
+      Stream s = ask(caller, tenant, null, got);
+      if (!sent(got.get(0))) {
+        assertEquals("quota", set(got.get(0), "x-ashdeck-reason"));
+        return i;
+      }
+      s.send(answer(length, over)).next();
+      s.halfClose();
+      Rig.await("it has ended", () -> rig.server.inFlight() == 0);
+    }
+    return most;
+  }
+
+  /** Octets out are known with the answer alone: the first is free, the next are charged as expected and set right. */
+  @Test
+  void octetsOutAreChargedOnceTheAnswerIsKnown() throws Exception {
+    StandInCaller caller = start(OCTETS);
+    assertEquals(5, answeredWith(caller, "steppe", "10000", false, 40), "five answers of 10,000 are its 50,000");
+    assertEquals(40, answeredWith(caller, "agro", "100", false, 40), "another partner has its own, and is charged what it took");
+  }
+
+  /** The head of an answer without a body states what the body would have had. */
+  @Test
+  void whatHasNoBodyCostsNoOctets() throws Exception {
+    StandInCaller caller = start(OCTETS);
+    assertEquals(40, answeredWith(caller, "steppe", "10000", true, 40));
+  }
+
+  /** What was expected of answers that never came is given back. */
+  @Test
+  void anAnswerThatNeverCameCostsNoOctets() throws Exception {
+    StandInCaller caller = start(OCTETS);
+    assertEquals(1, answeredWith(caller, "steppe", "10000", false, 1));
+    for (int i = 0; i < 20; i++) {
+      List<ProcessingResponse> got = new ArrayList<>();
+      Stream s = ask(caller, "steppe", null, got);
+      assertTrue(sent(got.get(0)), "hang-up " + i + " was charged");
+      s.cancel();
+      Rig.await("it has ended", () -> rig.server.inFlight() == 0);
+    }
+    assertEquals(4, answeredWith(caller, "steppe", "10000", false, 40));
+  }
+
+  /** A length that is no number, or beyond all there is, spoils nothing: it is charged as some times all there is at most. */
+  @Test
+  void lengthsThatLieAreBounded() throws Exception {
+    StandInCaller caller = start(OCTETS);
+    assertEquals(3, answeredWith(caller, "agro", "many", false, 3));
+    assertEquals(1, answeredWith(caller, "steppe", "999999999999999999", false, 3), "a lie about its own answers harms itself");
+    assertEquals(3, answeredWith(caller, "agro", "100", false, 3));
+  }
 }
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
@@ -1,5 +1,7 @@
 package cloverpulley.quota.service;
 
+import cloverpulley.quota.Dimension;
+import cloverpulley.quota.Expected;
 import cloverpulley.quota.Lane;
 import cloverpulley.quota.QuotaPlan;
 import cloverpulley.quota.Quotas;
@@ -7,6 +9,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,6 +29,11 @@
  */
 public final class QuotaKeeper implements AutoCloseable {
 
+  /** Kinds of answers whose octets are remembered: bounds it where kinds come from callers. */
+  private static final int KINDS = 1024;
+  /** An answer teaches no more than this part of all octets that there are in a window. */
+  private static final double ANSWER_PART = 0.1;
+
   private static final Logger LOG = Logger.getLogger(QuotaKeeper.class.getName());
   private static final long CLOSE_SECONDS = 5;
 
@@ -47,6 +55,10 @@
   /** The writer's: states that are not in the file yet, one a node. */
   private final Map<String, Kept> unwritten = new HashMap<>();
   private final double[] cost;
+  private final double[] actual;
+  /** The lanes of octets out, whose cost is known only with the answer. */
+  private final BitSet out = new BitSet();
+  private final Expected answers;
 
   /** Reads the journal, if there is one, and starts; what a file lacks or spoils is told in the log. */
   public QuotaKeeper(QuotaConfig config, ScheduledExecutorService loop, LongSupplier nanos) {
@@ -54,6 +66,13 @@
     this.nanos = nanos;
     quotas = new Quotas(config.plan(), config.mostNodes(), nanos.getAsLong());
     cost = new double[config.plan().lanes().size()];
+    actual = new double[cost.length];
+    double most = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < cost.length; i++) {
+      out.set(i, config.plan().lanes().get(i).dimension() == Dimension.BYTES_OUT);
+      most = out.get(i) ? Math.min(most, config.plan().nodes().get("").guarantee()[i] * ANSWER_PART) : most;
+    }
+    answers = new Expected(KINDS, most);
     journal = config.journal() == null ? null : new QuotaJournal(config.journal(), installation(config.plan()), config.mostBytes(),
         config.force());
     recover();
@@ -100,14 +119,46 @@
     return quotas;
   }
 
-  /** One request of so much work; a grant, or a refusal ({@link Quotas#isRefused}). */
+  /** One request of so much work, without an answer whose octets count; a grant, or a refusal ({@link Quotas#isRefused}). */
   public long ask(String path, double requests, double bytesIn, double workMillis, boolean inFlight) {
+    return ask(path, requests, bytesIn, 0, workMillis, inFlight);
+  }
+
+  /** What the answer to a request of a kind is expected to have in octets; 0 where no lane counts them. */
+  public double expectedOctets(String kind) {
+    return out.isEmpty() ? 0 : answers.of(kind);
+  }
+
+  /**
+   * The answer to what was granted has been seen, or there will be none: what was expected of it is set right. Once for each grant,
+   * before its {@link #end}.
+   *
+   * @param askedAt clock reading at which it was granted
+   * @param expected what {@link #ask} was told
+   * @param octets of the answer; below 0 where there was none, which teaches nothing of its kind
+   */
+  public void answered(String path, long grant, long askedAt, String kind, double expected, long octets) {
+    if (out.isEmpty() || Quotas.isRefused(grant)) {
+      return;
+    }
+    if (octets >= 0) {
+      answers.seen(kind, octets);
+    }
+    for (int i = 0; i < cost.length; i++) {
+      cost[i] = out.get(i) ? expected : 0;
+      actual[i] = out.get(i) ? Math.max(0, octets) : 0;
+    }
+    quotas.settle(nanos.getAsLong(), path == null ? "" : path, grant, askedAt, cost, actual);
+  }
+
+  /** The same, of whose answer so many octets are expected. */
+  public long ask(String path, double requests, double bytesIn, double bytesOut, double workMillis, boolean inFlight) {
     List<Lane> lanes = config.plan().lanes();
     for (int i = 0; i < cost.length; i++) {
       cost[i] = switch (lanes.get(i).dimension()) {
         case REQUESTS -> requests;
         case BYTES_IN -> bytesIn;
-        case BYTES_OUT -> 0; // Not known yet.
+        case BYTES_OUT -> bytesOut;
         case WORK -> workMillis;
         case CONCURRENCY -> inFlight ? 1 : 0;
       };
