--- a/balancer/src/main/java/cloverpulley/serve/Counts.java
+++ b/balancer/src/main/java/cloverpulley/serve/Counts.java
@@ -9,6 +9,7 @@
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList;
 import cloverpulley.engine.Witness;
+import io.netty.channel.EventLoop;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -27,6 +28,7 @@
 
   /** Upstreams named in a line; the rest is one figure. Bounds the line in a fleet of any size. */
   private static final int NAMED = 12;
+  private static final int LONGEST_NAME = 32;
   private static final Status[] STATUSES = Status.values();
   private static final Reason[] REASONS = Reason.values();
 
@@ -58,7 +60,7 @@
   }
 
   /** Writes a line a second for as long as the loop runs. */
-  void writeOn(io.netty.channel.EventLoop loop) {
+  void writeOn(EventLoop loop) {
     loop.scheduleAtFixedRate(() -> {
       String line = line();
       if (!line.isEmpty()) {
@@ -187,9 +189,14 @@
     for (Map.Entry<Long, Integer> e : upstreams.entrySet()) {
       ServerList.Server server = fleet.server(e.getKey());
       if (server != null && named++ < NAMED) {
-        s.append(named == 1 ? ":" : ",").append(server.id()).append('*').append(e.getValue());
+        s.append(named == 1 ? ":" : ",").append(name(server.id())).append('*').append(e.getValue());
       }
     }
     upstreams.clear();
   }
+
+  /** A name as the log may hold it. Guards its reader against a discovery that writes lines of its own, or endless ones. */
+  static String name(String id) {
+    return id.substring(0, Math.min(LONGEST_NAME, id.length())).replaceAll("[^\\w.:-]", "?");
+  }
 }
--- a/decision/src/main/java/cloverpulley/quota/Quotas.java
+++ b/decision/src/main/java/cloverpulley/quota/Quotas.java
@@ -320,14 +320,19 @@
     }
     for (Node n = leaf; n != null; n = n.parent) {
       n.inFlight++;
-      if (keeps && !n.charged) {
-        n.charged = true;
-        charged.add(n);
-      }
+      changed(n);
     }
     return grant;
   }
 
+  /** What is kept of a node over a restart has changed. */
+  private void changed(Node n) {
+    if (keeps && !n.charged) {
+      n.charged = true;
+      charged.add(n);
+    }
+  }
+
   private void count(Node n, double[] cost) {
     if (!n.named) {
       return;
@@ -473,10 +478,10 @@
     now = Math.max(now, at);
     Node leaf = node(path);
     for (int i = 0; i < actual.length; i++) {
-      if (lanes.get(i).isLevel()) {
+      double more = lanes.get(i).isLevel() ? 0 : charged(leaf, i, actual[i]) - charged(leaf, i, estimated[i]);
+      if (more == 0) {
         continue;
       }
-      double more = charged(leaf, i, actual[i]) - charged(leaf, i, estimated[i]);
       int up = 0;
       for (Node n = leaf; n != null; n = n.parent, up++) {
         if (up >= lent(grant, i)) {
@@ -485,11 +490,12 @@
         } else if (more > 0) {
           lending.borrowed(n, i, more, now);
         }
-        if (more > 0 && n.ceilings != null && n.ceilings[i] != null) {
-          n.ceilings[i].add(now, more);
+        if (more > 0 && n.ceiling != null && n.ceiling[i] != Double.POSITIVE_INFINITY) {
+          ceiling(n, i).add(now, more);
         } else if (more < 0 && n.ceilings != null && n.ceilings[i] != null) {
           n.ceilings[i].takeBack(now, askedAt, -more);
         }
+        changed(n); // Guards a restart in between: what was kept at the grant knows nothing of this.
       }
     }
   }
--- a/decision/src/test/java/cloverpulley/quota/QuotasTest.java
+++ b/decision/src/test/java/cloverpulley/quota/QuotasTest.java
@@ -206,6 +206,35 @@
     assertTrue(Quotas.isRefused(q.ask(START + SECOND * 105 / 100, "a", of(900))), "900 of 1,000 stand since a tenth of a second");
   }
 
+  /** What is known with the answer alone counts against a ceiling that nothing had counted against before. */
+  @Test
+  void whatIsChargedLateCountsAgainstACeiling() {
+    List<Lane> lanes = List.of(new Lane(Dimension.BYTES_OUT, SECOND));
+    QuotaPlan plan = new QuotaPlan.Builder(lanes, of(10_000)).node("a", 1, of(1000), of(1000), null).build();
+    Quotas q = new Quotas(plan, 10, START);
+    long g = q.ask(START, "a", of(0));
+    q.settle(START, "a", g, START, of(0), of(900));
+    long at = START + SECOND * 95 / 100; // Its own tokens are there again, the window is not over.
+    assertTrue(Quotas.isRefused(q.ask(at, "a", of(900))));
+  }
+
+  /** A restart between the answer and the next request: what was kept at the grant is not all that is owed. */
+  @Test
+  void whatIsChargedLateIsKept() {
+    List<Lane> lanes = List.of(new Lane(Dimension.BYTES_OUT, 60 * SECOND));
+    QuotaPlan plan = new QuotaPlan.Builder(lanes, of(1000)).node("a", 1, of(1000), of(1000), null).build();
+    Quotas q = new Quotas(plan, 10, START);
+    q.keepCharged(START);
+    long g = q.ask(START, "a", of(0));
+    List<Quotas.Kept> atTheGrant = q.keepCharged(START);
+    q.settle(START, "a", g, START, of(0), of(900));
+    List<Quotas.Kept> after = q.keepCharged(START);
+    Quotas next = new Quotas(plan, 10, START);
+    next.restore(START, 0, atTheGrant);
+    next.restore(START, 0, after);
+    assertTrue(Quotas.isRefused(next.ask(START, "a", of(900))), "a restart forgets what an answer took");
+  }
+
   @Test
   void aRefusalSaysWhenTheShareIsThere() {
     Quotas q = new Quotas(Play.requestsPerSecond(100).node("a", 1, of(10), null, null).node("b", 1, of(90), null, null).build(), 10, START);
--- a/processor/src/test/java/cloverpulley/processor/QuotaTest.java
+++ b/processor/src/test/java/cloverpulley/processor/QuotaTest.java
@@ -214,12 +214,8 @@
         .count() + " after");
   }
 
-  private static final String OCTETS = """
-      [[tenant]]
-      name = "steppe"
-      [[tenant]]
-      name = "agro"
-      [quota]
+  /** The same partners, with octets out alone. */
+  private static final String OCTETS = QUOTA.substring(0, QUOTA.indexOf("[[quota.lane]]")) + """
       [[quota.lane]]
       dimension = "bytes_out"
       window_ms = 600000
