--- a/bench/src/main/java/cloverpulley/bench/Child.java
+++ b/bench/src/main/java/cloverpulley/bench/Child.java
@@ -58,7 +58,11 @@
 
   /** Memory resident now, in megabytes. */
   double residentMb() throws IOException {
-    for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
+    return residentMb(process.pid());
+  }
+
+  static double residentMb(long pid) throws IOException {
+    for (String line : Files.readAllLines(Path.of("/proc", Long.toString(pid), "status"))) {
       if (line.startsWith("VmRSS:")) {
         return Long.parseLong(line.replaceAll("\\D", "")) / 1024.0;
       }
--- a/bench/src/main/java/cloverpulley/bench/PlatformBench.java
+++ b/bench/src/main/java/cloverpulley/bench/PlatformBench.java
@@ -1,59 +1,82 @@
 package cloverpulley.bench;
 
+import cloverpulley.standins.StandInUpstream;
+import cloverpulley.standins.StandInUpstream.Answer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 
 /**
- * What the platform's program costs before its first request: the size of its jar, the time from its start by the deploy
- * file's {@code run} until {@code /healthz} answers 200, and its memory then. With {@code --against FOLDER}, a build of another
- * version is measured by turns with this one.
+ * What the platform's program costs: the size of its jar, the time from its start by the deploy file's {@code run} until
+ * {@code /healthz} answers 200, its memory then, and CPU for a request with 10 and with 60 upstreams. With
+ * {@code --against FOLDER}, a build of another version is measured by turns with this one.
  */
 public final class PlatformBench {
 
-  private static final int MOST_WAIT_S = 30;
+  private static final int FEW = 10;
+  private static final int MANY = 60;
+  /** Requests before any counts, and those that do: CPU time is told in hundredths of a second. */
+  private static final int FIRST = 8_000;
+  private static final int COUNTED = 24_000;
 
-  private PlatformBench() {}
+  private final Path root;
+  private final List<Double> millis = new ArrayList<>();
+  private final List<Double> resident = new ArrayList<>();
+  private final List<Double> few = new ArrayList<>();
+  private final List<Double> many = new ArrayList<>();
 
-  /** {@code [--starts N] [--against FOLDER]}. */
-  public static void main(String[] args) throws IOException, InterruptedException {
+  private PlatformBench(Path root) {
+    this.root = root;
+  }
+
+  /** {@code [--starts N] [--rounds N] [--against FOLDER]}. */
+  public static void main(String[] args) throws Exception {
     List<String> given = Arrays.asList(args);
-    int starts = given.contains("--starts") ? Integer.parseInt(given.get(given.indexOf("--starts") + 1)) : 5;
-    List<Path> roots = new ArrayList<>(List.of(Path.of("").toAbsolutePath()));
+    int starts = number(given, "--starts", 5);
+    int rounds = number(given, "--rounds", 3);
+    List<PlatformBench> all = new ArrayList<>(List.of(new PlatformBench(Path.of("").toAbsolutePath())));
     if (given.contains("--against")) {
-      roots.add(Path.of(given.get(given.indexOf("--against") + 1)).toAbsolutePath());
+      all.add(new PlatformBench(Path.of(given.get(given.indexOf("--against") + 1)).toAbsolutePath()));
     }
-    List<List<Double>> millis = new ArrayList<>();
-    List<List<Double>> resident = new ArrayList<>();
-    roots.forEach(r -> {
-      millis.add(new ArrayList<>());
-      resident.add(new ArrayList<>());
-    });
     for (int i = 0; i < starts; i++) {
-      for (int r = 0; r < roots.size(); r++) {
-        start(roots.get(r), millis.get(r), resident.get(r));
+      for (PlatformBench p : all) {
+        p.start();
       }
     }
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    try {
+      for (int i = 0; i < rounds; i++) {
+        for (PlatformBench p : all) {
+          p.few.add(p.requests(group, FEW));
+          p.many.add(p.requests(group, MANY));
+        }
+      }
+    } finally {
+      group.shutdownGracefully();
+    }
     List<String> figures = new ArrayList<>();
-    for (int r = 0; r < roots.size(); r++) {
-      String at = r == 0 ? "" : "against_";
-      figures.addAll(List.of(at + "jar_bytes", Long.toString(Files.size(jar(roots.get(r)))), at + "start_ms",
-          Child.figure(median(millis.get(r))), at + "resident_mb", Child.figure(median(resident.get(r)))));
-      System.out.println(roots.get(r).getFileName() + ": start " + millis.get(r) + " ms, resident " + resident.get(r) + " MB");
+    for (int i = 0; i < all.size(); i++) {
+      PlatformBench p = all.get(i);
+      String at = i == 0 ? "" : "against_";
+      System.out.println(p.root.getFileName() + ": start " + p.millis + " ms, resident " + p.resident + " MB, CPU a request " + p.few
+          + " us with " + FEW + " upstreams, " + p.many + " with " + MANY);
+      figures.addAll(List.of(at + "jar_bytes", Long.toString(Files.size(jar(p.root))), at + "start_ms",
+          Child.figure(median(p.millis)), at + "resident_mb", Child.figure(median(p.resident)), at + "cpu_us",
+          Child.figure(median(p.many)), at + "growth", Child.figure(median(p.many) / median(p.few))));
     }
     System.out.println(Child.json(figures.toArray(String[]::new)));
   }
 
+  private static int number(List<String> given, String option, int otherwise) {
+    return given.contains(option) ? Integer.parseInt(given.get(given.indexOf(option) + 1)) : otherwise;
+  }
+
   private static Path jar(Path root) {
     Path moved = root.resolve("balancer/target/cloverpulley.jar");
     return Files.exists(moved) ? moved : root.resolve("target/cloverpulley.jar");
@@ -63,47 +86,36 @@
     return values.stream().sorted().toList().get(values.size() / 2);
   }
 
-  private static void start(Path root, List<Double> millis, List<Double> resident) throws IOException, InterruptedException {
-    int port;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      port = free.getLocalPort();
+  private static double rounded(double value) {
+    return Math.round(value * 10) / 10.0;
+  }
+
+  private void start() throws IOException, InterruptedException {
+    try (Platform p = new Platform(root, List.of("127.0.0.1:1"))) {
+      millis.add(rounded(p.startMillis));
+      resident.add(rounded(p.residentMb()));
     }
-    String run = Files.readString(root.resolve("deploy/balancer.toml")).replaceAll("(?s).*\\nrun = '''(.*?)'''.*", "$1");
-    Path config = Files.createTempFile("platform", ".json");
-    Files.writeString(config, Files.readString(root.resolve("deploy/example.json")).replace("127.0.0.1:0", "127.0.0.1:" + port)
-        .replace("\"members\": []", "\"members\": [{\"id\":\"s\",\"host_port\":\"127.0.0.1:1\",\"phase\":\"ready\"}]"));
-    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
-        .redirectError(ProcessBuilder.Redirect.DISCARD).redirectOutput(ProcessBuilder.Redirect.DISCARD);
-    builder.environment().put("ROUTER_CONFIG", config.toString());
-    long begun = System.nanoTime();
-    Process process = builder.start();
+  }
+
+  /** CPU of a request in microseconds, with so many upstreams that answer at once. */
+  private double requests(EventLoopGroup group, int upstreams) throws Exception {
+    List<StandInUpstream> servers = new ArrayList<>();
     try {
-      while (!healthy(port)) {
-        if (!process.isAlive() || System.nanoTime() - begun > TimeUnit.SECONDS.toNanos(MOST_WAIT_S)) {
-          throw new IOException("the balancer of " + root + " did not start");
-        }
-        TimeUnit.MILLISECONDS.sleep(2);
+      for (int i = 0; i < upstreams; i++) {
+        servers.add(new StandInUpstream(group, r -> Answer.ok()));
       }
-      millis.add(Math.round((System.nanoTime() - begun) / 1e4) / 100.0);
-      for (String line : Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status"))) {
-        if (line.startsWith("VmRSS:")) {
-          resident.add(Math.round(Long.parseLong(line.replaceAll("\\D", "")) / 102.4) / 10.0);
+      try (Platform p = new Platform(root, servers.stream().map(StandInUpstream::address).toList())) {
+        p.ask(FIRST);
+        double before = p.cpuMicros();
+        int served = p.ask(COUNTED);
+        double cpu = p.cpuMicros() - before;
+        if (served < COUNTED) {
+          throw new IOException("served " + served + " of " + COUNTED + ": the figure would not be that of a request served");
         }
+        return rounded(cpu / COUNTED);
       }
     } finally {
-      process.destroyForcibly().waitFor();
-      Files.delete(config);
-    }
-  }
-
-  private static boolean healthy(int port) {
-    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
-      OutputStream out = socket.getOutputStream();
-      out.write("GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-      InputStream in = socket.getInputStream();
-      return new String(in.readNBytes(12), StandardCharsets.US_ASCII).equals("HTTP/1.1 200");
-    } catch (IOException e) {
-      return false; // Not there yet.
+      servers.forEach(StandInUpstream::close);
     }
   }
 }
