--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -4,7 +4,6 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -34,18 +33,8 @@
   private static final double EXCESS_EARLY = 0.3;
   /** An upstream with fewer answers in the window has no room worth reckoning with. */
   private static final int ENOUGH = 10;
-  /** Seconds of its quota that a tenant may save up, and the requests it always may: guards a small part of a
-   * quota against chance arrivals. */
-  private static final double QUOTA_BURST = 1;
-  private static final double QUOTA_LEAST = 10;
-  /** Keys kept at most; the one idle longest goes first. */
-  private static final int MAX_KEYS = 8_000;
-  /** Windows looked at for each one asked for: more than one new one a time can't pile up. */
-  private static final int FORGET = 2;
   /** Windows over which a healthy fleet's usual in-flight is learned: slower than a crowd forms. */
   private static final double USUAL_WINDOWS = 2;
-  /** Step of the mean of what latency and hint are usual: some 200 requests. */
-  private static final double USUAL_STEP = 0.005;
   /** Bounded load: an upstream may hold half more than the mean of in-flight requests. */
   private static final double SLACK = 0.5;
   /** A key goes to this many upstreams, and to this many times its share of all as well. */
@@ -72,16 +61,6 @@
   private static final double SILENT_GAPS = 8;
   private static final int SILENT_SAMPLES = 4;
   private static final double SILENT_PART = 0.3;
-  /** Retries and copies earned by a request admitted, and the most saved up: a fifth more load at worst. */
-  private static final double RETRY_SHARE = 0.2;
-  private static final double RETRY_MOST = 20;
-  /** What a retry costs after an upstream turned the request away unseen: next to no work was done, so that
-   * four in five requests may be turned away once. Guards requests where upstreams hold few connections. */
-  private static final double UNSEEN_COST = 0.25;
-  /** A hinted request counts for this many mean ones at most, and no less than its inverse. */
-  private static final double HINT_MOST = 4;
-  /** And moves what is usual by no more than one of this many usual ones. */
-  private static final double HINT_TRUST = 20;
   /** Ring points of an upstream of ordinary weight: enough for a spread within some 10%. */
   private static final int POINTS = 100;
   /** A weight counts for this many times the median at most, and no less than its inverse. */
@@ -113,14 +92,14 @@
   private final long shortestAim;
   private final long sweep;
   private final Map<String, RequestClass> classes = new HashMap<>();
-  private final Map<String, Double> quotas = new HashMap<>();
-  private final Map<String, Bucket> quotaBuckets = new HashMap<>();
+  private final Windows windows;
+  private final Shares shares;
+  private final Hints hints;
   private final Map<Long, Upstream> upstreams = new LinkedHashMap<>();
   private final Map<String, Open> open = new LinkedHashMap<>();
   /** Requests without an attempt out, the most valuable first, then the oldest. */
   private final TreeSet<Open> held = new TreeSet<>(Comparator.comparingDouble((Open r) -> -value(r))
       .thenComparingLong(r -> r.arrived).thenComparing(r -> r.request.id()));
-  private final Map<String, Window> windows = new LinkedHashMap<>(64, 0.75f, true);
   private final Window fleet;
   private double usualInFlight;
   private double usualSends;
@@ -130,10 +109,9 @@
   private int ready;
   private boolean panic;
   private double readyLoad;
-  private double usualHint;
   private double weightUnit;
   private long visits;
-  private double retryTokens = RETRY_MOST;
+  private final RetryBudget retries = new RetryBudget();
   private boolean sweeping;
   private int askFailures;
   private long askAt = Long.MAX_VALUE;
@@ -145,13 +123,14 @@
     this.settings = settings;
     random = new SplittableRandom(seed);
     settings.classes().forEach(c -> classes.put(c.name(), c));
-    settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
-        .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.groupSize()));
     shortestAim = settings.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
     long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     sweep = shortestAim / SWEEPS;
     fleet = new Window(window, 0);
+    windows = new Windows(window);
+    shares = new Shares(settings, windows);
+    hints = new Hints(shortestAim);
   }
 
   @Override
@@ -195,10 +174,11 @@
     if (type == null) {
       throw new IllegalArgumentException("request of unknown class " + request.className());
     }
-    boolean excess = overQuota(request.tenant());
+    boolean excess = shares.isOver(now, request.tenant());
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
-    Window key = windowOf(endpoint + ' ' + request.key());
-    Open r = new Open(request, type, now, excess, windowOf(endpoint), key, load(request.workHintNanos()));
+    Window key = windows.of(endpoint + ' ' + request.key(), now);
+    Open r = new Open(request, type, now, excess, windows.of(endpoint, now), key,
+        hints.load(request.workHintNanos()));
     boolean repeat = !request.earlier().isEmpty();
     request.earlier().forEach(e -> r.attempts.add(earlier(e)));
     boolean full = open.size() >= settings.limits().maxOpen();
@@ -208,7 +188,9 @@
       return;
     }
     open.put(request.id(), r);
-    retryTokens = Math.min(RETRY_MOST, retryTokens + (repeat ? 0 : RETRY_SHARE));
+    if (!repeat) {
+      retries.earn();
+    }
     if (!advance(r) && request.answerByNanos() > 0) {
       out.accept(new SetTimer(ANSWER, request.answerByNanos()));
     }
@@ -227,44 +209,6 @@
     return a;
   }
 
-  /** This balancer's part of a tenant's quota is a bucket; what finds it empty is excess. */
-  private boolean overQuota(String tenant) {
-    if (!quotas.containsKey(tenant)) {
-      return false;
-    }
-    windowOf(tenant).add(now, Metric.OFFERED, 1);
-    Bucket quota = quotaBuckets.computeIfAbsent(tenant, k -> new Bucket());
-    double rate = quotas.get(tenant) * carried(tenant);
-    boolean over = quota.fill(now, rate, Math.max(QUOTA_LEAST, rate * QUOTA_BURST)) < 1;
-    quota.tokens -= over ? 0 : 1;
-    return over;
-  }
-
-  /** How many times its even part of the traffic this balancer carries: what the median of the other tenants
-   * surely asks here against its part. Guards in-share work where a front favours a balancer or peers die. */
-  private double carried(String tenant) {
-    double[] times = new double[quotas.size()];
-    int others = 0;
-    for (Map.Entry<String, Double> quota : quotas.entrySet()) {
-      if (!quota.getKey().equals(tenant)) {
-        times[others++] = windowOf(quota.getKey()).surely(now, Metric.OFFERED) / quota.getValue();
-      }
-    }
-    Arrays.sort(times, 0, others);
-    return others == 0 ? 1 : Math.max(1, times[(others - 1) / 2]);
-  }
-
-  private Window windowOf(String name) {
-    Window w = windows.computeIfAbsent(name, k -> new Window(window, now));
-    // One idle for its length tells what a new one does. Guards the memory: on long days keys are ever new.
-    Iterator<Window> eldest = windows.values().iterator();
-    for (int i = 0; i < FORGET && windows.size() > 1
-        && (windows.size() > MAX_KEYS | eldest.next().isIdle(now)); i++) {
-      eldest.remove();
-    }
-    return w;
-  }
-
   int windowsKept() {
     return windows.size();
   }
@@ -282,7 +226,7 @@
     double early = r.excess ? EXCESS_EARLY + (1 - EXCESS_EARLY) * settings.overShareWorth() : 1;
     double allowed = allowedRate(mean, MIN_VALUE * early, MAX_VALUE * early, maxRate, maxRate * MIN_PART);
     // Guards work inside a quota from what this balancer did not cause: no more is out than while healthy.
-    boolean idle = quotas.containsKey(r.request.tenant())
+    boolean idle = shares.has(r.request.tenant())
         && readyLoad + held.size() < usualInFlight * ready;
     if (r.endpoint.total(now, Metric.ADMITTED) >= allowed && (r.excess || !idle)) {
       return false;
@@ -295,18 +239,6 @@
     return r.type.worth() * (r.excess ? settings.overShareWorth() : 1);
   }
 
-  /** Load in mean requests, by the hint if there is one: a few heavy ones fill an upstream that a count calls
-   * half empty. */
-  private double load(long hint) {
-    if (hint <= 0) {
-      return 1;
-    }
-    // Guards against one hint that is out of all proportion: it would make all others light, and for long.
-    usualHint += usualHint == 0 ? Math.min(hint, shortestAim)
-        : (Math.min(hint, HINT_TRUST * usualHint) - usualHint) * USUAL_STEP;
-    return Math.min(HINT_MOST, Math.max(1 / HINT_MOST, hint / usualHint));
-  }
-
   private long retryAfter() {
     long most = settings.limits().retryAfter() ? settings.limits().maxRetryAfterNanos() : 0;
     return (long) (most * random.nextDouble());
@@ -456,14 +388,13 @@
   /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
-    double cost = retryCost(r);
-    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || retryTokens < cost
+    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !retries.allows(r)
         || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep
         || answerDue(r)
         || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
     Upstream u = over ? null : place(r);
     if (u != null) {
-      retryTokens -= cost;
+      retries.take(r);
       held.remove(r);
       send(r, u);
     } else if (over || first && now >= r.arrived + HOLD_PART * r.type.aimNanos() || !first && ready == 0) {
@@ -491,22 +422,17 @@
   private void hedge(Open r) {
     Attempt last = r.attempts.get(r.attempts.size() - 1);
     if (!settings.limits().secondCopies() || !settings.limits().cancel() || !silent(last.upstream)
-        || retryTokens < 1 || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
+        || !retries.allowsCopy() || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
         || r.attempts.size() >= settings.limits().maxAttempts()) {
       return;
     }
     Upstream u = r.type.effect() == Effect.UNSAFE ? null : place(r);
     if (u != null) {
-      retryTokens--;
+      retries.takeCopy();
       send(r, u);
     }
   }
 
-  /** What the next attempt takes of the budget: nothing for the first. */
-  private static double retryCost(Open r) {
-    return r.attempts.isEmpty() ? 0 : r.attempts.get(r.attempts.size() - 1).unseen ? UNSEEN_COST : 1;
-  }
-
   private boolean answerDue(Open r) {
     return r.request.answerByNanos() > 0 && now >= r.request.answerByNanos();
   }
@@ -524,7 +450,7 @@
     return now >= r.request.deadlineNanos() - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
         : r.type.effect() != Effect.SAFE && r.mayHaveRun() ? Reason.MAY_HAVE_RUN
         : r.attempts.size() >= settings.limits().maxAttempts() ? Reason.ATTEMPTS
-        : retryTokens < retryCost(r) ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
+        : !retries.allows(r) ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
   }
 
   /** The request has its final answer: stops what it still has out, forgets it once nothing is. */
