The operators' door, upstreams out by hand, and two processes at one address

Seen: the second process exited with 1 (the address was taken, clients' and peers'), and there was no door. The change: a door on a loop of its own; TakenOut and CalledBack as events of the module, which leaves the upstream out of its ring and takes one that came back for cold; SO_REUSEPORT; a folder in $TMPDIR in which both processes see each other by locks that the system ends with the process, and what is out as one file a name; a listener that leaves the selector before it empties its queue and closes; descriptors of both counted together. Seen on the way: 63 new connections closed unserved in an upgrade; the log's new counts told that the new process shed clients because descriptors were counted twice over; ruled out by a probe of 57,000 requests over four upgrades on an idle machine, none lost: the listeners' handover.

--- a/balancer/src/main/java/cloverpulley/serve/Config.java
+++ b/balancer/src/main/java/cloverpulley/serve/Config.java
@@ -23,10 +23,12 @@
  * @param peersAll null where there is no address for all
  * @param idleNanos after this an upstream may close a connection that stands idle
  * @param loadReports whether upstreams report their load
+ * @param management where operators' calls come to; null for nowhere
+ * @param shared the folder that another process of this balancer sees too; null for none
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, ServerList known,
-    Settings settings, long idleNanos, boolean loadReports) {
+    Settings settings, long idleNanos, boolean loadReports, InetSocketAddress management, Path shared) {
 
   private static final int SOCKETS = 1024;
   private static final int MEMORY_MB = 192;
@@ -66,7 +68,13 @@
         f.has("peers_all") ? ListDecoder.address("peers_all", f.text("peers_all")) : null,
         f.has("known") ? ListDecoder.list(f.nested("known")) : ServerList.NONE,
         SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
-        !settings.nested("report").text("how", "none").equals("none"));
+        !settings.nested("report").text("how", "none").equals("none"), management(f, environment),
+        environment.containsKey("TMPDIR") ? Path.of(environment.get("TMPDIR"), "ashdeck") : null);
+  }
+
+  private static InetSocketAddress management(Fields f, Map<String, String> environment) {
+    String text = f.text("management", environment.getOrDefault("ROUTER_MANAGEMENT", ""));
+    return text.isEmpty() ? null : ListDecoder.address("management", text);
   }
 
   private static String text(Fields f, String name, String otherwise) {
--- a/balancer/src/main/java/cloverpulley/serve/Counts.java
+++ b/balancer/src/main/java/cloverpulley/serve/Counts.java
@@ -41,6 +41,8 @@
   private final Map<Long, Integer> opened = new HashMap<>();
   private final Map<Long, Integer> noRoom = new HashMap<>();
   private final Map<Long, Integer> cold = new HashMap<>();
+  private int closedForAnother;
+  private int closedLate;
   private int idle;
   private int taken;
   private int sent;
@@ -96,6 +98,12 @@
     noRoom.merge(upstream, 1, Integer::sum);
   }
 
+  /** A client's connection was closed for another's, or because nothing whole came on it in time. */
+  void clientClosed(boolean forAnother) {
+    closedForAnother += forAnother ? 1 : 0;
+    closedLate += forAnother ? 0 : 1;
+  }
+
   /** So many connections to upstreams wait for use, as last seen. */
   void idle(int connections) {
     idle = connections;
@@ -173,6 +181,9 @@
     put(s, "no_room_for_new", noRoom);
     put(s, "cold", cold);
     put(s, "idle", idle);
+    put(s, "clients_closed_for_others", closedForAnother);
+    put(s, "clients_closed_late", closedLate);
+    closedForAnother = closedLate = 0;
     taken = served = gone = sent = again = asked = unanswered = ignored = lines = 0;
     return s.toString();
   }
--- /dev/null
+++ b/balancer/src/main/java/cloverpulley/serve/Door.java
@@ -0,0 +1,186 @@
+package cloverpulley.serve;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The operators' door: HTTP/1.1, one call to a connection, on a loop of its own, so that no client's traffic delays a call and no
+ * caller's slowness delays a client. It carries calls in and answers out and decides nothing.
+ */
+final class Door {
+
+  private static final Logger LOG = Logger.getLogger(Door.class.getName());
+
+  /** Callers at one time; who comes beyond them takes the place of the one that has said nothing whole for longest. */
+  static final int MOST_CALLERS = 16;
+  /** A call's head. */
+  private static final int MOST_LINE = 1024;
+  private static final int MOST_HEADERS = 8192;
+  private static final int BACKLOG = 64;
+  /** From connecting to a whole call, and from an answer to the connection's end. */
+  private static final long WHOLE_MILLIS = 5000;
+  private static final long LEAVE_MILLIS = 500;
+  private static final String READY = "/control/ready";
+  private static final String UPSTREAMS = "/control/upstreams/";
+
+  /** What a call asks for; each answers with a status and a line of text, from any thread. */
+  interface Calls {
+    CompletableFuture<Answer> ready();
+
+    CompletableFuture<Answer> offline(String upstream);
+
+    CompletableFuture<Answer> online(String upstream);
+  }
+
+  /** Yes with a 2xx status, no with any other. */
+  record Answer(int status, String text) {}
+
+  private final Calls calls;
+  /** Those without a whole call, the longest waiting first. */
+  private final Set<Caller> waiting = new LinkedHashSet<>();
+  private int callers;
+
+  Door(Calls calls) {
+    this.calls = calls;
+  }
+
+  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
+    return new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            if (++callers > MOST_CALLERS && !waiting.isEmpty()) {
+              waiting.iterator().next().leaveAtOnce();
+            }
+            channel.closeFuture().addListener(f -> callers--);
+            channel.pipeline().addLast(new HttpServerCodec(MOST_LINE, MOST_HEADERS, MOST_LINE), new Caller(channel));
+          }
+        }).bind(address);
+  }
+
+  private final class Caller extends SimpleChannelInboundHandler<HttpObject> {
+
+    private final Channel channel;
+    private HttpRequest call;
+    private boolean answered;
+
+    Caller(Channel channel) {
+      this.channel = channel;
+      waiting.add(this);
+      channel.closeFuture().addListener(f -> waiting.remove(this));
+      channel.eventLoop().schedule(() -> channel.close(), WHOLE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    void leaveAtOnce() {
+      waiting.remove(this);
+      channel.close();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+      if (answered) {
+        return; // One call to a connection: what follows it is read and dropped until the caller leaves.
+      }
+      if (!message.decoderResult().isSuccess()) {
+        answer(new Answer(400, "not a call that can be read"));
+      } else if (message instanceof HttpContent content && content.content().isReadable()) {
+        answer(new Answer(413, "a call has no body"));
+      } else if (message instanceof HttpRequest request) {
+        call = request;
+      }
+      if (!answered && message instanceof LastHttpContent && call != null) {
+        waiting.remove(this);
+        answered = true;
+        ask(call).whenComplete((a, e) -> channel.eventLoop().execute(() -> write(e == null ? a : new Answer(500, "failed"))));
+      }
+    }
+
+    private void answer(Answer a) {
+      waiting.remove(this);
+      answered = true;
+      write(a);
+    }
+
+    private CompletableFuture<Answer> ask(HttpRequest request) {
+      String path = request.uri();
+      boolean get = request.method().equals(HttpMethod.GET);
+      boolean post = request.method().equals(HttpMethod.POST);
+      if (path.equals(READY)) {
+        return get ? calls.ready() : no(405, "GET " + READY);
+      }
+      int verb = path.lastIndexOf('/');
+      if (!path.startsWith(UPSTREAMS) || verb <= UPSTREAMS.length()) {
+        return no(404, "no such call: GET " + READY + ", POST " + UPSTREAMS + "ID/offline or .../online");
+      }
+      String id;
+      try {
+        id = QueryStringDecoder.decodeComponent(path.substring(UPSTREAMS.length(), verb).replace("+", "%2B"));
+      } catch (IllegalArgumentException e) {
+        return no(400, "the upstream's name has a bad escape");
+      }
+      return switch (path.substring(verb + 1)) {
+        case "offline" -> post ? calls.offline(id) : no(405, "POST, not " + request.method());
+        case "online" -> post ? calls.online(id) : no(405, "POST, not " + request.method());
+        default -> no(404, "an upstream can be called offline or online");
+      };
+    }
+
+    private static CompletableFuture<Answer> no(int status, String text) {
+      return CompletableFuture.completedFuture(new Answer(status, text));
+    }
+
+    private void write(Answer a) {
+      FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(a.status()),
+          Unpooled.copiedBuffer(a.text() + "\n", StandardCharsets.UTF_8));
+      response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain").set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+          .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+      channel.writeAndFlush(response).addListener((ChannelFutureListener) f -> {
+        // Guards the answer on its way: to close over bytes that were not read would reset it away.
+        if (f.isSuccess() && channel instanceof DuplexChannel duplex) {
+          duplex.shutdownOutput();
+          channel.eventLoop().schedule(() -> channel.close(), LEAVE_MILLIS, TimeUnit.MILLISECONDS);
+        } else {
+          channel.close();
+        }
+      });
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+      LOG.log(Level.FINE, "caller " + channel.remoteAddress(), cause);
+      context.close();
+    }
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Frontend.java
+++ b/balancer/src/main/java/cloverpulley/serve/Frontend.java
@@ -92,6 +92,7 @@
   private final Map<String, RequestClass> classes;
   private final Set<String> tenants;
   private final Clients clients = new Clients();
+  private final Counts counts;
   private final RequestReader.Budget bodies;
   /** The clients' ids of the requests in hand, and of those of which an attempt is still out. */
   private final Set<String> open = new HashSet<>();
@@ -101,7 +102,8 @@
   private boolean closing;
 
   /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, long mostHeld) {
+  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, long mostHeld, Counts counts) {
+    this.counts = counts;
     this.engine = exchanges.engine();
     this.exchanges = exchanges;
     this.clock = clock;
@@ -139,9 +141,22 @@
     stopping = true;
   }
 
-  /** New connections are refused. */
+  /** Another process listens at the same address: every answer from here on has its client come back to that one. */
+  void leaveTo() {
+    closing = true;
+  }
+
+  /** New connections are refused; those that wait in the queue are taken. */
   void acceptNoMore() {
-    listener.close();
+    if (listener instanceof Listener l) {
+      l.acceptLast();
+    } else {
+      listener.close();
+    }
+  }
+
+  boolean isReady() {
+    return ready && !stopping && engine.canServe();
   }
 
   /** From here on every answer closes its connection; those that are owed nothing are closed. */
@@ -159,7 +174,9 @@
    * open, and before connections to upstreams that stand idle.
    */
   private void accepted(Channel channel) {
-    boolean room = clients.count() < sockets.forClients() && sockets.hasRoom() || clients.shed() || pool.closeOldest();
+    boolean few = clients.count() < sockets.forClients();
+    // Beside another process the room is short for a moment only: connections to upstreams are given up before clients are.
+    boolean room = few && (sockets.hasRoom() || sockets.isShared() && pool.closeOldest()) || shed() || pool.closeOldest();
     sockets.opened();
     channel.closeFuture().addListener(f -> sockets.closed());
     if (!room && sockets.isFull()) {
@@ -167,6 +184,14 @@
     }
   }
 
+  private boolean shed() {
+    boolean shed = clients.shed();
+    if (shed) {
+      counts.clientClosed(true);
+    }
+    return shed;
+  }
+
   /** One client's connection: a request at a time, those that come early wait for their turn. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Clients.Client {
 
@@ -253,6 +278,7 @@
 
     @Override
     public void overdue() {
+      counts.clientClosed(false);
       if (begun) {
         deaf = true;
         busy = true;
@@ -280,7 +306,7 @@
       if (!request.decoderResult().isSuccess()) {
         answer(status(request.decoderResult().cause()), "malformed request");
       } else if (path.equals(HEALTH)) {
-        boolean serves = ready && !stopping && engine.canServe();
+        boolean serves = isReady();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
       } else if (!path.equals(API)) {
         answer(HttpResponseStatus.NOT_FOUND, "no such path");
--- /dev/null
+++ b/balancer/src/main/java/cloverpulley/serve/Listener.java
@@ -0,0 +1,49 @@
+package cloverpulley.serve;
+
+import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SocketChannel;
+import java.util.concurrent.TimeUnit;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Listens for clients, and can stop without turning away those whom the system has accepted already. */
+final class Listener extends NioServerSocketChannel {
+
+  private static final Logger LOG = Logger.getLogger(Listener.class.getName());
+
+  /** Another process may listen at the same address: the system deals connections to both. */
+  static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
+  private static final long LOOK_MILLIS = 1;
+
+  /**
+   * Closes, with nobody left in the queue. A listener that closes resets what waits in its queue, also where another process
+   * listens at the address; and one that a selector still knows stays open until the next look at all sockets, with the queue
+   * filling meanwhile. So it is taken from the selector first, then its queue is emptied, and it closes in the same step.
+   */
+  void acceptLast() {
+    deregister().addListener(f -> closeOnceLetGo());
+  }
+
+  private void closeOnceLetGo() {
+    if (!isOpen()) {
+      return;
+    }
+    if (javaChannel().isRegistered()) {
+      eventLoop().schedule(this::closeOnceLetGo, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+      return;
+    }
+    try {
+      for (SocketChannel c = javaChannel().accept(); c != null; c = javaChannel().accept()) {
+        pipeline().fireChannelRead(new NioSocketChannel(this, c));
+      }
+    } catch (IOException e) {
+      LOG.log(Level.WARNING, "the queue of connections was not emptied", e);
+    }
+    close();
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Peers.java
+++ b/balancer/src/main/java/cloverpulley/serve/Peers.java
@@ -32,9 +32,13 @@
     this.all = all;
   }
 
-  /** Binds, and hands what comes from a known peer to the engine. */
-  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, Engine engine) {
-    ChannelFuture bound = new Bootstrap().group(group).channel(NioDatagramChannel.class)
+  /** Binds, beside another process where {@code shared}, and hands what comes from a known peer to the engine. */
+  ChannelFuture listen(EventLoopGroup group, InetSocketAddress address, boolean shared, Engine engine) {
+    Bootstrap bootstrap = new Bootstrap().group(group).channel(NioDatagramChannel.class);
+    if (shared) {
+      bootstrap.option(Listener.REUSE_PORT, true);
+    }
+    ChannelFuture bound = bootstrap
         .handler(new SimpleChannelInboundHandler<DatagramPacket>() {
           @Override
           protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -19,7 +19,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
@@ -64,6 +63,9 @@
   private Channel listener;
   private boolean pushed;
   private long stopMillis;
+  /** Null where there is no door. */
+  private Operations operations;
+  private Operations.Parts parts;
 
   private Server() {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -79,16 +81,25 @@
   static Server start(Config config, LongFunction<Balancer> modules) {
     Server server = new Server();
     try {
+      if (config.management() != null) {
+        server.operations = new Operations(config);
+      }
       Warmup.run(config.settings());
       server.loop.submit(() -> server.wire(config, modules)).syncUninterruptibly();
       if (config.peerListen() != null && config.settings().limits().peers()) {
-        server.peers.listen(server.group, config.peerListen(), server.engine).syncUninterruptibly();
+        server.peers.listen(server.group, config.peerListen(), server.operations != null, server.engine).syncUninterruptibly();
+      }
+      ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
+          .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+          .childOption(ChannelOption.TCP_NODELAY, true);
+      if (server.operations != null) {
+        listen.option(Listener.REUSE_PORT, true);
       }
-      server.listener = server.frontend.listen(new ServerBootstrap().group(server.group)
-          .channel(NioServerSocketChannel.class).option(ChannelOption.SO_BACKLOG, BACKLOG)
-          .option(ChannelOption.SO_REUSEADDR, true).childOption(ChannelOption.TCP_NODELAY, true), config.listen())
-          .syncUninterruptibly().channel();
+      server.listener = server.frontend.listen(listen, config.listen()).syncUninterruptibly().channel();
       server.loop.submit(server.frontend::ready).syncUninterruptibly();
+      if (server.operations != null) {
+        server.operations.serving(server.parts);
+      }
     } catch (RuntimeException e) {
       server.shutDown();
       throw e;
@@ -108,7 +119,7 @@
     stopMillis = stopMillis(config.settings());
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
-    Sockets sockets = new Sockets(config.sockets());
+    Sockets sockets = new Sockets(config.sockets() - (config.management() == null ? 0 : Door.MOST_CALLERS));
     Counts counts = new Counts(fleet, System::currentTimeMillis,
         TimeUnit.NANOSECONDS.toMillis(config.settings().contract().warmWithinNanos()));
     counts.writeOn(loop);
@@ -124,7 +135,8 @@
     engine = new Engine(loop, clock, config.settings(), modules, fleet, counts.counted(discovery), peers, counts);
     engine.attach(pool);
     frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
-        config.memoryBytes() / BODIES_PART);
+        config.memoryBytes() / BODIES_PART, counts);
+    parts = new Operations.Parts(loop, engine, fleet, sockets, pool, frontend);
     engine.news(ListKind.CACHED, config.known());
     if (pushed) {
       discovery.watch(true);
@@ -158,6 +170,11 @@
     }
   }
 
+  /** Where operators call. */
+  InetSocketAddress door() {
+    return (InetSocketAddress) operations.door().localAddress();
+  }
+
   InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
   }
@@ -180,13 +197,25 @@
     }
   }
 
-  /** Takes what still comes for a while, answers all that was taken, and returns when no client is left. */
+  /**
+   * Takes what still comes for a while, answers all that was taken, and returns when no client is left. Where a successor serves at the
+   * same address new connections are left to it at once, and clients are sent there with their next answer.
+   */
   void stop() {
-    LOG.info("stopping");
+    boolean succeeded = operations != null && operations.hasSuccessor();
+    LOG.info(succeeded ? "stopping, a successor serves" : "stopping");
+    if (operations != null) {
+      operations.leaving();
+    }
     loop.execute(() -> {
-      frontend.stopping();
+      if (succeeded) {
+        frontend.leaveTo();
+        frontend.acceptNoMore();
+      } else {
+        frontend.stopping();
+        loop.schedule(frontend::acceptNoMore, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+      }
       stopping.countDown();
-      loop.schedule(frontend::acceptNoMore, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
         frontend.close();
         finish();
@@ -201,6 +230,9 @@
 
   /** Ends at once, whatever is in hand. */
   void shutDown() {
+    if (operations != null) {
+      operations.shutDown();
+    }
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
--- a/balancer/src/main/java/cloverpulley/serve/Warmup.java
+++ b/balancer/src/main/java/cloverpulley/serve/Warmup.java
@@ -107,7 +107,7 @@
     Engine engine = new Engine(group.next(), clock, settings, n -> new Logic(settings, n), fleet, new NoList(),
         (to, data) -> { }, counts);
     engine.attach(pool);
-    Frontend frontend = new Frontend(new HttpExchange.Front(engine, pool, false), clock, sockets, settings, Long.MAX_VALUE);
+    Frontend frontend = new Frontend(new HttpExchange.Front(engine, pool, false), clock, sockets, settings, Long.MAX_VALUE, counts);
     engine.news(ListKind.CACHED, new ServerList(0, true,
         IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
             .toList()));
--- /dev/null
+++ b/balancer/src/test/java/cloverpulley/serve/OperationsTest.java
@@ -0,0 +1,212 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.CalledBack;
+import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.TakenOut;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The operators' door, upstreams that they take out, and two processes of one balancer. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class OperationsTest {
+
+  private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  @TempDir
+  private Path folder;
+
+  private Config config(String listen, String... members) throws IOException {
+    String text = Rig.text("127.0.0.1:1", Rig.list(1, true, members), "on_request", 200, 1024, "\"management\":\"127.0.0.1:0\",");
+    return Config.parse(text.replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"" + listen + "\""),
+        Map.of("TMPDIR", folder.toString()));
+  }
+
+  private static Socket caller(Server server) throws IOException {
+    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.door().getPort());
+    socket.setSoTimeout(Rig.LIMIT_S * 1000);
+    return socket;
+  }
+
+  private static String call(Server server, String call) throws IOException {
+    try (Socket socket = caller(server)) {
+      socket.getOutputStream().write((call + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
+      String answer = StubServer.Message.read(in);
+      assertEquals(-1, in.read(), "one call to a connection");
+      return answer.split(" ")[1];
+    }
+  }
+
+  @Test
+  void whoIsOutGetsNothingUntilCalledBack() throws Exception {
+    try (StubServer a = StubServer.answering(StubServer.ok("a")); StubServer b = StubServer.answering(StubServer.ok("b"));
+        Rig rig = new Rig(config("127.0.0.1:0", Rig.member("s-a", a.address(), "ready"),
+            Rig.member("s-b", b.address(), "ready"))); Client client = rig.client()) {
+      assertEquals("200", call(rig.server, "GET /control/ready"));
+      assertEquals("200", call(rig.server, "POST /control/upstreams/s-a/offline"));
+      assertEquals("200", call(rig.server, "POST /control/upstreams/s-a/offline"));
+      for (int i = 0; i < 30; i++) {
+        assertTrue(client.ask(Rig.get("r" + i, "Cookie: sid=k" + i + "\r\n")).endsWith("b"));
+      }
+      assertTrue(a.requests.isEmpty(), "something went to it after the yes");
+      assertEquals("200", call(rig.server, "POST /control/upstreams/s-b/offline"));
+      assertEquals("503", call(rig.server, "GET /control/ready"), "nobody is left to serve");
+      assertEquals("200", call(rig.server, "POST /control/upstreams/s-b/online"));
+      assertEquals("200", call(rig.server, "POST /control/upstreams/s-a/online"));
+      for (int i = 0; a.requests.isEmpty(); i++) {
+        client.ask(Rig.get("q" + i, "Cookie: sid=k" + i + "\r\n"));
+      }
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"GET /control/upstreams/s-a/offline, 405", "POST /control/ready, 405", "POST /control/upstreams/s-x/offline, 404",
+    "POST /control/upstreams/s-x/online, 404", "POST /control/upstreams//offline, 404", "POST /control/upstreams/s-a, 404",
+    "POST /control/upstreams/s-a/away, 404", "POST /control/upstreams/%zz/offline, 400", "GET /, 404", "nonsense, 400",
+    "POST /control/upstreams/%73-a/offline, 200"})
+  void everyCallGetsItsAnswer(String call, String status) throws Exception {
+    try (Rig rig = new Rig(config("127.0.0.1:0", Rig.member("s-a", "127.0.0.1:1", "ready")))) {
+      assertEquals(status, call(rig.server, call));
+      assertEquals("404", call(rig.server, "POST /control/upstreams/" + "x".repeat(900) + "/offline"));
+      assertEquals("400", call(rig.server, "POST /control/upstreams/" + "x".repeat(10_000) + "/offline"));
+    }
+  }
+
+  /** Callers that say nothing, or half, hold no room from others. */
+  @Test
+  void whoFinishesNoCallKeepsNobodyOut() throws Exception {
+    List<Socket> idle = new ArrayList<>();
+    try (Rig rig = new Rig(config("127.0.0.1:0", Rig.member("s-a", "127.0.0.1:1", "ready")))) {
+      for (int i = 0; i < 3 * Door.MOST_CALLERS; i++) {
+        Socket socket = caller(rig.server);
+        idle.add(socket);
+        socket.getOutputStream().write("GET /control/re".substring(0, i % 15).getBytes(StandardCharsets.ISO_8859_1));
+        assertEquals("200", call(rig.server, "GET /control/ready"));
+      }
+    } finally {
+      for (Socket socket : idle) {
+        socket.close();
+      }
+    }
+  }
+
+  /** What one process is told binds both, and the one that starts later. */
+  @Test
+  void bothProcessesKeepWhatEitherWasTold() throws Exception {
+    String address;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = "127.0.0.1:" + free.getLocalPort();
+    }
+    Script first = new Script((event, out) -> { });
+    Script second = new Script((event, out) -> { });
+    String[] members = {Rig.member("s-a", "127.0.0.1:1", "ready"), Rig.member("s-b", "127.0.0.1:2", "ready")};
+    try (Rig old = new Rig(config(address, members), first)) {
+      first.next(ListNews.class);
+      assertEquals("200", call(old.server, "POST /control/upstreams/s-a/offline"));
+      long a = first.next(TakenOut.class).upstream();
+      try (Rig fresh = new Rig(config(address, members), second)) {
+        assertEquals(a, second.next(TakenOut.class).upstream());
+        assertEquals("200", call(fresh.server, "POST /control/upstreams/s-b/offline"));
+        long b = first.next(TakenOut.class).upstream();
+        assertEquals(b, second.next(TakenOut.class).upstream());
+        assertEquals("200", call(old.server, "POST /control/upstreams/s-b/online"));
+        assertEquals(b, second.next(CalledBack.class).upstream());
+        assertEquals("200", call(fresh.server, "POST /control/upstreams/s-a/online"));
+        assertEquals(b, first.next(CalledBack.class).upstream());
+        assertEquals(a, first.next(CalledBack.class).upstream());
+      }
+    }
+  }
+
+  /**
+   * The first leaves to the second under clients that ask without a pause, on kept connections and on ever new ones: every
+   * request has its answer, and no connection is refused, reset or left unread.
+   */
+  @Test
+  void aSuccessorTakesOverWithoutALostRequest() throws Exception {
+    String address;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = "127.0.0.1:" + free.getLocalPort();
+    }
+    try (StubServer a = StubServer.answering(StubServer.ok("a")); Rig old = new Rig(config(address, Rig.member("s-a", a.address(), "ready")));
+        Rig fresh = new Rig(config(address, Rig.member("s-a", a.address(), "ready")))) {
+      List<Asking> clients = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        clients.add(new Asking(fresh, i % 2 == 0));
+      }
+      clients.forEach(Thread::start);
+      for (Asking c : clients) {
+        c.awaitAnswers(50);
+      }
+      old.server.stop();
+      for (Asking c : clients) {
+        c.awaitAnswers(50);
+        c.over = true;
+        c.join();
+        assertEquals(null, c.failure);
+      }
+    }
+  }
+
+  /** A client that asks until it is told to end. */
+  private static final class Asking extends Thread {
+    private final Rig rig;
+    private final boolean keeps;
+    private volatile boolean over;
+    private volatile Exception failure;
+    private final Semaphore answers = new Semaphore(0);
+
+    Asking(Rig rig, boolean keeps) {
+      this.rig = rig;
+      this.keeps = keeps;
+    }
+
+    @Override
+    public void run() {
+      try {
+        Client client = null;
+        while (!over) {
+          client = client == null ? rig.client() : client;
+          String answer = client.ask(HEALTH);
+          if (answer == null || !answer.startsWith("HTTP/1.1 200 ")) {
+            throw new IOException("answered with " + answer);
+          }
+          answers.release();
+          if (!keeps || answer.toLowerCase(Locale.ROOT).contains("connection: close")) {
+            client.close();
+            client = null;
+          }
+        }
+      } catch (IOException e) {
+        failure = e;
+      }
+    }
+
+    void awaitAnswers(int n) throws InterruptedException {
+      while (failure == null && isAlive() && !answers.tryAcquire(n, 50, TimeUnit.MILLISECONDS)) {
+        Thread.onSpinWait();
+      }
+    }
+  }
+}
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -109,7 +109,7 @@
 
   /** What happened. */
   sealed interface Event permits ListNews, Request, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
-      PeerMessage {}
+      PeerMessage, TakenOut, CalledBack {}
 
   /** News of the list of upstreams. An instance's first news is of kind CACHED. */
   record ListNews(ListKind kind, List<Listed> entries) implements Event {}
@@ -154,6 +154,15 @@
   /** Another balancer of the group sent a message. */
   record PeerMessage(int from, byte[] data) implements Event {}
 
+  /**
+   * An operator takes an upstream out: nothing new goes to it, whatever the list says, until it is called back. Listed or not,
+   * and again while it is out, when {@code forNanos}, how long it has been out already, is not looked at.
+   */
+  record TakenOut(long upstream, long forNanos) implements Event {}
+
+  /** An operator calls an upstream back, which ends its being out however often it was taken out. It has been restarted meanwhile. */
+  record CalledBack(long upstream) implements Event {}
+
   /** What the balancer is asked to do. */
   sealed interface Action permits Send, Cancel, Refuse, Fail, SetTimer, Watch, FetchList, Probe, CloseIdle, TellPeer,
       Log {}
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -96,6 +96,8 @@
   private final Shares shares;
   private final Hints hints;
   private final Map<Long, Upstream> upstreams = new LinkedHashMap<>();
+  /** Upstreams that an operator took out, listed or not, and since when. */
+  private final Map<Long, Long> takenOut = new HashMap<>();
   private final Map<String, Open> open = new LinkedHashMap<>();
   /** Requests without an attempt out, the most valuable first, then the oldest. */
   private final TreeSet<Open> held = new TreeSet<>(Comparator.comparingDouble((Open r) -> -value(r))
@@ -148,6 +150,11 @@
       onSweep();
     } else if (event instanceof ListNews e) {
       onList(e);
+    } else if (event instanceof TakenOut e) {
+      takenOut.putIfAbsent(e.upstream(), now - e.forNanos());
+      rebuildRing();
+    } else if (event instanceof CalledBack e) {
+      onCalledBack(e.upstream());
     } else if (event instanceof ClientGone e) {
       if (open.containsKey(e.id()) && !open.get(e.id()).ended) {
         release(open.get(e.id()));
@@ -248,7 +255,7 @@
 
   private void rebuildRing() {
     Upstream[] before = owners;
-    owners = upstreams.values().stream().filter(u -> u.listed.state() == State.READY)
+    owners = upstreams.values().stream().filter(this::serves)
         .sorted(Comparator.comparingLong(u -> u.id)).toArray(Upstream[]::new);
     if (Arrays.equals(before, owners)) {
       return; // Building is the dearest step in a large fleet; most news is of drains that end.
@@ -264,6 +271,10 @@
         Arrays.stream(owners).mapToInt(u -> (int) Math.round(POINTS * (sized ? share(u) : 1))).toArray());
   }
 
+  private boolean serves(Upstream u) {
+    return u.listed.state() == State.READY && !takenOut.containsKey(u.id);
+  }
+
   private double share(Upstream u) {
     return weightUnit <= 0 ? 1
         : Math.min(WEIGHT_MOST, Math.max(1 / WEIGHT_MOST, u.listed.weight() / weightUnit));
@@ -480,7 +491,7 @@
     a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
     a.upstream.heardAt = now;
     r.out--;
-    readyLoad -= a.upstream.listed.state() == State.READY ? r.load : 0;
+    readyLoad -= serves(a.upstream) ? r.load : 0;
     learn(r, a, o);
     if (r.ended && r.out == 0) {
       open.remove(o.id());
@@ -583,17 +594,26 @@
     for (Listed e : entries.values()) {
       Upstream u = upstreams.computeIfAbsent(e.upstream(),
           id -> new Upstream(id, new Window(window / 2, now)));
-      if (e.startedNanos() > u.started) {
-        u.started = e.startedNanos();
-        u.failures = 0;
-        u.ejections = 0;
-        u.ejectedUntil = 0;
-        u.cold.tokens = 0;
-        u.cold.filledAt = now;
+      if (e.startedNanos() > (u.startGuessed ? u.outSince : u.started)) {
+        u.startsAnew(now, e.startedNanos());
       }
       u.listed = e;
     }
     upstreams.values().removeIf(u -> u.listed.state() == State.GONE && u.inFlight == 0);
     rebuildRing();
   }
+
+  /** Guards an upstream that was restarted while it was out: the list may be seconds late to say so, and what was learned of
+   * the process before must not keep its successor idle. */
+  private void onCalledBack(long id) {
+    Long since = takenOut.remove(id);
+    Upstream u = upstreams.get(id);
+    if (since != null && u != null) {
+      boolean told = u.started > since;
+      u.startsAnew(now, told ? u.started : now);
+      u.startGuessed = !told;
+      u.outSince = since;
+    }
+    rebuildRing();
+  }
 }
--- a/decision/src/main/java/cloverpulley/Upstream.java
+++ b/decision/src/main/java/cloverpulley/Upstream.java
@@ -7,6 +7,9 @@
   final Bucket cold = new Bucket();
   Balancer.Listed listed;
   long started;
+  /** An operator took it out from here on and has called it back; its start since then is a guess until the list tells it. */
+  boolean startGuessed;
+  long outSince;
   long firstServed;
   long heardAt;
   int inFlight;
@@ -23,6 +26,18 @@
     this.window = window;
   }
 
+  /** It was started at {@code at}: cold from then on, and nothing that it did before counts against it. */
+  void startsAnew(long now, long at) {
+    started = at;
+    startGuessed = false;
+    failures = 0;
+    ejections = 0;
+    ejectedUntil = 0;
+    slowness = 1;
+    cold.tokens = 0;
+    cold.filledAt = now;
+  }
+
   /** Latency against the fleet's: 1 for as fast or unknown, to which it returns over the time. */
   double slowness(long now, double keptNanos) {
     return 1 + (slowness - 1) * Math.exp((slownessAt - now) / keptNanos);
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.CalledBack;
 import cloverpulley.Balancer.Cancel;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.CloseIdle;
@@ -20,6 +21,7 @@
 import cloverpulley.Balancer.SetTimer;
 import cloverpulley.Balancer.Settings;
 import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Balancer.TellPeer;
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Balancer.Watch;
@@ -160,6 +162,27 @@
     transports.forEach(t -> t.withdraw(upstream -> !fleet.isReady(upstream)));
   }
 
+  /**
+   * An operator takes an upstream out, listed or not: nothing new goes to it, and what is not sent yet is withdrawn.
+   *
+   * @param forNanos how long it has been out already, where that was told elsewhere
+   */
+  public void takeOut(String id, long forNanos) {
+    if (!fleet.out().contains(id)) {
+      long upstream = fleet.takeOut(id);
+      enqueue(() -> new TakenOut(upstream, forNanos));
+      transports.forEach(t -> t.withdraw(u -> !fleet.isReady(u)));
+    }
+  }
+
+  /** An operator calls an upstream back; nothing where it was not out. */
+  public void callBack(String id) {
+    Long upstream = fleet.callBack(id);
+    if (upstream != null) {
+      enqueue(() -> new CalledBack(upstream));
+    }
+  }
+
   /** Another balancer has sent a message. */
   public void peerMessage(int from, byte[] data) {
     enqueue(() -> new PeerMessage(from, data));
@@ -274,6 +297,10 @@
     module = modules.apply(++generation);
     ListNews held = fleet.held();
     enqueue(() -> held);
+    fleet.out().forEach(id -> {
+      long upstream = fleet.takeOut(id);
+      enqueue(() -> new TakenOut(upstream, 0));
+    });
   }
 
   /** Tells of a request's end, the first time. */
--- a/engine/src/main/java/cloverpulley/engine/Fleet.java
+++ b/engine/src/main/java/cloverpulley/engine/Fleet.java
@@ -7,17 +7,27 @@
 import cloverpulley.engine.ServerList.Server;
 import java.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** The upstreams as discovery last named them: the module's numbers, addresses and states. */
 public final class Fleet {
 
+  /** Names that are remembered after they left the list. Guards the memory where names are ever new. */
+  public static final int MOST_NAMES = 20_000;
+
   private final Clock clock;
   private final Map<String, Long> numbers = new HashMap<>();
   private final Map<Long, Server> servers = new LinkedHashMap<>();
+  /** What operators took out, by name, with its number; listed or not. */
+  private final Map<String, Long> out = new HashMap<>();
+  /** Names that were ever listed, the one listed last at the end. */
+  private final Set<String> everListed = new LinkedHashSet<>();
   private long revision;
 
   public Fleet(Clock clock) {
@@ -45,13 +55,51 @@
     return new ServerList(revision, true, List.copyOf(servers.values()));
   }
 
+  /** Whether anything new may go to an upstream: the list says so, and no operator took it out. */
   public boolean isReady(long upstream) {
     Server server = servers.get(upstream);
-    return server != null && server.state() == State.READY;
+    return server != null && server.state() == State.READY && !out.containsKey(server.id());
   }
 
   public boolean hasReady() {
-    return servers.values().stream().anyMatch(s -> s.state() == State.READY);
+    return servers.keySet().stream().anyMatch(this::isReady);
+  }
+
+  /** Whether a list ever held this name, here or at a predecessor. */
+  public boolean wasListed(String id) {
+    return everListed.contains(id);
+  }
+
+  /** Names that were ever listed, the one listed first in front; {@link #MOST_NAMES} at most. */
+  public List<String> namesEverListed() {
+    return List.copyOf(everListed);
+  }
+
+  /** These were listed at a predecessor. */
+  public void wereListed(Collection<String> names) {
+    names.forEach(this::remember);
+  }
+
+  /** What operators took out. */
+  public Set<String> out() {
+    return Set.copyOf(out.keySet());
+  }
+
+  /** An operator takes an upstream out; its number. */
+  long takeOut(String id) {
+    return out.computeIfAbsent(id, i -> numbers.computeIfAbsent(i, this::number));
+  }
+
+  /** An operator calls an upstream back; its number, or null where it was not out. */
+  Long callBack(String id) {
+    return out.remove(id);
+  }
+
+  private void remember(String id) {
+    if (!everListed.remove(id) && everListed.size() >= MOST_NAMES) {
+      everListed.remove(everListed.iterator().next());
+    }
+    everListed.add(id);
   }
 
   /** Takes in a list, or changes to it, and words it for the module: as no change where it is not to be believed. */
@@ -66,6 +114,7 @@
     List<Listed> entries = new ArrayList<>();
     for (Server server : list.members()) {
       long number = numbers.computeIfAbsent(server.id(), this::number);
+      remember(server.id());
       entries.add(listed(number, server));
       if (server.state() == State.GONE) {
         servers.remove(number);
@@ -74,7 +123,7 @@
       }
     }
     // A name that left gets its number again should it come back; nothing is kept of it meanwhile.
-    numbers.values().retainAll(servers.keySet());
+    numbers.values().removeIf(n -> !servers.containsKey(n) && !out.containsValue(n));
     return new ListNews(kind, entries);
   }
 
--- a/engine/src/main/java/cloverpulley/engine/Sockets.java
+++ b/engine/src/main/java/cloverpulley/engine/Sockets.java
@@ -13,15 +13,37 @@
   /** The part of the rest that clients may hold while others could go: each request needs one more to an upstream. */
   private static final double CLIENT_PART = 0.5;
 
-  private final int limit;
-  private final int most;
-  private int open;
+  private final int all;
+  private int limit;
+  private int most;
+  private volatile int open;
 
   public Sockets(int limit) {
-    this.limit = limit;
+    all = limit;
+    heldElsewhere(0);
+  }
+
+  /** Another process that shares the limit holds so many; 0 for none. */
+  public void heldElsewhere(int descriptors) {
+    limit = all - descriptors;
     most = limit - OWN - SPARE;
   }
 
+  /** What this process holds, its own beside sockets included. May be asked from any thread. */
+  public int held() {
+    return open + OWN;
+  }
+
+  /** Whether another process shares the limit. */
+  public boolean isShared() {
+    return limit < all;
+  }
+
+  /** Whether it holds more than so much of all. */
+  public boolean isOver(double part) {
+    return held() > all * part;
+  }
+
   /** One more is open; each is to be told closed once. */
   public void opened() {
     open++;
@@ -43,6 +65,6 @@
 
   /** How many connections of clients may be kept. */
   public int forClients() {
-    return (int) (most * CLIENT_PART);
+    return (int) ((all - OWN - SPARE) * CLIENT_PART); // Also beside another process: who comes here could not be moved there.
   }
 }
