SIGHUP brings other settings, whole or not at all

The change: Retuned as an event of the module; each request holds its own class and number of attempts; Shape compares a file with the one in use, so that a missing key, a cut or a figure that can't be turns all of it down; of many SIGHUPs the last counts; whole numbers are bounded to 32 bits. A listener that leaves closes in the very step that finds its queue empty: a test found a connection reset between the two while builds took the machine.

--- a/balancer/src/main/java/cloverpulley/serve/Config.java
+++ b/balancer/src/main/java/cloverpulley/serve/Config.java
@@ -5,6 +5,7 @@
 import cloverpulley.engine.ServerList;
 import cloverpulley.wire.Fields;
 import cloverpulley.wire.SettingsDecoder;
+import cloverpulley.wire.Shape;
 import cloverpulley.wire.WireException;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -15,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What a balancer is told at its start.
@@ -24,12 +26,16 @@
  * @param idleNanos after this an upstream may close a connection that stands idle
  * @param loadReports whether upstreams report their load
  * @param management where operators' calls come to; null for nowhere
+ * @param source what all of it was read from
  * @param shared the folder that another process of this balancer sees too; null for none
  */
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets, long memoryBytes,
     InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll, ServerList known,
-    Settings settings, long idleNanos, boolean loadReports, InetSocketAddress management, Path shared) {
+    Settings settings, long idleNanos, boolean loadReports, InetSocketAddress management, Path shared,
+    Fields source) {
 
+  /** Keys of the file that need not come again: the list as it was once known. */
+  private static final Set<String> FREE = Set.of("known");
   private static final int SOCKETS = 1024;
   private static final int MEMORY_MB = 192;
   private static final long IDLE_NANOS = 5_000_000_000L;
@@ -62,14 +68,19 @@
         text(f, "name", environment.get("ROUTER_NAME")),
         ListDecoder.address("listen", text(f, "listen", environment.get("ROUTER_LISTEN"))),
         ListDecoder.address("discovery", text(f, "discovery", environment.get("ROUTER_DISCOVERY"))),
-        seed(f.text("seed")), (int) f.nested("limits").integer("sockets", SOCKETS),
+        seed(f.text("seed")), f.nested("limits").small("sockets", SOCKETS),
         f.nested("limits").integer("memory_mb", MEMORY_MB) << 20,
         f.has("peer_listen") ? ListDecoder.address("peer_listen", f.text("peer_listen")) : null, peers,
         f.has("peers_all") ? ListDecoder.address("peers_all", f.text("peers_all")) : null,
         f.has("known") ? ListDecoder.list(f.nested("known")) : ServerList.NONE,
         SettingsDecoder.settings(settings), settings.nested("limits").integer("conn-idle-ns", IDLE_NANOS),
         !settings.nested("report").text("how", "none").equals("none"), management(f, environment),
-        environment.containsKey("TMPDIR") ? Path.of(environment.get("TMPDIR"), "ashdeck") : null);
+        environment.containsKey("TMPDIR") ? Path.of(environment.get("TMPDIR"), "ashdeck") : null, f);
+  }
+
+  /** Checks that this one may take another's place: all that was told there is told here. Throws a {@link WireException} where not. */
+  void checkReplaces(Config before) {
+    Shape.check(before.source, source, FREE);
   }
 
   private static InetSocketAddress management(Fields f, Map<String, String> environment) {
--- a/balancer/src/main/java/cloverpulley/serve/Frontend.java
+++ b/balancer/src/main/java/cloverpulley/serve/Frontend.java
@@ -89,8 +89,8 @@
   private final Clock clock;
   private final Sockets sockets;
   private final UpstreamPool pool;
-  private final Map<String, RequestClass> classes;
-  private final Set<String> tenants;
+  private Map<String, RequestClass> classes;
+  private Set<String> tenants;
   private final Clients clients = new Clients();
   private final Counts counts;
   private final RequestReader.Budget bodies;
@@ -109,9 +109,14 @@
     this.clock = clock;
     this.sockets = sockets;
     this.pool = exchanges.pool();
-    this.classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
-    this.tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
     this.bodies = new RequestReader.Budget(mostHeld);
+    retune(settings);
+  }
+
+  /** Requests that come from here on are of these classes and tenants. */
+  void retune(Settings settings) {
+    classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
+    tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
   }
 
   ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
--- a/balancer/src/main/java/cloverpulley/serve/Listener.java
+++ b/balancer/src/main/java/cloverpulley/serve/Listener.java
@@ -7,6 +7,8 @@
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -37,13 +39,17 @@
       eventLoop().schedule(this::closeOnceLetGo, LOOK_MILLIS, TimeUnit.MILLISECONDS);
       return;
     }
+    List<SocketChannel> last = new ArrayList<>();
     try {
+      // Nothing between the last look at the queue and the closing: whom the system accepts there is reset.
       for (SocketChannel c = javaChannel().accept(); c != null; c = javaChannel().accept()) {
-        pipeline().fireChannelRead(new NioSocketChannel(this, c));
+        last.add(c);
       }
+      javaChannel().close();
     } catch (IOException e) {
       LOG.log(Level.WARNING, "the queue of connections was not emptied", e);
     }
+    last.forEach(c -> pipeline().fireChannelRead(new NioSocketChannel(this, c)));
     close();
   }
 }
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -22,10 +22,15 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 
 /** One balancer, from start to stop: wires the parts together on one event loop. */
 final class Server {
@@ -51,6 +56,9 @@
   private static final long MOST_DEADLINE_MILLIS = 3000;
   private static final long STOP_EARLY_MILLIS = 300;
   private static final long STOP_CHECK_MILLIS = 20;
+  /** A file that can't be used is read so many times more, so far apart: new settings are to hold 1.2 s after SIGHUP. */
+  private static final int READ_AGAIN = 3;
+  private static final long READ_AGAIN_MILLIS = 100;
 
   private final EventLoopGroup group;
   private final EventLoop loop;
@@ -67,6 +75,8 @@
   /** Null where there is no door. */
   private Operations operations;
   private Operations.Parts parts;
+  private Config config;
+  private final AtomicLong reloads = new AtomicLong();
 
   private Server() {
     group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -81,6 +91,7 @@
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static Server start(Config config, LongFunction<Balancer> modules) {
     Server server = new Server();
+    server.config = config;
     try {
       if (config.management() != null) {
         server.operations = new Operations(config);
@@ -170,17 +181,80 @@
   }
 
   /**
-   * Reads the configuration again and follows discovery to where it says; all else waits for a restart. One that can't be
-   * read changes nothing.
+   * Reads the configuration again, follows discovery to where it says, and has its settings hold for the requests that come from now on. One
+   * that can't be used as a whole changes nothing. One call at a time, and of those that wait the last: what was read last is taken last.
    */
   void reload(Source source) {
+    long mine = reloads.incrementAndGet();
+    synchronized (reloads) {
+      if (mine == reloads.get()) {
+        reload(source, mine);
+      }
+    }
+  }
+
+  private void reload(Source source, long mine) {
+    Config read;
     try {
-      Config config = source.read();
-      loop.execute(() -> discovery.move(config.discovery()));
-      LOG.info(() -> "configuration read again, discovery at " + config.discovery());
+      read = readWhole(source, mine);
+      read.checkReplaces(config);
     } catch (IOException | RuntimeException e) {
       LOG.warning("configuration not taken, the one before stays: " + Config.complaint(e));
+      return;
+    }
+    boolean others = !read.settings().equals(config.settings());
+    String told = others ? ", settings: " + difference(config.settings(), read.settings()) : "";
+    config = read;
+    loop.execute(() -> {
+      discovery.move(read.discovery());
+      if (others) {
+        retune(read);
+      }
+    });
+    LOG.info(() -> "configuration read again, discovery at " + read.discovery() + told);
+  }
+
+  /** Guards against a file that is being written just now: it is whole a moment later, or never. */
+  private Config readWhole(Source source, long mine) throws IOException {
+    for (int i = 0; ; i++) {
+      try {
+        return source.read();
+      } catch (IOException | RuntimeException e) {
+        if (i == READ_AGAIN || mine != reloads.get()) {
+          throw e;
+        }
+      }
+      try {
+        TimeUnit.MILLISECONDS.sleep(READ_AGAIN_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        throw new IOException(e);
+      }
+    }
+  }
+
+  private void retune(Config to) {
+    stopMillis = stopMillis(to.settings());
+    parts.pool().retune(to.settings().limits().connectTimeoutNanos(), to.idleNanos());
+    frontend.retune(to.settings());
+    engine.retune(to.settings());
+  }
+
+  /** What an operator looks for first: classes that came, went or are others now, and the number of attempts. */
+  static String difference(Settings before, Settings after) {
+    Map<String, RequestClass> old = before.classes().stream().collect(Collectors.toMap(RequestClass::name, c -> c));
+    List<String> words = new ArrayList<>();
+    for (RequestClass c : after.classes()) {
+      RequestClass was = old.remove(c.name());
+      if (!c.equals(was)) {
+        words.add((was == null ? "+" : "~") + Counts.name(c.name()));
+      }
+    }
+    old.keySet().forEach(name -> words.add("-" + Counts.name(name)));
+    if (before.limits().maxAttempts() != after.limits().maxAttempts()) {
+      words.add("attempts " + before.limits().maxAttempts() + " to " + after.limits().maxAttempts());
     }
+    return words.isEmpty() ? "other figures" : String.join(" ", words);
   }
 
   /** Where operators call. */
--- a/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -70,7 +70,7 @@
 
   private final Bootstrap bootstrap;
   private final Sockets sockets;
-  private final long idleNanos;
+  private long idleNanos;
   private final LongPredicate ready;
   private final boolean loadReports;
   private final Counts counts;
@@ -89,9 +89,7 @@
     this.sockets = sockets;
     this.ready = ready;
     this.loadReports = loadReports;
-    idleNanos = (long) (upstreamIdleNanos * IDLE_PART);
     this.bootstrap = bootstrap.clone()
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos))
         .handler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -100,10 +98,18 @@
                 new AnswerReader(), connection);
           }
         });
+    retune(connectTimeoutNanos, upstreamIdleNanos);
     bootstrap.config().group().next()
         .scheduleWithFixedDelay(this::closeOld, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
+  /** Other limits hold from here on. */
+  void retune(long connectTimeoutNanos, long upstreamIdleNanos) {
+    idleNanos = (long) (upstreamIdleNanos * IDLE_PART);
+    bootstrap.option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
+        (int) Math.min(Integer.MAX_VALUE, TimeUnit.NANOSECONDS.toMillis(connectTimeoutNanos)));
+  }
+
   /** Starts a call; it takes over the request. The time-out covers connecting. */
   void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     call.timeout = bootstrap.config().group().next()
--- a/balancer/src/test/java/cloverpulley/serve/OperationsTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/OperationsTest.java
@@ -4,8 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.CalledBack;
+import cloverpulley.Balancer.Fail;
 import cloverpulley.Balancer.ListNews;
+import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.TakenOut;
+import cloverpulley.Reason;
 import cloverpulley.serve.Rig.Client;
 import cloverpulley.serve.Rig.Script;
 import java.io.BufferedInputStream;
@@ -19,6 +22,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -140,8 +144,9 @@
   }
 
   /**
-   * The first leaves to the second under clients that ask without a pause, on kept connections and on ever new ones: every
-   * request has its answer, and no connection is refused, reset or left unread.
+   * The first leaves to the second under clients that ask without a pause on kept connections, and while others wait that the system has
+   * accepted for it and it has not: every request has its answer, and no connection is reset or left unread. No connection is being
+   * made while the listener closes: what the system does then is not this program's.
    */
   @Test
   void aSuccessorTakesOverWithoutALostRequest() throws Exception {
@@ -149,17 +154,50 @@
     try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       address = "127.0.0.1:" + free.getLocalPort();
     }
-    try (StubServer a = StubServer.answering(StubServer.ok("a")); Rig old = new Rig(config(address, Rig.member("s-a", a.address(), "ready")));
-        Rig fresh = new Rig(config(address, Rig.member("s-a", a.address(), "ready")))) {
+    CountDownLatch held = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        held.countDown();
+        await(go); // Its loop accepts nobody meanwhile.
+        out.accept(new Fail(r.id(), Reason.NO_ROOM));
+      }
+    });
+    try (Rig old = new Rig(config(address, Rig.member("s-a", "127.0.0.1:1", "ready")), module);
+        Rig fresh = new Rig(config(address, Rig.member("s-a", "127.0.0.1:1", "ready")))) {
       List<Asking> clients = new ArrayList<>();
       for (int i = 0; i < 8; i++) {
-        clients.add(new Asking(fresh, i % 2 == 0));
+        clients.add(new Asking(fresh));
       }
       clients.forEach(Thread::start);
       for (Asking c : clients) {
         c.awaitAnswers(50);
       }
-      old.server.stop();
+      List<Client> askers = new ArrayList<>();
+      while (held.getCount() > 0) { // The system deals connections to both: one comes to the first at last.
+        askers.add(fresh.client().write(Rig.get("r" + askers.size(), "")));
+        held.await(20, TimeUnit.MILLISECONDS);
+      }
+      List<Client> waiting = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        waiting.add(fresh.client().write(HEALTH));
+      }
+      Thread stop = new Thread(old.server::stop);
+      stop.start();
+      while (!call(old.server, "GET /control/ready").equals("503")) {
+        Thread.onSpinWait();
+      }
+      go.countDown();
+      for (Client c : waiting) {
+        String answer = c.answer();
+        assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 "), () -> "answered with " + answer);
+        c.close();
+      }
+      for (Client c : askers) {
+        assertTrue(c.answer() != null);
+        c.close();
+      }
+      stop.join();
       for (Asking c : clients) {
         c.awaitAnswers(50);
         c.over = true;
@@ -169,17 +207,23 @@
     }
   }
 
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** A client that asks until it is told to end. */
   private static final class Asking extends Thread {
     private final Rig rig;
-    private final boolean keeps;
     private volatile boolean over;
     private volatile Exception failure;
     private final Semaphore answers = new Semaphore(0);
 
-    Asking(Rig rig, boolean keeps) {
+    Asking(Rig rig) {
       this.rig = rig;
-      this.keeps = keeps;
     }
 
     @Override
@@ -193,7 +237,7 @@
             throw new IOException("answered with " + answer);
           }
           answers.release();
-          if (!keeps || answer.toLowerCase(Locale.ROOT).contains("connection: close")) {
+          if (answer.toLowerCase(Locale.ROOT).contains("connection: close")) {
             client.close();
             client = null;
           }
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -77,6 +77,7 @@
     public Settings {
       check(groupSize > 0, "group size must be above 0");
       check(!classes.isEmpty(), "classes must not be empty");
+      check(classes.stream().map(RequestClass::name).distinct().count() == classes.size(), "class names must differ");
       for (RequestClass c : classes) {
         check(c.aimNanos > 0, "aim of class " + c.name + " must be above 0");
         check(c.deadlineNanos > 0, "deadline of class " + c.name + " must be above 0");
@@ -111,7 +112,7 @@
   /** What happened. */
   sealed interface Event permits ListNews, Request, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
       PeerMessage, TakenOut, CalledBack, HandOver, Inherited,
-      Beside {}
+      Beside, Retuned {}
 
   /** News of the list of upstreams. An instance's first news is of kind CACHED. */
   record ListNews(ListKind kind, List<Listed> entries) implements Event {}
@@ -171,6 +172,12 @@
   /** What a predecessor knew; after the first list. */
   record Inherited(Knowledge knowledge) implements Event {}
 
+  /**
+   * Other settings hold for requests that come from here on; those in hand keep their class and number of attempts, and all that was
+   * learned stays. How the list comes stays as it was.
+   */
+  record Retuned(Settings settings) implements Event {}
+
   /** So many processes serve as this balancer, this one among them: 1 but for an upgrade. Each gets about an even part of the traffic. */
   record Beside(int processes) implements Event {}
 
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -87,11 +87,11 @@
   /** The timer of requests that have to be sent or ended before their deadline. */
   private static final String ANSWER = "answer";
 
-  private final Settings settings;
+  private Settings settings;
   private final SplittableRandom random;
   private final long window;
-  private final long shortestAim;
-  private final long sweep;
+  private long shortestAim;
+  private long sweep;
   private final Map<String, RequestClass> classes = new HashMap<>();
   private final Windows windows;
   private final Shares shares;
@@ -125,19 +125,25 @@
 
   /** Makes the decisions of one balancer; the seed is its only source of randomness. */
   public Logic(Settings settings, long seed) {
-    this.settings = settings;
     random = new SplittableRandom(seed);
-    settings.classes().forEach(c -> classes.put(c.name(), c));
-    shortestAim = settings.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
+    tune(settings);
     long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
-    sweep = shortestAim / SWEEPS;
     fleet = new Window(window, 0);
     windows = new Windows(window);
     shares = new Shares(settings, windows);
     hints = new Hints(shortestAim);
   }
 
+  /** The windows keep their length: what they hold would be lost with it. */
+  private void tune(Settings to) {
+    settings = to;
+    classes.clear();
+    to.classes().forEach(c -> classes.put(c.name(), c));
+    shortestAim = to.classes().stream().mapToLong(RequestClass::aimNanos).min().getAsLong();
+    sweep = shortestAim / SWEEPS;
+  }
+
   @Override
   public void handle(long nowNanos, Event event, Consumer<Action> actions) {
     now = nowNanos;
@@ -162,6 +168,9 @@
       out.accept(new Bequeath(new Knowledge(upstreams.values().stream().map(u -> u.known(now)).toList(),
           windows.totals(now, Knowledge.MOST_WINDOWS), fleet.totals(now), usualInFlight, usualSends, hints.usual, weightUnit,
           retries.tokens)));
+    } else if (event instanceof Retuned e) {
+      tune(e.settings());
+      shares.retune(settings);
     } else if (event instanceof Beside e) {
       processes = e.processes();
     } else if (event instanceof Inherited e) {
@@ -196,7 +205,7 @@
     String endpoint = request.className() + ' ' + request.tenant() + (excess ? " over" : "");
     Window key = windows.of(endpoint + ' ' + request.key(), now);
     Open r = new Open(request, type, now, excess, windows.of(endpoint, now), key,
-        hints.load(request.workHintNanos()));
+        hints.load(request.workHintNanos()), settings.limits().maxAttempts());
     boolean repeat = !request.earlier().isEmpty();
     request.earlier().forEach(e -> r.attempts.add(earlier(e)));
     boolean full = open.size() >= settings.limits().maxOpen();
@@ -410,7 +419,7 @@
   /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
-    boolean over = r.attempts.size() >= settings.limits().maxAttempts() || !retries.allows(r)
+    boolean over = r.attempts.size() >= r.maxAttempts || !retries.allows(r)
         || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep
         || answerDue(r)
         || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
@@ -445,7 +454,7 @@
     Attempt last = r.attempts.get(r.attempts.size() - 1);
     if (!settings.limits().secondCopies() || !settings.limits().cancel() || !silent(last.upstream)
         || !retries.allowsCopy() || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
-        || r.attempts.size() >= settings.limits().maxAttempts()) {
+        || r.attempts.size() >= r.maxAttempts) {
       return;
     }
     Upstream u = r.type.effect() == Effect.UNSAFE ? null : place(r);
@@ -471,7 +480,7 @@
   private Reason why(Open r) {
     return now >= r.request.deadlineNanos() - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
         : r.type.effect() != Effect.SAFE && r.mayHaveRun() ? Reason.MAY_HAVE_RUN
-        : r.attempts.size() >= settings.limits().maxAttempts() ? Reason.ATTEMPTS
+        : r.attempts.size() >= r.maxAttempts ? Reason.ATTEMPTS
         : !retries.allows(r) ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
   }
 
--- a/decision/src/main/java/cloverpulley/Open.java
+++ b/decision/src/main/java/cloverpulley/Open.java
@@ -12,13 +12,14 @@
   final Window endpoint;
   final Window key;
   final double load;
+  final int maxAttempts;
   final List<Attempt> attempts = new ArrayList<>(1);
   int out;
   boolean ended;
   boolean streaming;
 
   Open(Balancer.Request request, Balancer.RequestClass type, long arrived, boolean excess, Window endpoint, Window key,
-      double load) {
+      double load, int maxAttempts) {
     this.request = request;
     this.type = type;
     this.arrived = arrived;
@@ -26,6 +27,7 @@
     this.endpoint = endpoint;
     this.key = key;
     this.load = load;
+    this.maxAttempts = maxAttempts;
   }
 
   boolean mayHaveRun() {
--- a/decision/src/main/java/cloverpulley/Shares.java
+++ b/decision/src/main/java/cloverpulley/Shares.java
@@ -19,8 +19,15 @@
 
   Shares(Balancer.Settings settings, Windows windows) {
     this.windows = windows;
+    retune(settings);
+  }
+
+  /** Other quotas hold from here on; what was saved up stays. */
+  void retune(Balancer.Settings settings) {
+    quotas.clear();
     settings.tenants().stream().filter(t -> t.quotaPerSecond() > 0)
         .forEach(t -> quotas.put(t.name(), t.quotaPerSecond() / settings.groupSize()));
+    buckets.keySet().retainAll(quotas.keySet());
   }
 
   /** Whether a tenant has a quota. */
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -21,6 +21,7 @@
 import cloverpulley.Balancer.ProbeResult;
 import cloverpulley.Balancer.Refuse;
 import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.Retuned;
 import cloverpulley.Balancer.Send;
 import cloverpulley.Balancer.SetTimer;
 import cloverpulley.Balancer.Settings;
@@ -59,7 +60,8 @@
 
   private final ScheduledExecutorService loop;
   private final Clock clock;
-  private final Settings settings;
+  private Settings settings;
+  private boolean retuned;
   private final LongFunction<Balancer> modules;
   private final Fleet fleet;
   private final ListSource lists;
@@ -122,6 +124,7 @@
   public void take(Exchange x) {
     x.id = "r" + taken;
     x.number = ++taken;
+    x.maxAttempts = settings.limits().maxAttempts();
     exchanges.put(x.id, x);
     witness.taken(x);
     Exchange.Facts f = x.facts();
@@ -201,6 +204,13 @@
     enqueue(() -> new Inherited(knowledge));
   }
 
+  /** Other settings hold for requests that are taken from here on; those in hand keep theirs. */
+  public void retune(Settings to) {
+    settings = to;
+    retuned = true;
+    enqueue(() -> new Retuned(to));
+  }
+
   /** So many processes serve as this balancer, this one among them. */
   public void beside(int processes) {
     enqueue(() -> new Beside(processes));
@@ -302,7 +312,7 @@
 
   /** A module that threw is in an unknown state: what it held is answered, and a new one starts from the list. */
   private void restart(Event cause) {
-    if (cause instanceof ListNews news && news.kind() == ListKind.CACHED) {
+    if (cause instanceof Retuned || cause instanceof ListNews news && news.kind() == ListKind.CACHED) {
       LOG.severe("a module can't even start: the process ends");
       failAll();
       loop.execute(() -> Runtime.getRuntime().halt(1));
@@ -318,6 +328,10 @@
     all.forEach(Exchange::forgotten);
     queue.clear();
     module = modules.apply(++generation);
+    if (retuned) {
+      Settings now = settings;
+      enqueue(() -> new Retuned(now)); // Before the list: it was made with those of the start.
+    }
     ListNews held = fleet.held();
     enqueue(() -> held);
     fleet.out().forEach(id -> {
@@ -417,7 +431,7 @@
     long left = x.facts().deadline() - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.upstream());
-    if (x.isEnded() || timeout <= 0 || number >= settings.limits().maxAttempts()) {
+    if (x.isEnded() || timeout <= 0 || number >= x.maxAttempts) {
       attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
     } else if (address == null) {
       attemptEnded(attempt, Status.CONNECT_FAILED, Map.of(), () -> { });
--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -35,6 +35,8 @@
   boolean told;
   Future<?> guard;
   int outstanding;
+  /** As the settings had it when it was taken. */
+  int maxAttempts;
   private boolean ended;
 
   protected Exchange(Facts facts) {
--- a/wire/src/main/java/cloverpulley/wire/Fields.java
+++ b/wire/src/main/java/cloverpulley/wire/Fields.java
@@ -116,6 +116,15 @@
     return has(name) ? integer(name) : absent;
   }
 
+  /** A whole number that fits 32 bits. */
+  public int small(String name, int absent) {
+    long number = integer(name, absent);
+    if (number != (int) number) {
+      throw bad(name, "a whole number of at most 32 bits");
+    }
+    return (int) number;
+  }
+
   public double number(String name, double absent) {
     if (!has(name)) {
       return absent;
--- a/wire/src/main/java/cloverpulley/wire/SettingsDecoder.java
+++ b/wire/src/main/java/cloverpulley/wire/SettingsDecoder.java
@@ -44,8 +44,8 @@
     Fields l = f.nested("limits");
     Limits limits = new Limits(l.bool("cancel", false), l.bool("probing", false), l.bool("peers", false),
         l.bool("second-copies", false), l.bool("retry-after", false), l.integer("max-retry-after-ns", 0),
-        (int) l.integer("max-attempts", 1), (int) l.integer("most-held", Integer.MAX_VALUE),
-        (int) l.integer("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L));
+        l.small("max-attempts", 1), l.small("most-held", Integer.MAX_VALUE),
+        l.small("multiplex", 1), l.integer("connect-timeout-ns", 250_000_000L));
     boolean onRequest = f.word("registry-mode", LIST_MODE, false);
     Fields c = f.nested("contract");
     Contract contract = new Contract(c.integer("answer-slack-ns", 0),
@@ -54,7 +54,7 @@
         c.integer("overload-for-ns", 1_000_000_000L));
     Fields p = f.nested("prices");
     Prices prices = new Prices(p.number("cross-zone", 0), p.number("waste", 0), p.number("late-fail", 0));
-    return new Settings((int) f.integer("me", 0), (int) f.integer("group-size", 1), f.text("zone", ""), classes,
+    return new Settings(f.small("me", 0), f.small("group-size", 1), f.text("zone", ""), classes,
         tenants, limits, contract, prices, onRequest, f.word("weight-kind", WEIGHTS, WeightKind.NONE),
         f.number("over-share-worth", 1), f.nested("domain").bool("warm-keys", false),
         f.integer("resolution-ns", 1_000_000L));
