--- a/balancer/src/main/java/cloverpulley/serve/Call.java
+++ b/balancer/src/main/java/cloverpulley/serve/Call.java
@@ -1,8 +1,10 @@
 package cloverpulley.serve;
 
 import cloverpulley.Balancer.Status;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 
 /** One request on its way to an upstream; it ends exactly once. */
@@ -13,8 +15,21 @@
     void ended(Status status, FullHttpResponse answer);
   }
 
+  /** Takes an answer that is too long to be held, while it comes. */
+  interface Passing {
+    /** It begins with this head; false where it is not wanted, and then nothing of it is told. */
+    boolean begins(HttpResponse head);
+
+    /** A piece, which is taken over; false to be told no more until {@link Call#goOn}. */
+    boolean piece(ByteBuf piece);
+  }
+
   final long upstream;
   private final Ended ended;
+  /** Null where answers have to be short. */
+  final Passing passing;
+  /** What of the request's body is still to come; null for nothing. */
+  final BodyStream rest;
   /** The connection it is on, from when one is opened or reused until the call ends. */
   Channel channel;
   Future<?> timeout;
@@ -22,9 +37,18 @@
   boolean written;
   private boolean done;
 
-  Call(long upstream, Ended ended) {
+  Call(long upstream, Ended ended, Passing passing, BodyStream rest) {
     this.upstream = upstream;
     this.ended = ended;
+    this.passing = passing;
+    this.rest = rest;
+  }
+
+  /** More of the answer can be taken. */
+  void goOn() {
+    if (channel != null) {
+      channel.config().setAutoRead(true);
+    }
   }
 
   boolean isDone() {
@@ -39,6 +63,9 @@
       if (timeout != null) {
         timeout.cancel(false);
       }
+      if (rest != null) {
+        rest.attach(null);
+      }
       ended.ended(status, answer);
     }
   }
--- a/balancer/src/main/java/cloverpulley/serve/Clients.java
+++ b/balancer/src/main/java/cloverpulley/serve/Clients.java
@@ -10,8 +10,8 @@
 /** The clients' connections by what they are doing and since when; says which go when time or descriptors run out. */
 final class Clients {
 
-  /** What a connection does; in the order in which they are shed, and one that is served never is. */
-  enum State { LEAVING, READING, IDLE, SERVED }
+  /** What a connection does; in the order in which they are shed, and one that is served, or was while its body comes, never is. */
+  enum State { LEAVING, READING, IDLE, UPLOADING, SERVED }
 
   /** A client's connection. */
   interface Client {
@@ -21,8 +21,9 @@
     void close();
   }
 
-  /** A client is owed an error or a close 3 s after it connected if no whole request has come by then. */
-  static final long READING_NANOS = TimeUnit.MILLISECONDS.toNanos(2000);
+  /** A client is owed an error or a close 3 s after it connected if nothing whole has come by then; it may take 2 s for a head, and
+   * pause for as long within a body. */
+  static final long READING_NANOS = TimeUnit.MILLISECONDS.toNanos(2500);
   /** After an error a client has this long to read it: closing at once, over what it still sends, would destroy it. */
   private static final long LEAVING_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
   /** A client that has not asked for this long won't miss its connection. */
@@ -66,7 +67,7 @@
   /** Closes the one that is missed least; false if all are being served. Closing it has to remove it. */
   boolean shed() {
     for (State state : State.values()) {
-      if (state != State.SERVED && !since.get(state).isEmpty()) {
+      if (state.compareTo(State.UPLOADING) < 0 && !since.get(state).isEmpty()) {
         since.get(state).keySet().iterator().next().close();
         return true;
       }
@@ -78,6 +79,7 @@
   void sweep() {
     longer(State.LEAVING, LEAVING_NANOS).forEach(Client::close);
     longer(State.READING, READING_NANOS).forEach(Client::overdue);
+    longer(State.UPLOADING, READING_NANOS).forEach(Client::overdue);
     longer(State.IDLE, IDLE_NANOS).forEach(Client::close);
   }
 
--- a/balancer/src/main/java/cloverpulley/serve/Frontend.java
+++ b/balancer/src/main/java/cloverpulley/serve/Frontend.java
@@ -23,22 +23,28 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.handler.codec.http.cookie.Cookie;
 import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.SocketAddress;
@@ -61,7 +67,7 @@
 
   static final String EXPIRES = "X-Expires-In-Ms";
   static final String HEALTH = "/healthz";
-  /** The largest body either way. */
+  /** The longest answer that is held whole, so that one which breaks off can be made good elsewhere. */
   static final int MOST_BODY = 64 * 1024;
   static final String API = "/api";
   static final String ID = "X-Trace-Id";
@@ -81,6 +87,13 @@
   /** More requests than one read can hold: what is too many is for this class to say, in its turn. */
   private static final int MOST_DECODED = 8192;
   private static final long SWEEP_MILLIS = 100;
+  /** What a client may take for a body beyond this much time for each byte, and the longest that any may take. */
+  private static final long BODY_NANOS_PER_BYTE = TimeUnit.SECONDS.toNanos(1) / (32 * 1024);
+  private static final long MOST_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(10);
+  /** A client that reads nothing of an answer for this long has let go of it. */
+  private static final long STALLED_MILLIS = 30_000;
+  /** Times of {@link Clients#READING_NANOS} that an upstream may take nothing of a body. */
+  private static final int MOST_PAUSES = 12;
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -198,13 +211,15 @@
   }
 
   /** One client's connection: a request at a time, those that come early wait for their turn. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Clients.Client {
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> implements Clients.Client, HttpExchange.Reply {
 
     private final Channel channel;
     private final RequestReader reader;
     private final ArrayDeque<FullHttpRequest> early = new ArrayDeque<>(1);
     private boolean busy;
     private boolean keepAlive;
+    /** The request is of HTTP/1.0, which knows no chunks. */
+    private boolean old;
     /** Nothing that still comes is read: it follows what can't be understood, or there is too much of it. */
     private boolean deaf;
     /** Bytes have come since the last request that was taken. */
@@ -212,10 +227,23 @@
     /** Bytes of the body of the request that is served. */
     private int size;
     private HttpExchange exchange;
+    /** What is still to come of the body of the request that is served; null for nothing. */
+    private BodyStream rest;
+    private boolean left;
+    /** Times that nothing came of a body because it was not read. */
+    private int pauses;
+    private Passing passing;
+    /** When the first byte of the request came that is being read. */
+    private long readingSince = System.nanoTime();
 
     Connection(Channel channel) {
       this.channel = channel;
-      reader = new RequestReader(bodies, () -> busy);
+      reader = new RequestReader(bodies, () -> busy, this::read);
+    }
+
+    /** Reads, or doesn't: what waits for its turn, or for an upstream that takes it slowly, is not to grow. */
+    private void read() {
+      channel.config().setAutoRead(!left && early.isEmpty() && reader.wantsMore());
     }
 
     /** Sees bytes before they are decoded: from the first one on a request has to come in whole in time. */
@@ -229,13 +257,37 @@
           }
           begun = true;
           if (clients.is(Connection.this, State.IDLE)) {
+            readingSince = System.nanoTime();
             clients.move(Connection.this, State.READING);
           }
           context.fireChannelRead(bytes);
+          if (reader.isWithin()) {
+            progress();
+          }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+          if (passing != null) {
+            passing.writabilityChanged();
+          }
+          context.fireChannelWritabilityChanged();
         }
       };
     }
 
+    /** A body that comes keeps its client, if it comes fast enough. */
+    private void progress() {
+      if (System.nanoTime() - readingSince > Clients.READING_NANOS + reader.came() * BODY_NANOS_PER_BYTE) {
+        overdue();
+      } else if (clients.is(this, State.READING)) {
+        clients.move(this, State.READING);
+      } else if (clients.is(this, State.UPLOADING)) {
+        pauses = 0;
+        clients.move(this, State.UPLOADING);
+      }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext context) {
       clients.move(this, State.READING);
@@ -251,7 +303,7 @@
         take(request);
       } else if (early.size() < MOST_EARLY) {
         early.add(request.retain());
-        channel.config().setAutoRead(false);
+        read();
       } else {
         // Guards the memory: switching off reading alone does not stop what the decoder has already.
         FullHttpRequest last = early.peekLast();
@@ -266,9 +318,13 @@
       early.forEach(FullHttpRequest::release);
       early.clear();
       reader.release();
+      if (passing != null) {
+        passing.over();
+      }
       if (exchange != null) {
-        engine.clientGone(exchange);
+        HttpExchange gone = exchange;
         exchange = null;
+        engine.clientGone(gone);
       }
     }
 
@@ -284,7 +340,11 @@
     @Override
     public void overdue() {
       counts.clientClosed(false);
-      if (begun) {
+      if (clients.is(this, State.UPLOADING) && !channel.config().isAutoRead() && ++pauses < MOST_PAUSES) {
+        clients.move(this, State.UPLOADING); // It is the upstream that takes its time.
+      } else if (clients.is(this, State.UPLOADING)) {
+        close(); // What there was of it may be at an upstream, which never gets the rest; or it is answered already.
+      } else if (begun) {
         deaf = true;
         busy = true;
         answer(HttpResponseStatus.REQUEST_TIMEOUT, "the request did not come in whole");
@@ -303,8 +363,10 @@
       busy = true;
       begun = false;
       size = request.content().readableBytes();
-      clients.move(this, State.SERVED);
+      rest = request instanceof StreamedRequest s ? s.rest : null;
+      clients.move(this, rest == null ? State.SERVED : State.UPLOADING);
       keepAlive = HttpUtil.isKeepAlive(request);
+      old = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
       String uri = request.uri();
       int query = uri.indexOf('?');
       String path = query < 0 ? uri : uri.substring(0, query);
@@ -348,11 +410,25 @@
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
         long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
+        // Of a body that is still coming the end is not known; its client's time counts from there.
+        long until = clock.now() + wait - WAY_NANOS + (rest == null ? 0 : MOST_UPLOAD_NANOS);
         Exchange.Facts facts = new Exchange.Facts(type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
-            "1".equals(headers.get(RETRY)), clock.now() + wait - WAY_NANOS, 0, List.of());
-        exchange = new HttpExchange(facts, exchanges, request.retain(), this::answer, () -> open.remove(id));
+            "1".equals(headers.get(RETRY)), until, 0, List.of());
+        exchange = new HttpExchange(facts, exchanges, request.retain(), wait, this, () -> open.remove(id));
         open.add(id);
         engine.take(exchange);
+        if (rest != null) {
+          HttpExchange uploading = exchange;
+          rest.listen(() -> engine.unrepeatable(uploading), () -> uploaded(uploading, wait - WAY_NANOS));
+        }
+      }
+    }
+
+    private void uploaded(HttpExchange uploading, long left) {
+      begun = false;
+      uploading.bodyEnded(clock.now() + left, left);
+      if (clients.is(this, State.UPLOADING)) {
+        clients.move(this, State.SERVED);
       }
     }
 
@@ -375,7 +451,8 @@
       content.release();
     }
 
-    private void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
+    @Override
+    public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
       exchange = null;
       FullHttpResponse response =
           new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retainedDuplicate());
@@ -387,24 +464,118 @@
         response.headers().set(HttpHeaderNames.RETRY_AFTER,
             BigDecimal.valueOf((long) Math.ceil(retryAfterNanos / 1e6), 3).toPlainString());
       }
-      // What waits for its turn has been taken, and is answered before the connection ends.
-      boolean keep = keepAlive && (!early.isEmpty() || !deaf && !closing);
+      boolean keep = keeps();
+      HttpUtil.setKeepAlive(response, keep);
+      channel.writeAndFlush(response).addListener(f -> answered(f.isSuccess(), keep));
+    }
+
+    /** What waits for its turn has been taken, and is answered before the connection ends. */
+    private boolean keeps() {
+      return keepAlive && (rest == null || rest.isWhole()) && (!early.isEmpty() || !deaf && !closing);
+    }
+
+    private void answered(boolean written, boolean keep) {
+      boolean uploading = rest != null && !rest.isWhole();
+      if (written && uploading) {
+        // A client that reads only once it has sent all: what it still sends is dropped, and then the connection ends.
+        BodyStream coming = rest;
+        deafTo(coming);
+      } else if (!written || !keep && !deaf) {
+        channel.close();
+      } else if (!keep) {
+        leave();
+      } else {
+        next();
+      }
+    }
+
+    private void deafTo(BodyStream coming) {
+      coming.drop();
+      coming.listen(() -> { }, this::leave);
+      read();
+    }
+
+    @Override
+    public HttpExchange.Stream begin(CharSequence type, long length, Runnable writable) {
+      HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+      if (type != null) {
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+      }
+      boolean framed = length >= 0 || !old;
+      if (length >= 0) {
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+      } else if (framed) {
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+      }
+      boolean keep = framed && keeps();
       HttpUtil.setKeepAlive(response, keep);
-      channel.writeAndFlush(response).addListener(f -> {
-        if (!f.isSuccess() || !keep && !deaf) {
-          channel.close();
-        } else if (!keep) {
-          leave();
-        } else {
-          next();
+      passing = new Passing(keep, writable);
+      channel.write(response);
+      return passing;
+    }
+
+    /** An answer on its way to the client while it comes. */
+    private final class Passing implements HttpExchange.Stream {
+      private final boolean keep;
+      private final Runnable writable;
+      private Future<?> stalled;
+
+      Passing(boolean keep, Runnable writable) {
+        this.keep = keep;
+        this.writable = writable;
+      }
+
+      @Override
+      public boolean isWritable() {
+        boolean can = channel.isWritable();
+        if (!can && stalled == null) {
+          stalled = channel.eventLoop().schedule(this::abort, STALLED_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        return can;
+      }
+
+      void writabilityChanged() {
+        if (channel.isWritable() && stalled != null) {
+          over();
+          writable.run();
         }
-      });
+      }
+
+      /** Nobody waits for its client any more. */
+      void over() {
+        if (stalled != null) {
+          stalled.cancel(false);
+          stalled = null;
+        }
+      }
+
+      @Override
+      public void write(ByteBuf piece) {
+        channel.writeAndFlush(new DefaultHttpContent(piece));
+      }
+
+      @Override
+      public void end() {
+        exchange = null;
+        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> {
+          over();
+          passing = null;
+          answered(f.isSuccess(), keep);
+        });
+      }
+
+      @Override
+      public void abort() {
+        over();
+        channel.close();
+      }
     }
 
     /** Guards the error on its way: to close over bytes that were not read would reset it away. */
     private void leave() {
       clients.move(this, State.LEAVING);
-      channel.config().setAutoRead(false);
+      left = true;
+      read();
       if (channel instanceof DuplexChannel duplex) {
         duplex.shutdownOutput();
       }
@@ -412,16 +583,18 @@
 
     private void next() {
       busy = false;
+      rest = null;
       reader.release(size);
       FullHttpRequest request = early.poll();
       if (request != null) {
         take(request);
         request.release();
       } else if (channel.isActive()) {
+        readingSince = System.nanoTime();
         clients.move(this, begun ? State.READING : State.IDLE);
       }
-      if (early.isEmpty() && !deaf) {
-        channel.config().setAutoRead(true);
+      if (!deaf) {
+        read();
       }
     }
   }
--- a/balancer/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/balancer/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -14,8 +14,11 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.AsciiString;
 import java.net.SocketAddress;
@@ -34,6 +37,22 @@
   /** Gives the one final answer to the client; a no-op where the client is gone. The content stays the caller's. */
   interface Reply {
     void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
+
+    /** Begins the final answer, which is passed on while it comes; {@code length} is -1 where it is not known. */
+    Stream begin(CharSequence contentType, long length, Runnable writable);
+  }
+
+  /** The client's side of an answer that is passed on. */
+  interface Stream {
+    boolean isWritable();
+
+    /** Takes over a piece. */
+    void write(ByteBuf piece);
+
+    void end();
+
+    /** It will not be whole: ends the connection, so that the client can tell. */
+    void abort();
   }
 
   /** What a front has for all of its exchanges. */
@@ -49,10 +68,17 @@
   private final FullHttpRequest request;
   private final Reply reply;
   private final Runnable forgotten;
+  /** What of its body is still to come when it is taken; null for nothing. */
+  private final BodyStream rest;
+  private final long waitNanos;
+  private Call sending;
+  private Stream passing;
 
-  /** Takes over the request; {@code forgotten} is run when nothing is left of it. */
-  HttpExchange(Facts facts, Front front, FullHttpRequest request, Reply reply, Runnable forgotten) {
+  /** Takes over the request; {@code waitNanos} is how long its client waits, {@code forgotten} is run when nothing is left of it. */
+  HttpExchange(Facts facts, Front front, FullHttpRequest request, long waitNanos, Reply reply, Runnable forgotten) {
     super(facts);
+    rest = request instanceof StreamedRequest s ? s.rest : null;
+    this.waitNanos = waitNanos;
     this.front = front;
     this.request = request;
     this.reply = reply;
@@ -61,26 +87,82 @@
 
   @Override
   protected Attempt.Sending start(Attempt attempt, SocketAddress address, long timeoutNanos) {
-    Call call = new Call(attempt.upstream(), (status, answer) -> ended(attempt, status, answer));
-    front.pool.start(call, address, forward(timeoutNanos), timeoutNanos);
+    if (rest != null && (rest.isTaken() || sending != null && !sending.isDone())) {
+      // Its beginning is gone, or is being sent: a second copy of it can't be.
+      front.engine.attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
+      return () -> { };
+    }
+    Answer answer = new Answer(attempt);
+    Call call = new Call(attempt.upstream(), answer::ended, answer, rest);
+    answer.call = call;
+    sending = call;
+    front.pool.start(call, address, forward(rest == null ? timeoutNanos : Math.min(timeoutNanos, waitNanos)), timeoutNanos);
     return () -> front.pool.cancel(call);
   }
 
-  private void ended(Attempt attempt, Status status, FullHttpResponse answer) {
-    FullHttpResponse served = status == Status.SERVED ? answer.retain() : null;
-    front.engine.attemptEnded(attempt, status, front.load(answer), () -> {
-      if (served != null) {
-        if (!isEnded()) {
-          end();
-          reply.answer(HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
+  /** The body has come whole: what waits for an answer waits for so much longer. */
+  void bodyEnded(long deadline, long leftNanos) {
+    front.engine.bodyEnded(this, deadline);
+    if (sending != null && passing == null) {
+      front.pool.limit(sending, leftNanos);
+    }
+  }
+
+  /** What comes back on one attempt. */
+  private final class Answer implements Call.Passing {
+    private final Attempt attempt;
+    private Call call;
+    private boolean begun;
+
+    Answer(Attempt attempt) {
+      this.attempt = attempt;
+    }
+
+    @Override
+    public boolean begins(HttpResponse head) {
+      if (!front.engine.answerBegins(attempt)) {
+        return false;
+      }
+      begun = true;
+      passing = reply.begin(head.headers().get(HttpHeaderNames.CONTENT_TYPE), HttpUtil.getContentLength(head, -1L), call::goOn);
+      return true;
+    }
+
+    @Override
+    public boolean piece(ByteBuf piece) {
+      passing.write(piece);
+      return passing.isWritable();
+    }
+
+    private void ended(Status status, FullHttpResponse answer) {
+      if (begun) {
+        if (status == Status.SERVED) {
+          passing.end();
+        } else {
+          passing.abort();
         }
-        served.release();
+        front.engine.attemptEnded(attempt, status, Map.of(), HttpExchange.this::end);
+        return;
       }
-    });
+      FullHttpResponse served = status == Status.SERVED ? answer.retain() : null;
+      front.engine.attemptEnded(attempt, status, front.load(answer), () -> {
+        if (served != null) {
+          if (!isEnded() && !isPassing()) {
+            end();
+            reply.answer(HttpResponseStatus.OK, 0, served.headers().get(HttpHeaderNames.CONTENT_TYPE), served.content());
+          }
+          served.release();
+        }
+      });
+    }
   }
 
   @Override
   protected void answer(Verdict verdict) {
+    if (passing != null) {
+      passing.abort(); // An answer has begun, and there is no other.
+      return;
+    }
     HttpResponseStatus status = verdict.refused() ? HttpResponseStatus.TOO_MANY_REQUESTS : switch (verdict.reason()) {
       case DEADLINE -> HttpResponseStatus.GATEWAY_TIMEOUT;
       case STOPPING -> HttpResponseStatus.INTERNAL_SERVER_ERROR;
@@ -92,6 +174,9 @@
   @Override
   protected void released() {
     request.release();
+    if (rest != null) {
+      rest.drop();
+    }
   }
 
   @Override
@@ -109,7 +194,9 @@
     }
     HOP_BY_HOP.forEach(headers::remove);
     headers.set(Frontend.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
-    if (request.content().isReadable()) {
+    if (rest != null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+      headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else if (rest == null && request.content().isReadable()) {
       headers.set(HttpHeaderNames.CONTENT_LENGTH, request.content().readableBytes());
     }
     return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -14,11 +14,13 @@
 import cloverpulley.handover.Legacy;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -40,6 +42,11 @@
   private static final int BACKLOG = 1024;
   /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
   private static final int BODIES_PART = 16;
+  /** What a connection holds unwritten before the other side of it is read no further, and what one read brings at most. */
+  private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
+  private static final int LEAST_READ = 512;
+  private static final int FIRST_READ = 2048;
+  private static final int MOST_READ = 16 * 1024;
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
   /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
   private static final long AGENT_RETRY_MILLIS = 200;
@@ -107,7 +114,8 @@
       }
       ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
           .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-          .childOption(ChannelOption.TCP_NODELAY, true);
+          .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
+          .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
       if (server.operations != null) {
         listen.option(Listener.REUSE_PORT, true);
       }
@@ -141,7 +149,8 @@
         TimeUnit.NANOSECONDS.toMillis(config.settings().contract().warmWithinNanos()));
     counts.writeOn(loop);
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
-        .option(ChannelOption.TCP_NODELAY, true);
+        .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
         config.idleNanos(), fleet::isReady, config.loadReports(), counts);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
--- a/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -6,6 +6,7 @@
 import cloverpulley.engine.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -17,19 +18,22 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
@@ -61,8 +65,10 @@
   private static final long REST_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   /** A probe is given up after this. */
   private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-  /** An answer that has begun and is not whole after this won't be: its head does not end or its length does not fit. */
-  private static final long ANSWER_MILLIS = 300;
+  /** An answer that has begun and pauses for longer won't go on: its head does not end or its length does not fit. */
+  private static final long PAUSE_MILLIS = 300;
+  /** The same for one that is passed on, for which nothing can be done any more. */
+  private static final long PASSING_PAUSE_MILLIS = 10_000;
   /** More 1xx answers than this ahead of one are without end. */
   private static final int MOST_INFORMATIONAL = 16;
   /** What every answer begins with. */
@@ -95,7 +101,7 @@
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
             channel.pipeline().addLast(connection.arrivals(), new HttpRequestEncoder(), new AnswerDecoder(), new Framed(),
-                new AnswerReader(), connection);
+                connection);
           }
         });
     retune(connectTimeoutNanos, upstreamIdleNanos);
@@ -112,8 +118,7 @@
 
   /** Starts a call; it takes over the request. The time-out covers connecting. */
   void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
-    call.timeout = bootstrap.config().group().next()
-        .schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), timeoutNanos, TimeUnit.NANOSECONDS);
+    call.timeout = timeout(call, timeoutNanos);
     Connection reused = reuse(call.upstream, address);
     if (reused != null) {
       reused.write(call, request);
@@ -149,6 +154,19 @@
     });
   }
 
+  /** A call ends so much later, whatever was said at its start. */
+  void limit(Call call, long timeoutNanos) {
+    if (!call.isDone()) {
+      call.timeout.cancel(false);
+      call.timeout = timeout(call, timeoutNanos);
+    }
+  }
+
+  private Future<?> timeout(Call call, long nanos) {
+    return bootstrap.config().group().next().schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), nanos,
+        TimeUnit.NANOSECONDS);
+  }
+
   /** Stops waiting for a call. */
   void cancel(Call call) {
     abandon(call, Status.NOT_SENT, Status.CANCELLED);
@@ -172,7 +190,7 @@
   @Override
   public boolean probe(long upstream, SocketAddress address, Probed done) {
     Call call = new Call(upstream, (status, answer) -> done.ended(status, loadReports && answer != null
-        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()));
+        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()), null, null);
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
     request.headers().set(HttpHeaderNames.HOST, "upstream");
     start(call, address, request, PROBE_NANOS);
@@ -236,7 +254,7 @@
   }
 
   /** One connection, and the call on it. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
 
     final Channel channel;
     long upstream;
@@ -249,6 +267,12 @@
     private int begun;
     private int informational;
     private Future<?> wholeBy;
+    /** The answer that is coming: its head, what is held of its body, and whether it is passed on instead. */
+    private HttpResponse head;
+    private ByteBuf held;
+    private boolean passes;
+    private long came;
+    private long heardAt;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -274,8 +298,8 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
           context.fireChannelReadComplete();
-          if (call != null && begun > 0 && wholeBy == null) {
-            wholeBy = channel.eventLoop().schedule(Connection.this::spoilt, ANSWER_MILLIS, TimeUnit.MILLISECONDS);
+          if (call != null && begun > 0) {
+            expectMore();
           }
         }
       };
@@ -290,8 +314,35 @@
       return true;
     }
 
+    /** Guards a client from an answer that stops on its way: its length does not fit, or its head does not end. */
+    private void expectMore() {
+      heardAt = System.nanoTime();
+      if (wholeBy == null) {
+        wholeBy = channel.eventLoop().schedule(this::checkProgress, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    private void checkProgress() {
+      wholeBy = null;
+      long most = TimeUnit.MILLISECONDS.toNanos(passes ? PASSING_PAUSE_MILLIS : PAUSE_MILLIS);
+      long left = most - (System.nanoTime() - heardAt);
+      if (left <= 0 && channel.config().isAutoRead()) {
+        spoilt();
+      } else {
+        // Not reading is this side's doing: its client takes its time.
+        wholeBy = channel.eventLoop().schedule(this::checkProgress, left <= 0 ? most : left, TimeUnit.NANOSECONDS);
+      }
+    }
+
     private void nothingBegun() {
       begun = 0;
+      head = null;
+      passes = false;
+      came = 0;
+      if (held != null) {
+        held.release();
+        held = null;
+      }
       if (wholeBy != null) {
         wholeBy.cancel(false);
         wholeBy = null;
@@ -324,31 +375,157 @@
       call = next;
       upstream = next.upstream;
       next.channel = channel;
-      channel.writeAndFlush(request).addListener(f -> {
-        if (f.isSuccess()) {
-          next.written = true;
-        } else {
-          channel.close();
-          next.end(Status.CONNECT_FAILED, null);
+      if (next.rest == null) {
+        channel.writeAndFlush(request).addListener(f -> written(next, f.isSuccess()));
+        return;
+      }
+      channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), request.headers()));
+      channel.writeAndFlush(new DefaultHttpContent(request.content())).addListener(f -> {
+        if (!f.isSuccess()) {
+          written(next, false);
+        }
+      });
+      next.rest.attach(new BodyStream.Sink() {
+        @Override
+        public boolean isWritable() {
+          return channel.isWritable();
+        }
+
+        @Override
+        public void write(ByteBuf piece) {
+          channel.writeAndFlush(new DefaultHttpContent(piece));
+        }
+
+        @Override
+        public void end() {
+          channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> Connection.this.written(next, f.isSuccess()));
         }
       });
     }
 
+    private void written(Call next, boolean success) {
+      if (success) {
+        next.written = true;
+      } else {
+        channel.close();
+        next.end(Status.CONNECT_FAILED, null);
+      }
+    }
+
     @Override
-    protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
-      nothingBegun();
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+      if (call != null && call.rest != null && channel.isWritable()) {
+        call.rest.flow();
+      }
+      context.fireChannelWritabilityChanged();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
       if (call == null) {
         channel.close();
-        return;
+      } else if (!message.decoderResult().isSuccess()) {
+        spoilt();
+      } else {
+        if (message instanceof HttpResponse response) {
+          head = response;
+          if (HttpUtil.getContentLength(response, -1L) > RequestReader.MOST_BODY) {
+            spoilt();
+          }
+        }
+        if (head != null && message instanceof HttpContent content) {
+          body(content);
+        }
       }
-      if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-        if (++informational > MOST_INFORMATIONAL || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+    }
+
+    private void body(HttpContent content) {
+      boolean last = content instanceof LastHttpContent;
+      came += content.content().readableBytes();
+      if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+        if (++informational > MOST_INFORMATIONAL || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
           spoilt();
+        } else {
+          nothingBegun();
         }
-        return;
+      } else if (came > RequestReader.MOST_BODY) {
+        spoilt();
+      } else if (passes || pass()) {
+        pass(content.content(), last);
+      } else if (came > Frontend.MOST_BODY) {
+        spoilt(); // Too long to be held, and nobody takes it as it comes.
+      } else {
+        if (held == null) {
+          held = content.content().retain();
+        } else {
+          ByteBuf more = held.isReadOnly() || held.refCnt() > 1 || held.unwrap() != null ? copy(held) : held;
+          held = more.writeBytes(content.content());
+        }
+        if (last) {
+          whole();
+        }
+      }
+    }
+
+    private ByteBuf copy(ByteBuf first) {
+      ByteBuf own = channel.alloc().buffer(Math.max(1024, 2 * first.readableBytes())).writeBytes(first);
+      first.release();
+      return own;
+    }
+
+    /** Whether the answer is passed on from here: it is good, longer than is held, and wanted. */
+    private boolean pass() {
+      boolean isLong = came > Frontend.MOST_BODY || HttpUtil.getContentLength(head, -1L) > Frontend.MOST_BODY;
+      if (!isLong || !head.status().equals(HttpResponseStatus.OK) || !call.written || call.passing == null
+          || !call.passing.begins(head)) {
+        return false;
+      }
+      passes = true;
+      call.timeout.cancel(false);
+      return true;
+    }
+
+    private void pass(ByteBuf content, boolean last) {
+      if (held != null) {
+        ByteBuf first = held;
+        held = null;
+        call.passing.piece(first);
+      }
+      if (content.isReadable() && !call.passing.piece(content.retain()) && !last) {
+        channel.config().setAutoRead(false);
+      }
+      if (last) {
+        Call answered = call;
+        boolean keeps = HttpUtil.isKeepAlive(head);
+        call = null;
+        nothingBegun();
+        usedAgain(false);
+        fresh = false;
+        informational = 0;
+        release(answered, keeps);
+        answered.end(Status.SERVED, null);
+      }
+    }
+
+    /** The connection is free again: it rests for the next call, or closes. */
+    private void release(Call answered, boolean keeps) {
+      if (keeps && answered.written && !answered.isDone() && ready.test(upstream)) {
+        channel.config().setAutoRead(true);
+        idleSince = System.nanoTime();
+        idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
+      } else {
+        channel.close();
       }
+    }
+
+    /** An answer that was held has come whole. */
+    private void whole() {
+      FullHttpResponse response = new DefaultFullHttpResponse(head.protocolVersion(), head.status(),
+          held == null ? Unpooled.EMPTY_BUFFER : held, head.headers(), EmptyHttpHeaders.INSTANCE);
+      held = null;
       Call answered = call;
       call = null;
+      nothingBegun();
       usedAgain(false);
       informational = 0;
       Status status = status(response);
@@ -360,14 +537,9 @@
         counts.noRoom(upstream);
       }
       fresh = false;
-      if (status != Status.RESET && answered.written && !answered.isDone() && HttpUtil.isKeepAlive(response)
-          && ready.test(upstream)) {
-        idleSince = System.nanoTime();
-        idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
-      } else {
-        channel.close();
-      }
+      release(answered, status != Status.RESET && HttpUtil.isKeepAlive(response));
       answered.end(status, response);
+      response.release();
     }
 
     @Override
@@ -394,21 +566,6 @@
     }
   }
 
-  /** Puts the parts of an answer together; one that is too large comes on as one that failed, without a byte of it. */
-  private static final class AnswerReader extends HttpObjectAggregator {
-
-    AnswerReader() {
-      super(Frontend.MOST_BODY);
-    }
-
-    @Override
-    protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-      FullHttpResponse failed = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_GATEWAY);
-      failed.setDecoderResult(DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
-      context.fireChannelRead(failed);
-    }
-  }
-
   /**
    * Guards against a 200 cut short that looks whole: without a length only the connection's end marks the body's, and
    * a process that dies ends it just so. Such an answer counts as broken.
--- /dev/null
+++ b/balancer/src/test/java/cloverpulley/serve/LongBodyTest.java
@@ -0,0 +1,303 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.AnswerStarted;
+import cloverpulley.Balancer.BodyEnded;
+import cloverpulley.Balancer.Fail;
+import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Refuse;
+import cloverpulley.Balancer.Request;
+import cloverpulley.Balancer.Send;
+import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.Unrepeatable;
+import cloverpulley.Reason;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bodies and answers that are longer than is held, byte for byte over loopback. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class LongBodyTest {
+
+  private static final int LONG = 3 << 20;
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+  private static byte[] bytes(int length) {
+    byte[] bytes = new byte[length];
+    new Random(7).nextBytes(bytes);
+    return bytes;
+  }
+
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.ISO_8859_1);
+  }
+
+  private static Rig rig(StubServer upstream, Script module) throws IOException {
+    return new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-a", upstream.address(), "ready"))), module);
+  }
+
+  private static String chunked(byte[] body, int size) {
+    StringBuilder s = new StringBuilder();
+    for (int at = 0; at < body.length; at += size) {
+      int n = Math.min(size, body.length - at);
+      s.append(Integer.toHexString(n)).append(";x=y\r\n").append(text(Arrays.copyOfRange(body, at, at + n))).append("\r\n");
+    }
+    return s.append("0\r\nX-Trailer: t\r\n\r\n").toString();
+  }
+
+  private static String head(Client client) throws IOException {
+    InputStream in = client.socket.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (!head.toString().endsWith("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        return null;
+      }
+      head.append((char) b);
+    }
+    return head.toString();
+  }
+
+  /** The body of a message in chunks. */
+  private static byte[] unchunked(InputStream in) throws IOException {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    while (true) {
+      StringBuilder size = new StringBuilder();
+      for (int b = in.read(); b != '\n'; b = in.read()) {
+        size.append((char) b);
+      }
+      int n = Integer.parseInt(size.toString().trim(), 16);
+      body.write(in.readNBytes(n));
+      assertEquals("\r\n", text(in.readNBytes(2)));
+      if (n == 0) {
+        return body.toByteArray();
+      }
+    }
+  }
+
+  /** The first bytes are there before the last have been sent, and all of them in the end; the connection serves on. */
+  @Test
+  void aLongAnswerPassesWhileItComes() throws Exception {
+    byte[] body = bytes(LONG);
+    CountDownLatch seen = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      while (c.next() != null) {
+        c.write(OK + "Content-Length: " + LONG + "\r\nContent-Type: a/b\r\n\r\n" + text(body).substring(0, 100_000));
+        seen.await();
+        c.write(text(body).substring(100_000));
+      }
+    }); Rig rig = rig(upstream, new Script(0)); Client client = rig.client()) {
+      client.write(Rig.get("r1", ""));
+      String head = head(client);
+      assertTrue(head.startsWith(OK) && head.toLowerCase().contains("content-length: " + LONG), head);
+      byte[] first = client.socket.getInputStream().readNBytes(50_000);
+      seen.countDown();
+      byte[] rest = client.socket.getInputStream().readNBytes(LONG - 50_000);
+      assertEquals(text(body), text(first) + text(rest));
+      client.write(Rig.get("r2", ""));
+      assertTrue(head(client).startsWith(OK), "the connection is good for another");
+      assertArrayEquals(body, client.socket.getInputStream().readNBytes(LONG));
+    }
+  }
+
+  @Test
+  void anAnswerInChunksPassesInChunks() throws Exception {
+    byte[] body = bytes(LONG);
+    try (StubServer upstream = StubServer.answering(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 7001));
+        Rig rig = rig(upstream, new Script(0)); Client client = rig.client()) {
+      client.write(Rig.get("r1", ""));
+      assertTrue(head(client).toLowerCase().contains("transfer-encoding: chunked"));
+      assertArrayEquals(body, unchunked(client.socket.getInputStream()));
+    }
+  }
+
+  /** HTTP/1.0 knows no chunks: the connection's end is the answer's. */
+  @Test
+  void anOldClientGetsNoChunks() throws Exception {
+    byte[] body = bytes(LONG);
+    try (StubServer upstream = StubServer.answering(OK + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body, 60_000));
+        Rig rig = rig(upstream, new Script(0)); Client client = rig.client()) {
+      client.write(Rig.get("r1", "").replace("HTTP/1.1", "HTTP/1.0"));
+      String head = head(client).toLowerCase();
+      assertTrue(!head.contains("chunked") && head.contains("connection: close"), head);
+      assertArrayEquals(body, client.socket.getInputStream().readAllBytes());
+    }
+  }
+
+  /** What has begun and breaks off can't be made good: the client can tell, and the module is told the end. */
+  @Test
+  void anAnswerThatBreaksOffEndsTheConnection() throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(OK + "Content-Length: " + LONG + "\r\n\r\n" + text(bytes(LONG / 2)));
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.get("r1", ""));
+      assertTrue(head(client).startsWith(OK));
+      assertTrue(client.socket.getInputStream().readAllBytes().length < LONG);
+      AnswerStarted started = module.next(AnswerStarted.class);
+      Outcome end = module.next(Outcome.class);
+      assertEquals(started.id(), end.id());
+      assertEquals(Status.RESET, end.status());
+      assertTrue(end.finished(), "no answer is owed any more");
+    }
+  }
+
+  /** An answer that is said to have gigabytes is none. */
+  @Test
+  void anAnswerBeyondAllBoundsIsBroken() throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = StubServer.answering(OK + "Content-Length: 3000000000\r\n\r\n" + text(bytes(200_000)));
+        Rig rig = rig(upstream, module); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("r1", "")).startsWith("HTTP/1.1 502 "));
+      assertEquals(Status.RESET, module.next(Outcome.class).status());
+    }
+  }
+
+  /** Whether its length is told or it comes in chunks, and in however small pieces. */
+  @ParameterizedTest
+  @ValueSource(strings = {"length", "chunks", "octets"})
+  void aLongBodyPassesWhileItComes(String form) throws Exception {
+    byte[] body = bytes(form.equals("octets") ? RequestReader.MOST_KEPT + 3000 : LONG);
+    Script module = new Script(0);
+    Semaphore got = new Semaphore(0);
+    try (StubServer upstream = new StubServer(c -> {
+      String head = c.head();
+      byte[] all = head.toLowerCase().contains("chunked") ? unchunked(c.in()) : c.in().readNBytes(body.length);
+      if (Arrays.equals(all, body)) {
+        got.release();
+      }
+      c.write(StubServer.ok("done"));
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      String post = Rig.post("r1", "Idempotency-Key: k\r\n", "");
+      client.write(form.equals("chunks") ? post.replace("Content-Length: 0", "Transfer-Encoding: chunked") + chunked(body, 5000)
+          : post.replace("Content-Length: 0", "Content-Length: " + body.length));
+      if (form.equals("octets")) {
+        client.socket.getOutputStream().write(body, 0, body.length - 3000);
+        for (int i = body.length - 3000; i < body.length; i++) {
+          client.socket.getOutputStream().write(body, i, 1);
+        }
+      } else if (form.equals("length")) {
+        client.socket.getOutputStream().write(body);
+      }
+      assertTrue(client.answer().endsWith("done"));
+      assertTrue(got.tryAcquire(), "it came as something else");
+      module.next(Request.class);
+      module.next(Unrepeatable.class);
+      module.next(BodyEnded.class);
+    }
+  }
+
+  /** Kept whole, a body goes to another upstream as it went to the first. */
+  @Test
+  void aBodyThatIsKeptIsSentAgain() throws Exception {
+    byte[] body = bytes(200_000);
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && o.status() == Status.FULL) {
+        out.accept(new Send(o.id(), module[0].upstreams.get(1), 0));
+      }
+    });
+    try (StubServer full = StubServer.answering("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n");
+        StubServer upstream = StubServer.answering(StubServer.ok("done"));
+        Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-a", full.address(), "ready"),
+            Rig.member("s-b", upstream.address(), "ready"))), module[0]); Client client = rig.client()) {
+      client.write(Rig.post("r1", "Idempotency-Key: k\r\n", text(body)));
+      assertTrue(client.answer().endsWith("done"));
+      assertTrue(full.requests.take().endsWith(text(body)));
+      assertTrue(upstream.requests.take().endsWith(text(body)));
+    }
+  }
+
+  /** A second copy of what is gone can't be: whoever asks for one is told that nothing was sent. */
+  @Test
+  void whatHasPassedIsNotSentAgain() throws Exception {
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), module[0].upstreams.get(0), 0));
+      } else if (event instanceof Unrepeatable u) {
+        out.accept(new Send(u.id(), module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && o.attempt() == 1) {
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
+      }
+    });
+    CountDownLatch over = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> over.await());
+        Rig rig = rig(upstream, module[0]); Client client = rig.client()) {
+      client.write(Rig.post("r1", "Idempotency-Key: k\r\n", "").replace("Content-Length: 0", "Content-Length: " + LONG));
+      client.socket.getOutputStream().write(bytes(400_000));
+      Outcome second = module[0].next(Outcome.class);
+      assertEquals(1, second.attempt());
+      assertEquals(Status.NOT_SENT, second.status());
+      over.countDown();
+    }
+  }
+
+  /** Refused while its body still comes, a client has its answer once it reads, and its connection ends behind the body. */
+  @Test
+  void aRefusedUploadHasItsAnswer() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Refuse(r.id(), 0, Reason.OVER_RATE));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(""); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.post("r1", "Idempotency-Key: k\r\n", "").replace("Content-Length: 0", "Content-Length: " + LONG));
+      client.socket.getOutputStream().write(bytes(LONG));
+      assertTrue(client.answer().startsWith("HTTP/1.1 429 "));
+      assertNull(client.answer(), "it ends");
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"Content-Length: 40000000", "Transfer-Encoding: chunked"})
+  void aBodyBeyondAllBoundsIsTurnedAway(String length) throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> c.ends()); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.post("r1", "Idempotency-Key: k\r\n", "").replace("Content-Length: 0", length));
+      try {
+        String piece = "100000\r\n" + "x".repeat(1 << 20) + "\r\n";
+        for (int i = 0; length.endsWith("chunked") && i < 40; i++) {
+          client.write(piece);
+        }
+        String answer = client.answer();
+        assertTrue(answer == null || answer.startsWith("HTTP/1.1 413 "), answer);
+      } catch (IOException e) {
+        assertTrue(length.endsWith("chunked"), "closed while it was still sending");
+      }
+    }
+  }
+
+  /** A client that wants to be told to go on is told so once. */
+  @Test
+  void aClientThatWaitsForAWordGetsIt() throws Exception {
+    byte[] body = bytes(LONG);
+    try (StubServer upstream = StubServer.answering(StubServer.ok("done")); Rig rig = rig(upstream, new Script(0));
+        Client client = rig.client()) {
+      client.write(Rig.post("r1", "Idempotency-Key: k\r\nExpect: 100-continue\r\n", "")
+          .replace("Content-Length: 0", "Content-Length: " + LONG));
+      assertTrue(head(client).startsWith("HTTP/1.1 100 "));
+      client.socket.getOutputStream().write(body);
+      assertTrue(client.answer().endsWith("done"));
+    }
+  }
+}
--- a/balancer/src/test/java/cloverpulley/serve/StubServer.java
+++ b/balancer/src/test/java/cloverpulley/serve/StubServer.java
@@ -135,6 +135,19 @@
       return request;
     }
 
+    /** Waits for a request's head alone. */
+    String head() throws IOException {
+      StringBuilder head = new StringBuilder();
+      while (!head.toString().endsWith("\r\n\r\n")) {
+        head.append((char) in.read());
+      }
+      return head.toString();
+    }
+
+    InputStream in() {
+      return in;
+    }
+
     void write(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
       socket.getOutputStream().flush();
--- a/decision/src/main/java/cloverpulley/Attempt.java
+++ b/decision/src/main/java/cloverpulley/Attempt.java
@@ -8,6 +8,8 @@
   boolean mayHaveRun = true;
   boolean late;
   boolean unseen;
+  /** Its answer is passed on while it comes. */
+  boolean passing;
 
   Attempt(Upstream upstream, long sentAt) {
     this.upstream = upstream;
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -112,7 +112,7 @@
   /** What happened. */
   sealed interface Event permits ListNews, Request, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
       PeerMessage, TakenOut, CalledBack, HandOver, Inherited,
-      Beside, Retuned {}
+      Beside, Retuned, BodyEnded, Unrepeatable {}
 
   /** News of the list of upstreams. An instance's first news is of kind CACHED. */
   record ListNews(ListKind kind, List<Listed> entries) implements Event {}
@@ -135,7 +135,10 @@
   /** An attempt of an earlier call for the same request; zone and cell are those of the upstream when it was sent. */
   record Earlier(long upstream, String zone, int cell, long sentNanos, boolean mayHaveRun) {}
 
-  /** A streamed answer has started: the request is this attempt's, without a deadline, until its outcome. */
+  /**
+   * An answer that is passed on while it comes has started: the request is this attempt's, without a deadline, until its outcome. The
+   * upstream has done its work; what is left is its way to the client.
+   */
   record AnswerStarted(String id, int attempt, long upstream, long latencyNanos) implements Event {}
 
   /**
@@ -157,6 +160,12 @@
   /** Another balancer of the group sent a message. */
   record PeerMessage(int from, byte[] data) implements Event {}
 
+  /** The last byte of a request that was told of before it was whole has come: from here its time counts, until the deadline. */
+  record BodyEnded(String id, long deadlineNanos) implements Event {}
+
+  /** The beginning of a request's body is not kept any more: it can't be sent again, nor a second copy of it. */
+  record Unrepeatable(String id) implements Event {}
+
   /**
    * An operator takes an upstream out: nothing new goes to it, whatever the list says, until it is called back. Listed or not,
    * and again while it is out, when {@code forNanos}, how long it has been out already, is not looked at.
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -96,9 +96,7 @@
   private final Windows windows;
   private final Shares shares;
   private final Hints hints;
-  private final Map<Long, Upstream> upstreams = new LinkedHashMap<>();
-  /** Upstreams that an operator took out, listed or not, and since when. */
-  private final Map<Long, Long> takenOut = new HashMap<>();
+  private final Upstreams upstreams;
   private final Map<String, Open> open = new LinkedHashMap<>();
   /** Requests without an attempt out, the most valuable first, then the oldest. */
   private final TreeSet<Open> held = new TreeSet<>(Comparator.comparingDouble((Open r) -> -value(r))
@@ -130,6 +128,7 @@
     long longest = settings.classes().stream().mapToLong(RequestClass::aimNanos).max().getAsLong();
     window = Math.max(SECOND, (long) (WINDOW_AIMS * longest));
     fleet = new Window(window, 0);
+    upstreams = new Upstreams(window / 2);
     windows = new Windows(window);
     shares = new Shares(settings, windows);
     hints = new Hints(shortestAim);
@@ -160,14 +159,15 @@
     } else if (event instanceof ListNews e) {
       onList(e);
     } else if (event instanceof TakenOut e) {
-      takenOut.putIfAbsent(e.upstream(), now - e.forNanos());
+      upstreams.takeOut(e.upstream(), now - e.forNanos());
       rebuildRing();
     } else if (event instanceof CalledBack e) {
-      onCalledBack(e.upstream());
+      upstreams.callBack(now, e.upstream());
+      rebuildRing();
     } else if (event instanceof HandOver) {
-      out.accept(new Bequeath(new Knowledge(upstreams.values().stream().map(u -> u.known(now)).toList(),
-          windows.totals(now, Knowledge.MOST_WINDOWS), fleet.totals(now), usualInFlight, usualSends, hints.usual, weightUnit,
-          retries.tokens)));
+      out.accept(new Bequeath(new Knowledge(upstreams.all().map(u -> u.known(now)).toList(),
+          windows.totals(now, Knowledge.MOST_WINDOWS), fleet.totals(now), usualInFlight, usualSends,
+          hints.usual, weightUnit, retries.tokens)));
     } else if (event instanceof Retuned e) {
       tune(e.settings());
       shares.retune(settings);
@@ -179,8 +179,12 @@
       if (open.containsKey(e.id()) && !open.get(e.id()).ended) {
         release(open.get(e.id()));
       }
-    } else if (event instanceof AnswerStarted e && open.get(e.id()) != null) {
-      open.get(e.id()).streaming = true;
+    } else if (event instanceof AnswerStarted e) {
+      onAnswerStarted(e);
+    } else if (event instanceof BodyEnded e && open.get(e.id()) != null) {
+      onBodyEnded(open.get(e.id()), e.deadlineNanos());
+    } else if (event instanceof Unrepeatable e && open.get(e.id()) != null) {
+      open.get(e.id()).once = true;
     }
     if (!sweeping && (!open.isEmpty() || askAt != Long.MAX_VALUE)) {
       sweeping = true;
@@ -207,7 +211,7 @@
     Open r = new Open(request, type, now, excess, windows.of(endpoint, now), key,
         hints.load(request.workHintNanos()), settings.limits().maxAttempts());
     boolean repeat = !request.earlier().isEmpty();
-    request.earlier().forEach(e -> r.attempts.add(earlier(e)));
+    request.earlier().forEach(e -> r.attempts.add(upstreams.earlier(e)));
     boolean full = open.size() >= settings.limits().maxOpen();
     // A repeat is a further attempt of what was admitted once: the retry budget bounds it, not the line.
     if (full || !repeat && !admit(r)) {
@@ -223,17 +227,8 @@
     }
   }
 
-  /** An attempt that a caller made before, at an upstream that may not be listed any more. */
-  private Attempt earlier(Earlier e) {
-    Upstream u = upstreams.get(e.upstream());
-    if (u == null || u.listed.cell() != e.cell() || !u.listed.zone().equals(e.zone())) {
-      u = new Upstream(e.upstream(), null);
-      u.listed = new Listed(e.upstream(), e.zone(), e.cell(), State.GONE, 0, 1);
-    }
-    Attempt a = new Attempt(u, e.sentNanos());
-    a.out = false;
-    a.mayHaveRun = e.mayHaveRun();
-    return a;
+  int upstreamsKept() {
+    return (int) upstreams.all().count();
   }
 
   int windowsKept() {
@@ -275,7 +270,7 @@
 
   private void rebuildRing() {
     Upstream[] before = owners;
-    owners = upstreams.values().stream().filter(this::serves)
+    owners = upstreams.all().filter(upstreams::serves)
         .sorted(Comparator.comparingLong(u -> u.id)).toArray(Upstream[]::new);
     if (Arrays.equals(before, owners)) {
       return; // Building is the dearest step in a large fleet; most news is of drains that end.
@@ -291,10 +286,6 @@
         Arrays.stream(owners).mapToInt(u -> (int) Math.round(POINTS * (sized ? share(u) : 1))).toArray());
   }
 
-  private boolean serves(Upstream u) {
-    return u.listed.state() == State.READY && !takenOut.containsKey(u.id);
-  }
-
   private double share(Upstream u) {
     return weightUnit <= 0 ? 1
         : Math.min(WEIGHT_MOST, Math.max(1 / WEIGHT_MOST, u.listed.weight() / weightUnit));
@@ -342,6 +333,10 @@
     u.addSlowness(now, against, SLOW_MEAN, SLOW_STEP, SLOW_KEPT);
   }
 
+  private boolean mayGoTo(Open r, Upstream u) {
+    return Repeats.mayGoTo(r, u, ready, now, settings.tickNanos());
+  }
+
   private boolean usable(Upstream u) {
     return (panic || u.ejectedUntil <= now && !silent(u))
         && (warmth(u) >= 1 || coldTokens(u) >= 1);
@@ -369,34 +364,6 @@
         > Math.max(SILENT_GAPS * u.window.mean(now) / u.inFlight, SILENT_PART * shortestAim);
   }
 
-  // ---- Rule 2: where a request may still go -------------------------------------------------------------
-
-  private boolean mayGoTo(Open r, Upstream u) {
-    for (Attempt a : r.attempts) {
-      if (a.upstream == u && (a.out || ready > r.attempts.size())) {
-        return false;
-      }
-      if (a.mayHaveRun && r.type.effect() != Effect.SAFE) {
-        boolean sameGroup = switch (r.type.dedupScope()) {
-          case ALL -> true;
-          case ZONE -> a.upstream.listed.zone().equals(u.listed.zone());
-          case CELL -> a.upstream.listed.cell() == u.listed.cell();
-        };
-        // The window is cut by a tick, against a balancer that carries the sending out a moment later.
-        if (r.type.effect() == Effect.UNSAFE || !sameGroup
-            || now - a.sentAt >= r.type.dedupWindowNanos() - settings.tickNanos()) {
-          return false;
-        }
-      }
-    }
-    return true;
-  }
-
-  private boolean mayRefuse(Open r) {
-    return r.type.effect() == Effect.SAFE || !r.mayHaveRun()
-        || r.type.effect() == Effect.KEYED && r.type.dedupScope() == DedupScope.ALL;
-  }
-
   // ---- Rule 4: cold upstreams ---------------------------------------------------------------------------
 
   /** The part of its capacity that an upstream surely has: from cold-from, evenly, to the whole. */
@@ -419,8 +386,8 @@
   /** Sends a request that has no attempt out, or ends it, or holds it; true if it was sent or ended. */
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
-    boolean over = r.attempts.size() >= r.maxAttempts || !retries.allows(r)
-        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.request.deadlineNanos() - 2 * sweep
+    boolean over = r.once || r.attempts.size() >= r.maxAttempts || !retries.allows(r)
+        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.deadline - 2 * sweep
         || answerDue(r)
         || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
     Upstream u = over ? null : place(r);
@@ -446,7 +413,7 @@
     u.cold.tokens -= warmth(u) < 1 ? 1 : 0;
     readyLoad += r.load;
     fleet.add(now, Metric.ADMITTED, 1);
-    out.accept(new Send(r.request.id(), u.id, r.request.deadlineNanos() - now));
+    out.accept(new Send(r.request.id(), u.id, r.deadline - now));
   }
 
   /** A second copy past a silent upstream, where class and settings allow it and the fleet is healthy. */
@@ -454,7 +421,7 @@
     Attempt last = r.attempts.get(r.attempts.size() - 1);
     if (!settings.limits().secondCopies() || !settings.limits().cancel() || !silent(last.upstream)
         || !retries.allowsCopy() || fleet.mean(now) > MIN_VALUE || now - r.arrived > r.type.aimNanos()
-        || r.attempts.size() >= r.maxAttempts) {
+        || r.once || r.attempts.size() >= r.maxAttempts) {
       return;
     }
     Upstream u = r.type.effect() == Effect.UNSAFE ? null : place(r);
@@ -474,11 +441,12 @@
   }
 
   private void answer(Open r, Reason why) {
-    out.accept(mayRefuse(r) ? new Refuse(r.request.id(), retryAfter(), why) : new Fail(r.request.id(), why));
+    out.accept(Repeats.mayRefuse(r) ? new Refuse(r.request.id(), retryAfter(), why)
+        : new Fail(r.request.id(), why));
   }
 
   private Reason why(Open r) {
-    return now >= r.request.deadlineNanos() - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
+    return now >= r.deadline - 2 * sweep ? Reason.DEADLINE : ready == 0 ? Reason.NO_UPSTREAM
         : r.type.effect() != Effect.SAFE && r.mayHaveRun() ? Reason.MAY_HAVE_RUN
         : r.attempts.size() >= r.maxAttempts ? Reason.ATTEMPTS
         : !retries.allows(r) ? Reason.RETRY_BUDGET : Reason.NO_ROOM;
@@ -491,8 +459,12 @@
     if (r.out == 0) {
       open.remove(r.request.id());
     }
+    cancelAllBut(r, null);
+  }
+
+  private void cancelAllBut(Open r, Attempt kept) {
     for (int i = 0; i < r.attempts.size() && settings.limits().cancel(); i++) {
-      if (r.attempts.get(i).out) {
+      if (r.attempts.get(i).out && r.attempts.get(i) != kept) {
         out.accept(new Cancel(r.request.id(), i));
       }
     }
@@ -507,12 +479,13 @@
     a.out = false;
     a.mayHaveRun = !o.status().provesNotRun();
     a.unseen = o.status() == Status.FULL;
-    a.upstream.inFlight--;
-    a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
-    a.upstream.heardAt = now;
     r.out--;
-    readyLoad -= serves(a.upstream) ? r.load : 0;
-    learn(r, a, o);
+    if (!a.passing) {
+      heard(r, a);
+    }
+    if (!a.passing || o.status() != Status.SERVED) {
+      learn(r, a, o);
+    }
     if (r.ended && r.out == 0) {
       open.remove(o.id());
     } else if (!r.ended && o.finished()) {
@@ -526,6 +499,39 @@
     }
   }
 
+  /** The upstream has answered, or nothing more is expected of it. */
+  private void heard(Open r, Attempt a) {
+    a.upstream.inFlight--;
+    a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
+    a.upstream.heardAt = now;
+    readyLoad -= upstreams.serves(a.upstream) ? r.load : 0;
+  }
+
+  /** Guards what is known of load and latency from clients that take long to read: what counts is when the
+   * answer began. */
+  private void onAnswerStarted(AnswerStarted e) {
+    Open r = open.get(e.id());
+    if (r == null || r.ended || e.attempt() >= r.attempts.size() || !r.attempts.get(e.attempt()).out) {
+      return;
+    }
+    Attempt a = r.attempts.get(e.attempt());
+    r.streaming = true;
+    a.passing = true;
+    heard(r, a);
+    learn(r, a, new Outcome(e.id(), e.attempt(), e.upstream(), Status.SERVED, e.latencyNanos(), false,
+        Map.of()));
+    cancelAllBut(r, a);
+  }
+
+  private void onBodyEnded(Open r, long deadline) {
+    boolean waits = held.remove(r);
+    r.arrived = now;
+    r.deadline = deadline;
+    if (waits) {
+      held.add(r);
+    }
+  }
+
   private void learn(Open r, Attempt a, Outcome o) {
     Upstream u = a.upstream;
     if (o.status() == Status.SERVED) {
@@ -574,7 +580,8 @@
     for (Open r : List.copyOf(open.values())) {
       for (Attempt a : r.attempts) {
         // Guards against upstreams that hang: a time-out may come seconds after the aim.
-        if (a.out && !a.late && now - a.sentAt > r.type.aimNanos()) {
+        if (a.out && !a.passing && !a.late
+            && now - Math.max(a.sentAt, r.arrived) > r.type.aimNanos()) {
           a.late = true;
           learnSlowness(a.upstream, Double.MAX_VALUE);
         }
@@ -604,28 +611,12 @@
     } else if (settings.listOnRequest()) {
       out.accept(new Watch(true));
     }
-    Map<Long, Listed> entries = new LinkedHashMap<>();
-    news.entries().forEach(e -> entries.put(e.upstream(), e));
-    if (news.kind() != ListKind.DELTA) {
-      // One that is absent from a full list is gone.
-      upstreams.forEach((id, u) -> entries.putIfAbsent(id, new Listed(id, u.listed.zone(), u.listed.cell(),
-          State.GONE, u.started, u.listed.weight())));
-    }
-    for (Listed e : entries.values()) {
-      Upstream u = upstreams.computeIfAbsent(e.upstream(),
-          id -> new Upstream(id, new Window(window / 2, now)));
-      if (e.startedNanos() > (u.startGuessed ? u.outSince : u.started)) {
-        u.startsAnew(now, e.startedNanos());
-      }
-      u.listed = e;
-    }
-    upstreams.values().removeIf(u -> u.listed.state() == State.GONE && u.inFlight == 0);
+    upstreams.take(now, news);
     rebuildRing();
   }
 
   private void inherit(Knowledge k) {
-    k.upstreams().stream().filter(u -> upstreams.containsKey(u.upstream()))
-        .forEach(u -> upstreams.get(u.upstream()).inherit(now, u));
+    upstreams.inherit(now, k.upstreams());
     k.windows().forEach((name, totals) -> windows.of(name, now).inherit(now, totals));
     fleet.inherit(now, k.fleet());
     usualInFlight = k.usualInFlight();
@@ -636,18 +627,4 @@
     owners = new Upstream[0]; // The ring is of the unit.
     rebuildRing();
   }
-
-  /** Guards an upstream that was restarted while it was out: the list may be seconds late to say so, and what was learned of
-   * the process before must not keep its successor idle. */
-  private void onCalledBack(long id) {
-    Long since = takenOut.remove(id);
-    Upstream u = upstreams.get(id);
-    if (since != null && u != null) {
-      boolean told = u.started > since;
-      u.startsAnew(now, told ? u.started : now);
-      u.startGuessed = !told;
-      u.outSince = since;
-    }
-    rebuildRing();
-  }
 }
--- a/decision/src/main/java/cloverpulley/Open.java
+++ b/decision/src/main/java/cloverpulley/Open.java
@@ -7,7 +7,10 @@
 final class Open {
   final Balancer.Request request;
   final Balancer.RequestClass type;
-  final long arrived;
+  long arrived;
+  long deadline;
+  /** It can't be sent again. */
+  boolean once;
   final boolean excess;
   final Window endpoint;
   final Window key;
@@ -18,11 +21,12 @@
   boolean ended;
   boolean streaming;
 
-  Open(Balancer.Request request, Balancer.RequestClass type, long arrived, boolean excess, Window endpoint, Window key,
-      double load, int maxAttempts) {
+  Open(Balancer.Request request, Balancer.RequestClass type, long arrived, boolean excess, Window endpoint,
+      Window key, double load, int maxAttempts) {
     this.request = request;
     this.type = type;
     this.arrived = arrived;
+    this.deadline = request.deadlineNanos();
     this.excess = excess;
     this.endpoint = endpoint;
     this.key = key;
--- a/decision/src/main/java/cloverpulley/Upstream.java
+++ b/decision/src/main/java/cloverpulley/Upstream.java
@@ -9,7 +9,8 @@
   final Bucket cold = new Bucket();
   Balancer.Listed listed;
   long started;
-  /** An operator took it out from here on and has called it back; its start since then is a guess until the list tells it. */
+  /** An operator took it out from here on and has called it back; its start since then is a guess until the
+   * list tells it. */
   boolean startGuessed;
   long outSince;
   long firstServed;
@@ -42,8 +43,9 @@
 
   /** What a successor needs of it. */
   Known known(long now) {
-    return new Known(id, started <= 0 ? -1 : now - started, startGuessed, startGuessed ? now - outSince : 0, cold.tokens, slowness,
-        failures, ejections, Math.max(0, ejectedUntil - now), firstServed == 0 ? -1 : now - firstServed, window.totals(now));
+    return new Known(id, started <= 0 ? -1 : now - started, startGuessed, startGuessed ? now - outSince : 0,
+        cold.tokens, slowness, failures, ejections, Math.max(0, ejectedUntil - now),
+        firstServed == 0 ? -1 : now - firstServed, window.totals(now));
   }
 
   /** Takes over what a predecessor knew; a later start that the list tells of stays. */
--- a/decision/src/main/java/cloverpulley/Window.java
+++ b/decision/src/main/java/cloverpulley/Window.java
@@ -47,7 +47,7 @@
     return totals.clone();
   }
 
-  /** Adds what another one held, evenly over the time that it held it, so that it is forgotten as it would have been there. */
+  /** Adds what another one held, evenly over its time: it is forgotten as it would have been there. */
   void inherit(long now, double[] from) {
     for (Metric m : Metric.values()) {
       totals[m.ordinal()] = total(now, m) + from[m.ordinal()];
--- a/engine/src/main/java/cloverpulley/engine/Attempt.java
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -7,6 +7,10 @@
   private final int number;
   private final long upstream;
   private final long sentAt;
+  /** When the request had come whole, where that was after its sending began; else 0. */
+  long wholeAt;
+  /** How long its answer took to begin, where it is passed on while it comes; else -1. */
+  long begunAfter = -1;
   Sending sending;
   boolean ended;
 
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -2,8 +2,10 @@
 
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.AnswerStarted;
 import cloverpulley.Balancer.Bequeath;
 import cloverpulley.Balancer.Beside;
+import cloverpulley.Balancer.BodyEnded;
 import cloverpulley.Balancer.CalledBack;
 import cloverpulley.Balancer.Cancel;
 import cloverpulley.Balancer.ClientGone;
@@ -29,6 +31,7 @@
 import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Balancer.TellPeer;
 import cloverpulley.Balancer.TimerFired;
+import cloverpulley.Balancer.Unrepeatable;
 import cloverpulley.Balancer.Watch;
 import cloverpulley.Reason;
 import cloverpulley.state.Knowledge;
@@ -129,7 +132,7 @@
     witness.taken(x);
     Exchange.Facts f = x.facts();
     long due = f.answerBy() > 0 ? Math.min(f.answerBy(), f.deadline()) : f.deadline();
-    x.guard = loop.schedule(() -> overdue(x), due + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
+    guard(x, due);
     enqueue(() -> x.isEnded() ? null : new Request(x.id, f.type().name(), f.tenant(), f.key(), f.deadline(), f.hintNanos(),
         f.retry(), f.answerBy(), f.earlier()));
   }
@@ -265,18 +268,63 @@
     }
     attempt.ended = true;
     Exchange x = attempt.exchange();
-    long latency = clock.now() - attempt.sentAt();
+    long latency = attempt.begunAfter >= 0 ? attempt.begunAfter : latency(attempt);
     witness.outcome(attempt, status, latency);
     enqueue(() -> {
       x.outstanding--;
       inTurn.run();
       if (x.isEnded()) {
-        finish(x, Witness.End.SERVED, null); // By its front, in this turn or before it: an end that was told already stays.
+        // By its front, in this turn or before it: an end that was told already stays.
+        boolean broke = x.passing == attempt && status != Status.SERVED;
+        finish(x, broke ? Witness.End.FAILED : Witness.End.SERVED, broke ? Reason.MAY_HAVE_RUN : null);
       }
       return known(x) ? new Outcome(x.id, attempt.number(), attempt.upstream(), status, latency, x.isEnded(), load) : null;
     });
   }
 
+  private long latency(Attempt attempt) {
+    return clock.now() - Math.max(attempt.sentAt(), attempt.wholeAt);
+  }
+
+  /**
+   * An attempt's answer has begun and is to be passed on while it comes: from here on the request is this attempt's, without a
+   * deadline, and ends with it. False where the request has its end or another attempt's answer: then nothing may be passed on.
+   */
+  public boolean answerBegins(Attempt attempt) {
+    Exchange x = attempt.exchange();
+    if (attempt.ended || x.isEnded() || x.passing != null || !known(x)) {
+      return false;
+    }
+    x.passing = attempt;
+    x.guard.cancel(false);
+    attempt.begunAfter = latency(attempt);
+    enqueue(() -> known(x) && !x.isEnded() ? new AnswerStarted(x.id, attempt.number(), attempt.upstream(), attempt.begunAfter) : null);
+    return true;
+  }
+
+  /** The body of a request that was taken before it was whole has come; {@code deadline} is when an answer is of no more use. */
+  public void bodyEnded(Exchange x, long deadline) {
+    if (x.isEnded() || !known(x)) {
+      return;
+    }
+    x.deadline = deadline;
+    x.attempts.forEach(a -> a.wholeAt = clock.now());
+    if (x.passing == null) {
+      x.guard.cancel(false);
+      guard(x, deadline);
+    }
+    enqueue(() -> known(x) ? new BodyEnded(x.id, deadline) : null);
+  }
+
+  /** The beginning of a request's body is not kept any more. */
+  public void unrepeatable(Exchange x) {
+    enqueue(() -> known(x) ? new Unrepeatable(x.id) : null);
+  }
+
+  private void guard(Exchange x, long due) {
+    x.guard = loop.schedule(() -> overdue(x), due + GUARD_NANOS - clock.now(), TimeUnit.NANOSECONDS);
+  }
+
   /**
    * Events are told only once all sockets that had something to say have been read: actions then don't go to a
    * connection whose end is known already, and an action never re-enters the module.
@@ -428,7 +476,7 @@
     if (x.facts().answerBy() > 0) {
       x.guard.cancel(false); // The sending is the answer; its own time-out bounds it from here on.
     }
-    long left = x.facts().deadline() - now;
+    long left = x.deadline - now;
     long timeout = send.timeoutNanos() == 0 ? left : Math.min(left, send.timeoutNanos());
     SocketAddress address = fleet.address(send.upstream());
     if (x.isEnded() || timeout <= 0 || number >= x.maxAttempts) {
--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -37,10 +37,20 @@
   int outstanding;
   /** As the settings had it when it was taken. */
   int maxAttempts;
+  /** Clock reading at which an answer is of no more use; that of the facts until the body has come whole. */
+  long deadline;
+  /** The attempt whose answer is passed on while it comes; null for none. */
+  Attempt passing;
   private boolean ended;
 
   protected Exchange(Facts facts) {
     this.facts = facts;
+    deadline = facts.deadline();
+  }
+
+  /** Whether an answer is passed on while it comes: there will be no other. */
+  public final boolean isPassing() {
+    return passing != null;
   }
 
   public final Facts facts() {
