--- a/bench/src/main/java/cloverpulley/bench/Platform.java
+++ b/bench/src/main/java/cloverpulley/bench/Platform.java
@@ -42,7 +42,7 @@
     config = Files.createTempFile("platform", ".json");
     String members = upstreams.stream().map(a -> "{\"id\":\"s-" + a + "\",\"host_port\":\"" + a + "\",\"phase\":\"ready\"}")
         .collect(Collectors.joining(",", "\"members\": [", "]"));
-    Files.writeString(config, Files.readString(root.resolve("deploy/example.json")).replace("127.0.0.1:0", "127.0.0.1:" + port)
+    Files.writeString(config, Files.readString(root.resolve("deploy/example.json")).replaceFirst("\"management\": *\"[^\"]*\",", "").replace("127.0.0.1:0", "127.0.0.1:" + port)
         .replace("\"members\": []", members));
     ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
         .redirectError(ProcessBuilder.Redirect.DISCARD).redirectOutput(ProcessBuilder.Redirect.DISCARD);
