A longer warm-up beside a predecessor that serves

Cause: by the log's counts a successor's first two seconds went by with a third of the requests held in vain or refused (refused_no_room 107 and 174 of some 400): 40 requests of warm-up were chosen for restarts, where all wait; beside a predecessor nobody does. The change: 400 requests, 2.5 s at most, beside a predecessor.

--- a/balancer/src/main/java/cloverpulley/serve/Operations.java
+++ b/balancer/src/main/java/cloverpulley/serve/Operations.java
@@ -90,7 +90,7 @@
     try {
       for (long waited = 0; waited < INHERIT_MILLIS; waited += LOOK_MILLIS / 2) {
         Legacy legacy = own.submit(this::fromPredecessor).get();
-        if (legacy != null || others.stream().noneMatch(o -> !o.startedLater() && o.stage() == Stage.SERVING)) {
+        if (legacy != null || !hasPredecessor()) {
           return legacy;
         }
         TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS / 2);
@@ -125,6 +125,11 @@
     own.execute(this::look);
   }
 
+  /** Whether a process that started earlier serves at the same address. */
+  boolean hasPredecessor() {
+    return others.stream().anyMatch(o -> !o.startedLater() && o.stage() == Stage.SERVING);
+  }
+
   /** Whether a process that started later serves at the same address, looked at now: it may have said so a moment ago. */
   boolean hasSuccessor() {
     own.submit(this::look).awaitUninterruptibly(ANSWER_MILLIS);
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -103,7 +103,7 @@
       if (config.management() != null) {
         server.operations = new Operations(config);
       }
-      Warmup.run(config.settings());
+      Warmup.run(config.settings(), server.operations != null && server.operations.hasPredecessor());
       Legacy legacy = server.operations == null ? null : server.operations.inheritance();
       server.loop.submit(() -> server.wire(config, modules, legacy)).syncUninterruptibly();
       if (server.operations != null) {
--- a/balancer/src/main/java/cloverpulley/serve/Warmup.java
+++ b/balancer/src/main/java/cloverpulley/serve/Warmup.java
@@ -59,6 +59,10 @@
    * compiled later makes the loop up to 60 ms late in the first half second and no more.
    */
   static final int REQUESTS = 40;
+  /** Beside a predecessor that serves nobody waits: as many as make a start's first seconds like any others, and no longer than the
+   * half of the 6 s in which a successor has to be ready. */
+  private static final int REQUESTS_BESIDE = 400;
+  private static final long MOST_MILLIS_BESIDE = 2500;
   /** Clients at one time, as in service: a lone one finds its upstream's connection still at rest and opens a new one each time. */
   private static final int CLIENTS = 16;
   private static final int UPSTREAMS = 4;
@@ -69,9 +73,11 @@
 
   private Warmup() {}
 
-  static void run(Settings settings) {
-    Count count = run(settings, MOST_MILLIS);
-    if (count.answered < REQUESTS) {
+  /** {@code beside} tells whether a predecessor serves meanwhile. */
+  static void run(Settings settings, boolean beside) {
+    int requests = beside ? REQUESTS_BESIDE : REQUESTS;
+    Count count = run(settings, requests, beside ? MOST_MILLIS_BESIDE : MOST_MILLIS);
+    if (count.answered < requests) {
       LOG.info("warm-up cut short after " + count.answered + " requests");
     }
   }
@@ -79,10 +85,10 @@
   /** How many requests its clients have asked, and how many of them were answered and served. */
   record Count(int asked, int answered, int served) {}
 
-  static Count run(Settings settings, long mostMillis) {
+  static Count run(Settings settings, int requests, long mostMillis) {
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, LocalIoHandler.newFactory());
     Promise<Void> done = group.next().newPromise();
-    Client client = new Client(settings, done);
+    Client client = new Client(settings, requests, done);
     try {
       group.execute(() -> start(group, settings, client));
       done.awaitUninterruptibly(mostMillis);
@@ -160,12 +166,14 @@
     private final List<RequestClass> classes;
     private final String tenant;
     private final Promise<Void> done;
+    private final int requests;
     private int asked;
     private int answered;
     private int served;
     private boolean over;
 
-    Client(Settings settings, Promise<Void> done) {
+    Client(Settings settings, int requests, Promise<Void> done) {
+      this.requests = requests;
       classes = settings.classes();
       tenant = settings.tenants().isEmpty() ? "warm-up" : settings.tenants().get(0).name();
       this.done = done;
@@ -179,14 +187,14 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
       served += response.status().equals(HttpResponseStatus.OK) ? 1 : 0;
-      if (++answered == REQUESTS) {
+      if (++answered == requests) {
         done.trySuccess(null);
       }
       ask(context);
     }
 
     private void ask(ChannelHandlerContext context) {
-      if (over || asked == REQUESTS) {
+      if (over || asked == requests) {
         return;
       }
       RequestClass type = classes.get(asked % classes.size());
--- a/balancer/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/balancer/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -19,13 +19,13 @@
   /** Bounded by the clock it made 17 of its 2,000 requests at half a core, and left the code cold. */
   @Test
   void allItsRequestsAreAnsweredHoweverLongThatTakes() throws IOException {
-    assertEquals(Warmup.REQUESTS, Warmup.run(settings(), TimeUnit.MINUTES.toMillis(1)).answered());
+    assertEquals(Warmup.REQUESTS, Warmup.run(settings(), Warmup.REQUESTS, TimeUnit.MINUTES.toMillis(1)).answered());
   }
 
   /** Once cut short its clients went on for seconds, refused by a balancer whose upstream was closed. */
   @Test
   void cutShortItAsksNothingMore() throws IOException {
-    Count count = Warmup.run(settings(), 0);
+    Count count = Warmup.run(settings(), Warmup.REQUESTS, 0);
     assertTrue(count.asked() < Warmup.REQUESTS, () -> "went on after its end: " + count);
   }
 
@@ -33,7 +33,7 @@
   @Test
   void itsUpstreamsServeAll() throws IOException {
     Settings settings = Rig.config("127.0.0.1:1", Rig.list(1, true)).settings();
-    Count count = Warmup.run(settings, TimeUnit.MINUTES.toMillis(1));
+    Count count = Warmup.run(settings, Warmup.REQUESTS, TimeUnit.MINUTES.toMillis(1));
     assertEquals(new Count(Warmup.REQUESTS, Warmup.REQUESTS, Warmup.REQUESTS), count);
   }
 
