Long uploads are bounded over all connections; SIGHUP that came in ignored is heard

Twelve uploads of 16 MB at once ended every connection, and SIGHUP under nohup was never heard.

Seen: a child started by `run` (192 MB, 24 MB of direct memory), 48 uploads beside small requests: all 48 ended without an answer, "Cannot reserve 4194304 bytes". The pool's own figures at that moment: all five chunks full, and 590 to 623 KB waiting in each BodyStream, whose bound is 64 KB. Cause: the client's socket was asked to stop only when something else looked; BodyStream told of more room and never of less. Ruled out: what is kept for a retry (nothing, the length was told), pending writes past the mark (16 KB), half-empty chunks (100% used). Second cause: no bound over all. SIGHUP: the virtual machine leaves an ignored signal so and Signal.handle returns SIG_IGN, which nobody looked at; a shell can't give it back.

Change: a stream tells of less too; Room, a budget in octets for kept bodies (by what their buffers take), passing uploads (80 KB each) and answers past 8 KB (64 KB each), 20 of the 24 MB together. Past it an upload waits unread in its socket, first come first served, and is turned away after 2.5 s with 503 and Retry-After before its body is read. An upstream that takes nothing of a body for as long as a client would wait ends the attempt, not written whole and so never run; before, the client's connection was closed without an answer after 30 s. Time in which we don't read is no longer held against the client's pace. Two reads a turn, so that small requests get theirs.

JarIT starts a child with HUP ignored, by `run` and without it.

--- a/balancer/src/main/java/cloverpulley/serve/BodyStream.java
+++ b/balancer/src/main/java/cloverpulley/serve/BodyStream.java
@@ -20,11 +20,17 @@
     void end();
   }
 
-  /** So much may wait. */
-  private static final int MOST_WAITING = 64 * 1024;
+  /** So much may wait before its client is read no further. */
+  private static final int MOST_WAITING = 32 * 1024;
+  /** What one may hold of the direct memory: what waits, the read that passes its mark, and as much again at the upstream's socket. */
+  static final int OCTETS = MOST_WAITING + 3 * Server.MOST_READ;
+  /** Smaller pieces that have to wait are put together: each would else cost a buffer of its own. */
+  private static final int SMALL = Server.MOST_READ / 2;
 
   private final ArrayDeque<ByteBuf> waiting = new ArrayDeque<>();
   private final Runnable demand;
+  private Runnable over;
+  private ByteBuf tail;
   private Runnable firstTaken;
   private Runnable ended;
   private int bytes;
@@ -33,9 +39,10 @@
   private boolean taken;
   private Sink sink;
 
-  /** {@code demand} is run when more is wanted than before. */
-  BodyStream(Runnable demand) {
+  /** {@code demand} is run when more is wanted than before, or less; {@code over} once nothing of it is held any more. */
+  BodyStream(Runnable demand, Runnable over) {
     this.demand = demand;
+    this.over = over;
   }
 
   /** Who is told when the first piece is taken, after which the body can't be sent again, and when the last has come. */
@@ -53,9 +60,22 @@
       piece.release();
       return;
     }
-    waiting.add(piece);
     bytes += piece.readableBytes();
+    if (piece.readableBytes() >= SMALL || waiting.isEmpty() && sink != null && sink.isWritable()) {
+      tail = null;
+      waiting.add(piece);
+    } else {
+      if (tail == null || tail.maxWritableBytes() < piece.readableBytes()) {
+        tail = piece.alloc().buffer(SMALL, SMALL);
+        waiting.add(tail);
+      }
+      tail.writeBytes(piece);
+      piece.release();
+    }
     flow();
+    if (!wantsMore()) {
+      demand.run(); // Guards the memory: its client is read no further until an upstream has taken some of it.
+    }
   }
 
   /** The last has come. */
@@ -98,6 +118,7 @@
         }
       }
       ByteBuf piece = waiting.poll();
+      tail = piece == tail ? null : tail;
       bytes -= piece.readableBytes();
       sink.write(piece);
     }
@@ -120,7 +141,18 @@
     sink = null;
     waiting.forEach(ByteBuf::release);
     waiting.clear();
+    tail = null;
     bytes = 0;
+    sent();
     demand.run();
   }
+
+  /** The last of it has left for an upstream, or is dropped. */
+  void sent() {
+    Runnable once = over;
+    over = null;
+    if (once != null) {
+      once.run();
+    }
+  }
 }
--- a/balancer/src/main/java/cloverpulley/serve/Call.java
+++ b/balancer/src/main/java/cloverpulley/serve/Call.java
@@ -30,6 +30,10 @@
   final Passing passing;
   /** What of the request's body is still to come; null for nothing. */
   final BodyStream rest;
+  /** How long the upstream may take nothing of such a body. */
+  final long stallNanos;
+  /** Reads the answer on, as far as there is room. */
+  Runnable reading = () -> { };
   /** The connection it is on, from when one is opened or reused until the call ends. */
   Channel channel;
   Future<?> timeout;
@@ -37,7 +41,8 @@
   boolean written;
   private boolean done;
 
-  Call(long upstream, Ended ended, Passing passing, BodyStream rest) {
+  Call(long upstream, Ended ended, Passing passing, BodyStream rest, long stallNanos) {
+    this.stallNanos = stallNanos;
     this.upstream = upstream;
     this.ended = ended;
     this.passing = passing;
@@ -47,7 +52,7 @@
   /** More of the answer can be taken. */
   void goOn() {
     if (channel != null) {
-      channel.config().setAutoRead(true);
+      reading.run();
     }
   }
 
--- a/balancer/src/main/java/cloverpulley/serve/Counts.java
+++ b/balancer/src/main/java/cloverpulley/serve/Counts.java
@@ -43,6 +43,7 @@
   private final Map<Long, Integer> cold = new HashMap<>();
   private int closedForAnother;
   private int closedLate;
+  private int turnedAway;
   private int idle;
   private int taken;
   private int sent;
@@ -98,6 +99,11 @@
     noRoom.merge(upstream, 1, Integer::sum);
   }
 
+  /** A long body found no room in time. */
+  void uploadTurnedAway() {
+    turnedAway++;
+  }
+
   /** A client's connection was closed for another's, or because nothing whole came on it in time. */
   void clientClosed(boolean forAnother) {
     closedForAnother += forAnother ? 1 : 0;
@@ -183,7 +189,8 @@
     put(s, "idle", idle);
     put(s, "clients_closed_for_others", closedForAnother);
     put(s, "clients_closed_late", closedLate);
-    closedForAnother = closedLate = 0;
+    put(s, "uploads_turned_away", turnedAway);
+    closedForAnother = closedLate = turnedAway = 0;
     taken = served = gone = sent = again = asked = unanswered = ignored = lines = 0;
     return s.toString();
   }
--- a/balancer/src/main/java/cloverpulley/serve/Frontend.java
+++ b/balancer/src/main/java/cloverpulley/serve/Frontend.java
@@ -89,6 +89,8 @@
   private static final long MOST_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(10);
   /** Times of {@link Clients#READING_NANOS} that an upstream may take nothing of a body. */
   private static final int MOST_PAUSES = 12;
+  /** When a client whose body found no room may ask again. */
+  private static final long UPLOAD_AGAIN_NANOS = TimeUnit.SECONDS.toNanos(1);
   /** The client's time runs from when it sent the request, and the answer has to get back to it. */
   private static final long WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -101,7 +103,7 @@
   private Set<String> tenants;
   private final Clients clients = new Clients();
   private final Counts counts;
-  private final RequestReader.Budget bodies;
+  private final RequestReader.Rooms bodies;
   /** The clients' ids of the requests in hand, and of those of which an attempt is still out. */
   private final Set<String> open = new HashSet<>();
   private Channel listener;
@@ -109,15 +111,15 @@
   private boolean stopping;
   private boolean closing;
 
-  /** {@code mostHeld} bounds the bytes of bodies that are held at one time. */
-  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, long mostHeld, Counts counts) {
+  /** {@code bodies} is where clients' bodies find room. */
+  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, RequestReader.Rooms bodies, Counts counts) {
     this.counts = counts;
     this.engine = exchanges.engine();
     this.exchanges = exchanges;
     this.clock = clock;
     this.sockets = sockets;
     this.pool = exchanges.pool();
-    this.bodies = new RequestReader.Budget(mostHeld);
+    this.bodies = bodies;
     retune(settings);
   }
 
@@ -235,6 +237,8 @@
     private PassedAnswer passing;
     /** When the first byte of the request came that is being read. */
     private long readingSince = System.nanoTime();
+    /** Since when nothing is read, by this side's doing; 0 while it reads. */
+    private long heldSince;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -243,7 +247,13 @@
 
     /** Reads, or doesn't: what waits for its turn, or for an upstream that takes it slowly, is not to grow. */
     private void read() {
-      channel.config().setAutoRead(!left && early.isEmpty() && reader.wantsMore());
+      boolean reads = !left && early.isEmpty() && reader.wantsMore();
+      if (reads != channel.config().isAutoRead()) {
+        long now = System.nanoTime();
+        readingSince += reads && heldSince != 0 ? now - heldSince : 0; // Its client could do nothing meanwhile.
+        heldSince = reads ? 0 : now;
+        channel.config().setAutoRead(reads);
+      }
     }
 
     /** Sees bytes before they are decoded: from the first one on a request has to come in whole in time. */
@@ -354,6 +364,10 @@
         clients.move(this, State.UPLOADING); // It is the upstream that takes its time.
         return;
       }
+      if (reader.isWaiting()) {
+        reader.turnAway();
+        return;
+      }
       counts.clientClosed(false);
       if (clients.is(this, State.UPLOADING)) {
         close(); // What there was of it may be at an upstream, which never gets the rest; or it is answered already.
@@ -375,7 +389,7 @@
     private void take(FullHttpRequest request) {
       busy = true;
       begun = false;
-      size = request.content().readableBytes();
+      size = request.content().capacity();
       rest = request instanceof StreamedRequest s ? s.rest : null;
       clients.move(this, rest == null ? State.SERVED : State.UPLOADING);
       keepAlive = HttpUtil.isKeepAlive(request);
@@ -385,6 +399,9 @@
       String path = query < 0 ? uri : uri.substring(0, query);
       if (!request.decoderResult().isSuccess()) {
         answer(status(request.decoderResult().cause()), "malformed request");
+      } else if (request instanceof StreamedRequest s && s.turnedAway) {
+        counts.uploadTurnedAway();
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, UPLOAD_AGAIN_NANOS, null, Unpooled.EMPTY_BUFFER);
       } else if (path.equals(HEALTH)) {
         boolean serves = isReady();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
--- a/balancer/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/balancer/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -93,7 +93,7 @@
       return () -> { };
     }
     Answer answer = new Answer(attempt);
-    Call call = new Call(attempt.upstream(), answer::ended, answer, rest);
+    Call call = new Call(attempt.upstream(), answer::ended, answer, rest, waitNanos);
     answer.call = call;
     sending = call;
     front.pool.start(call, address, forward(rest == null ? timeoutNanos : Math.min(timeoutNanos, waitNanos)), timeoutNanos);
--- a/balancer/src/main/java/cloverpulley/serve/Main.java
+++ b/balancer/src/main/java/cloverpulley/serve/Main.java
@@ -1,10 +1,12 @@
 package cloverpulley.serve;
 
+import cloverpulley.engine.Signals;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import sun.misc.Signal;
+import java.util.function.Consumer;
+import java.util.logging.Logger;
 
 /** Entry point of the real balancer. */
 public final class Main {
@@ -19,9 +21,10 @@
     System.setProperty("java.util.logging.SimpleFormatter.format", "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
     CompletableFuture<Server> started = new CompletableFuture<>();
     // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
-    Signal.handle(new Signal("TERM"), signal -> started.thenAccept(s -> new Thread(s::stop, "stop").start()));
+    Consumer<String> complaint = Logger.getLogger(Main.class.getName())::warning;
+    Signals.handle("TERM", () -> started.thenAccept(s -> new Thread(s::stop, "stop").start()), complaint);
     // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
-    Signal.handle(new Signal("HUP"), signal -> started.thenAccept(s -> s.reload(() -> Config.read(environment))));
+    Signals.handle("HUP", () -> started.thenAccept(s -> s.reload(() -> Config.read(environment))), complaint);
     try {
       started.complete(Server.start(Config.read(environment)));
     } catch (IOException | RuntimeException e) {
--- a/balancer/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/balancer/src/main/java/cloverpulley/serve/RequestReader.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
+import java.util.ArrayDeque;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -34,17 +35,10 @@
   /** Room for a body at first; it grows as it comes, whatever length was told. */
   private static final int FIRST = 4096;
 
-  /** The bytes that all requests in hand may hold together. */
-  static final class Budget {
-    private final long most;
-    private long held;
+  /** Where all connections' bodies find room: those that are kept, by what their buffers take, and those that pass while they come. */
+  record Rooms(Room kept, Room uploads) {}
 
-    Budget(long most) {
-      this.most = most;
-    }
-  }
-
-  private final Budget budget;
+  private final Rooms rooms;
   private final BooleanSupplier busy;
   private final Runnable demand;
   private long held;
@@ -53,18 +47,36 @@
   private ByteBuf body;
   private BodyStream rest;
   private long came;
+  private boolean waits;
   /** What comes belongs to a request that has failed. */
   private boolean skips;
+  /** Where the body passes while it comes, once there is room, and what had been read when there was none: one read at most. */
+  private Room.Place place;
+  private final ArrayDeque<Object> late = new ArrayDeque<>(2);
+  private ChannelHandlerContext context;
 
   /** {@code busy} tells whether an earlier request on the connection is still to be answered; {@code demand} is run when more can be read. */
-  RequestReader(Budget budget, BooleanSupplier busy, Runnable demand) {
-    this.budget = budget;
+  RequestReader(Rooms rooms, BooleanSupplier busy, Runnable demand) {
+    this.rooms = rooms;
     this.busy = busy;
     this.demand = demand;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    this.context = context;
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    if (isWaiting()) {
+      late.add(message);
+    } else {
+      read(context, message);
+    }
+  }
+
+  private void read(ChannelHandlerContext context, Object message) {
     try {
       if (message instanceof HttpRequest request) {
         begin(context, request);
@@ -90,16 +102,45 @@
       fail(context, DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
       return;
     }
-    if (HttpUtil.is100ContinueExpected(request) && !busy.getAsBoolean()) {
-      context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
-    }
     head = request;
-    body = context.alloc().buffer((int) Math.max(0, Math.min(length, FIRST)));
     if (length > MOST_KEPT) {
-      stream(context);
+      body = Unpooled.EMPTY_BUFFER;
+      pass(null);
+    } else {
+      body = context.alloc().buffer((int) Math.max(0, Math.min(length, FIRST)));
+      hold(body.capacity());
+      goOn();
     }
   }
 
+  /** Tells a client that waits for the word to send its body. */
+  private void goOn() {
+    if (HttpUtil.is100ContinueExpected(head) && !busy.getAsBoolean()) {
+      context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void hold(long octets) {
+    rooms.kept().force(octets);
+    held += octets;
+  }
+
+  /** Keeps a piece; false where that would take more room than there is. A short body always finds some. */
+  private boolean keep(ByteBuf piece) {
+    int needed = body.writerIndex() + piece.readableBytes();
+    if (needed > body.capacity()) {
+      int capacity = body.alloc().calculateNewCapacity(needed, Integer.MAX_VALUE);
+      long more = capacity - body.capacity();
+      if (capacity > FIRST && !rooms.kept().fits(more)) {
+        return false;
+      }
+      hold(more);
+      body.capacity(capacity);
+    }
+    body.writeBytes(piece); // Copied: pieces of an octet each would else cost a buffer each.
+    return true;
+  }
+
   private void add(ChannelHandlerContext context, HttpContent content) {
     int bytes = content.content().readableBytes();
     came += bytes;
@@ -112,14 +153,11 @@
       if (bytes > 0) {
         rest.add(content.content().retain());
       }
-    } else if (bytes > 0) {
-      held += bytes;
-      budget.held += bytes;
-      body.writeBytes(content.content()); // Copied: pieces of an octet each would else cost a buffer each.
+    } else if (bytes > 0 && (came > MOST_KEPT || !keep(content.content()))) {
       // Guards the memory against many bodies at once: what there is no room for goes on as it comes.
-      if (!(content instanceof LastHttpContent) && (came > MOST_KEPT || budget.held > budget.most)) {
-        stream(context);
-      }
+      came -= bytes;
+      pass(content);
+      return;
     }
     if (content instanceof LastHttpContent) {
       if (rest != null) {
@@ -136,12 +174,50 @@
     }
   }
 
-  private void stream(ChannelHandlerContext context) {
-    rest = new BodyStream(demand);
-    StreamedRequest request = new StreamedRequest(head, body, rest);
+  /** What is still to come passes while it comes, from this piece on, as soon as there is room for that. */
+  private void pass(HttpContent piece) {
+    if (piece != null) {
+      late.addFirst(piece.retain());
+    }
+    // Not at once: who leaves the room is in the middle of something else.
+    place = rooms.uploads().ask(BodyStream.OCTETS, () -> context.executor().execute(() -> {
+      if (isWaiting()) {
+        stream(false);
+      }
+    }));
+    waits = true;
+    if (place.isGiven()) {
+      stream(false);
+    } else {
+      demand.run();
+    }
+  }
+
+  private void stream(boolean turnedAway) {
+    waits = false;
+    if (!turnedAway) {
+      goOn();
+    }
+    rest = new BodyStream(demand, place::leave);
+    place = null;
+    StreamedRequest request = new StreamedRequest(head, body, rest, turnedAway);
     head = null;
     body = null;
     emit(context, request);
+    while (!late.isEmpty() && !isWaiting()) {
+      read(context, late.poll());
+    }
+    demand.run();
+  }
+
+  /** Whether a body stands before the room: nothing more of its connection is read. */
+  boolean isWaiting() {
+    return waits;
+  }
+
+  /** There was no room in time for the body that waits for some: it comes on as turned away. */
+  void turnAway() {
+    stream(true);
   }
 
   private static void emit(ChannelHandlerContext context, FullHttpRequest request) {
@@ -174,12 +250,19 @@
 
   /** Whether what is passed on while it comes leaves room to read more. */
   boolean wantsMore() {
-    return rest == null || rest.wantsMore();
+    return !waits && (rest == null || rest.wantsMore());
   }
 
   private void letGo() {
     head = null;
     rest = null;
+    waits = false;
+    if (place != null) {
+      place.leave();
+      place = null;
+    }
+    late.forEach(ReferenceCountUtil::release);
+    late.clear();
     if (body != null) {
       body.release();
       body = null;
@@ -195,7 +278,7 @@
   /** So many bytes are held no more. */
   void release(long bytes) {
     held -= bytes;
-    budget.held -= bytes;
+    rooms.kept().give(bytes);
   }
 
   /** Nothing of the requests on this connection is held any more. */
--- /dev/null
+++ b/balancer/src/main/java/cloverpulley/serve/Room.java
@@ -0,0 +1,87 @@
+package cloverpulley.serve;
+
+import java.util.ArrayDeque;
+
+/**
+ * Octets of direct memory that one kind of work may hold over all connections. Who needs more than there is waits for its turn, first come
+ * first served, and reads nothing meanwhile. One thread owns it.
+ */
+final class Room {
+
+  /** A part of it, once it was given; what was given is given back exactly once. */
+  final class Place {
+    private final int octets;
+    private final Runnable given;
+    private boolean has;
+
+    private Place(int octets, Runnable given) {
+      this.octets = octets;
+      this.given = given;
+    }
+
+    boolean isGiven() {
+      return has;
+    }
+
+    /** Gives it back, or waits for it no longer; a second time nothing. */
+    void leave() {
+      if (has) {
+        has = false;
+        held -= octets;
+        serve();
+      } else if (waiting.remove(this)) {
+        serve(); // It may have been the one that the others stood behind.
+      }
+    }
+  }
+
+  private final long most;
+  private long held;
+  private final ArrayDeque<Place> waiting = new ArrayDeque<>();
+
+  /** A room of so many octets; one place alone is always given, however small the room. */
+  Room(long most) {
+    this.most = most;
+  }
+
+  /** Asks for a place; {@code given} is run once it is there, unless it is there at once. */
+  Place ask(int octets, Runnable given) {
+    Place place = new Place(octets, given);
+    if (waiting.isEmpty() && serves(octets)) {
+      place.has = true;
+      held += octets;
+    } else {
+      waiting.add(place);
+    }
+    return place;
+  }
+
+  /** Takes so many octets, whether they are there or not. */
+  void force(long octets) {
+    held += octets;
+  }
+
+  /** Whether so many octets are there. */
+  boolean fits(long octets) {
+    return held + octets <= most;
+  }
+
+  /** Gives back what was {@link #force taken}. */
+  void give(long octets) {
+    held -= octets;
+    serve();
+  }
+
+  private boolean serves(int octets) {
+    return held == 0 || fits(octets);
+  }
+
+  private void serve() {
+    for (Place first = waiting.peek(); first != null && serves(first.octets); first = waiting.peek()) {
+      waiting.poll();
+      first.has = true;
+      held += first.octets;
+      first.given.run();
+    }
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/balancer/src/main/java/cloverpulley/serve/Server.java
@@ -20,6 +20,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -40,13 +41,19 @@
   private static final Logger LOG = Logger.getLogger(Server.class.getName());
 
   private static final int BACKLOG = 1024;
-  /** The part of the memory, one in so many, that clients' bodies may take: half of what `run` gives to buffers. */
-  private static final int BODIES_PART = 16;
+  /**
+   * The parts of the memory, one in so many, that bodies which are kept, bodies that pass while they come and long answers may take at
+   * one time. Together five sixths of what `run` gives to buffers: the rest is for reads, small requests, discovery and the door.
+   */
+  private static final int KEPT_PART = 32;
+  private static final int UPLOADS_PART = 32;
+  private static final int ANSWERS_PART = 24;
   /** What a connection holds unwritten before the other side of it is read no further, and what one read brings at most. */
   private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
   private static final int LEAST_READ = 512;
   private static final int FIRST_READ = 2048;
-  private static final int MOST_READ = 16 * 1024;
+  static final int MOST_READ = 16 * 1024;
+  private static final int READS_A_TURN = 2;
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
   /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
   private static final long AGENT_RETRY_MILLIS = 200;
@@ -92,6 +99,11 @@
     loop = group.next();
   }
 
+  /** How a connection is read. Guards small requests: a long body is read a little in each turn, not all that its socket holds. */
+  private static RecvByteBufAllocator reads() {
+    return new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ).maxMessagesPerRead(READS_A_TURN);
+  }
+
   /** Starts a balancer and returns once it listens. */
   static Server start(Config config) {
     return start(config, n -> new Logic(config.settings(), config.seed() + n));
@@ -117,7 +129,7 @@
       ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
           .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
           .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
-          .childOption(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
+          .childOption(ChannelOption.RECVBUF_ALLOCATOR, reads());
       if (server.operations != null) {
         listen.option(Listener.REUSE_PORT, true);
       }
@@ -152,9 +164,9 @@
     counts.writeOn(loop);
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
-        .option(ChannelOption.RECVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator(LEAST_READ, FIRST_READ, MOST_READ));
+        .option(ChannelOption.RECVBUF_ALLOCATOR, reads());
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos(), fleet::isReady, config.loadReports(), counts);
+        config.idleNanos(), fleet::isReady, config.loadReports(), new Room(config.memoryBytes() / ANSWERS_PART), counts);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
     discovery = new Discovery(
@@ -163,7 +175,7 @@
     engine = new Engine(loop, clock, config.settings(), modules, fleet, counts.counted(discovery), peers, counts);
     engine.attach(pool);
     frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
-        config.memoryBytes() / BODIES_PART, counts);
+        new RequestReader.Rooms(new Room(config.memoryBytes() / KEPT_PART), new Room(config.memoryBytes() / UPLOADS_PART)), counts);
     parts = new Operations.Parts(loop, engine, fleet, sockets, pool, frontend);
     boolean newer = legacy != null && legacy.list().revision() >= config.known().revision();
     engine.news(ListKind.CACHED, newer ? legacy.list() : config.known());
--- a/balancer/src/main/java/cloverpulley/serve/StreamedRequest.java
+++ b/balancer/src/main/java/cloverpulley/serve/StreamedRequest.java
@@ -9,9 +9,12 @@
 final class StreamedRequest extends DefaultFullHttpRequest {
 
   final BodyStream rest;
+  /** There was no room for it in time: it is to be answered so, and what comes of it dropped. */
+  final boolean turnedAway;
 
-  StreamedRequest(HttpRequest head, ByteBuf beginning, BodyStream rest) {
+  StreamedRequest(HttpRequest head, ByteBuf beginning, BodyStream rest, boolean turnedAway) {
     super(head.protocolVersion(), head.method(), head.uri(), beginning, head.headers(), EmptyHttpHeaders.INSTANCE);
     this.rest = rest;
+    this.turnedAway = turnedAway;
   }
 }
--- a/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/balancer/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -71,6 +71,9 @@
   private static final long PASSING_PAUSE_MILLIS = 10_000;
   /** More 1xx answers than this ahead of one are without end. */
   private static final int MOST_INFORMATIONAL = 16;
+  /** From here on an answer needs a place of so many octets: what is held of it at most, or what passes. */
+  private static final int SHORT_ANSWER = 8 * 1024;
+  private static final int ANSWER_OCTETS = Frontend.MOST_BODY;
   /** What every answer begins with. */
   private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
 
@@ -84,14 +87,18 @@
   private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
   private final Set<Call> connecting = new HashSet<>();
   private final Reuse reuse = new Reuse();
+  /** Where long answers find room. */
+  private final Room answers;
 
   /**
-   * {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load;
+   * {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load; {@code answers}
+   * is where long answers find room;
    * {@code counts} is told of connections that are opened and what becomes of them.
    */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
-      LongPredicate ready, boolean loadReports, Counts counts) {
+      LongPredicate ready, boolean loadReports, Room answers, Counts counts) {
     this.counts = counts;
+    this.answers = answers;
     this.sockets = sockets;
     this.ready = ready;
     this.loadReports = loadReports;
@@ -190,7 +197,7 @@
   @Override
   public boolean probe(long upstream, SocketAddress address, Probed done) {
     Call call = new Call(upstream, (status, answer) -> done.ended(status, loadReports && answer != null
-        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()), null, null);
+        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()), null, null, 0);
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
     request.headers().set(HttpHeaderNames.HOST, "upstream");
     start(call, address, request, PROBE_NANOS);
@@ -273,6 +280,11 @@
     private boolean passes;
     private long came;
     private long heardAt;
+    /** Its room, once it is longer than short; and whether its client can't take more of it just now. */
+    private Room.Place place;
+    private boolean paused;
+    /** Ends the call whose upstream takes nothing of its body. */
+    private Future<?> stalled;
 
     Connection(Channel channel) {
       this.channel = channel;
@@ -334,7 +346,17 @@
       }
     }
 
+    private void flowing() {
+      channel.config().setAutoRead(!paused && (place == null || place.isGiven()));
+    }
+
     private void nothingBegun() {
+      paused = false;
+      if (place != null) {
+        place.leave();
+        place = null;
+      }
+      moves();
       begun = 0;
       head = null;
       passes = false;
@@ -367,6 +389,14 @@
       }
     }
 
+    /** The upstream takes something of a body, or there is nothing to take any more. */
+    private void moves() {
+      if (stalled != null) {
+        stalled.cancel(false);
+        stalled = null;
+      }
+    }
+
     boolean isQuiet() {
       return !(channel instanceof UpstreamSocket socket) || socket.isQuiet();
     }
@@ -375,6 +405,10 @@
       call = next;
       upstream = next.upstream;
       next.channel = channel;
+      next.reading = () -> {
+        paused = false;
+        flowing();
+      };
       if (next.rest == null) {
         channel.writeAndFlush(request).addListener(f -> written(next, f.isSuccess()));
         return;
@@ -406,6 +440,9 @@
     private void written(Call next, boolean success) {
       if (success) {
         next.written = true;
+        if (next.rest != null) {
+          next.rest.sent();
+        }
       } else {
         channel.close();
         next.end(Status.CONNECT_FAILED, null);
@@ -415,7 +452,11 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
       if (call != null && call.rest != null && channel.isWritable()) {
+        moves();
         call.rest.flow();
+      } else if (call != null && call.rest != null && stalled == null) {
+        Call slow = call;
+        stalled = channel.eventLoop().schedule(() -> abandon(slow, Status.CONNECT_FAILED, Status.TIMEOUT), slow.stallNanos, TimeUnit.NANOSECONDS);
       }
       context.fireChannelWritabilityChanged();
     }
@@ -442,6 +483,10 @@
     private void body(HttpContent content) {
       boolean last = content instanceof LastHttpContent;
       came += content.content().readableBytes();
+      if (place == null && came > SHORT_ANSWER) {
+        place = answers.ask(ANSWER_OCTETS, this::flowing);
+        flowing();
+      }
       if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         if (++informational > MOST_INFORMATIONAL || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
           spoilt();
@@ -492,7 +537,8 @@
         call.passing.piece(first);
       }
       if (content.isReadable() && !call.passing.piece(content.retain()) && !last) {
-        channel.config().setAutoRead(false);
+        paused = true;
+        flowing();
       }
       if (last) {
         Call answered = call;
--- a/balancer/src/test/java/cloverpulley/JarIT.java
+++ b/balancer/src/test/java/cloverpulley/JarIT.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
@@ -20,6 +21,8 @@
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The packaged jar as it is shipped, in a process of its own. */
 class JarIT {
@@ -104,6 +107,35 @@
     }
   }
 
+  /** Before, the virtual machine left SIGHUP ignored without a word, and new settings were never taken. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void sighupThatCameInIgnoredIsHeardOrSaidNotToBe(boolean byRun) throws IOException, InterruptedException {
+    String config = Files.readString(Path.of("deploy/example.json"));
+    Files.writeString(folder.resolve("config"), config);
+    Matcher run = Pattern.compile("(?m)^run = '''(.*)'''$").matcher(Files.readString(Path.of("deploy/balancer.toml")));
+    assertTrue(run.find());
+    String command = byRun ? run.group(1) : "exec java -jar \"$JAR\" serve";
+    ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; exec /bin/sh -c \"$COMMAND\"").redirectError(file("err"));
+    builder.environment().putAll(Map.of("COMMAND", command, "JAR", System.getProperty("jar"), "ROUTER_CONFIG",
+        folder.resolve("config").toString(), "TMPDIR", folder.toString()));
+    Process process = builder.start();
+    try {
+      awaitLine(process, "serves at");
+      assertEquals(!byRun, text("err").contains("SIGHUP can't be heard"), text("err"));
+      if (byRun) {
+        Files.writeString(folder.resolve("config"), config.replace("127.0.0.1:8500", "127.0.0.1:8501"));
+        hangUp(process);
+        awaitLine(process, "read again, discovery at /127.0.0.1:8501");
+      }
+      process.destroy();
+      assertTrue(process.waitFor(1, TimeUnit.MINUTES));
+      assertEquals(0, process.exitValue(), text("err"));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** Guards against SIGHUP, which ends a virtual machine that does not handle it. */
   @Test
   void sighupReadsTheConfigurationAgainAndABadOneIsOneLine() throws IOException, InterruptedException {
--- a/dist/src/main/java/cloverpulley/cli/Signals.java
+++ b/dist/src/main/java/cloverpulley/cli/Signals.java
@@ -1,11 +1,14 @@
 package cloverpulley.cli;
 
 import java.util.concurrent.CountDownLatch;
-import sun.misc.Signal;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What the process is told from outside. */
 final class Signals {
 
+  private static final Logger LOG = LoggerFactory.getLogger(Signals.class);
+
   private Signals() {}
 
   /**
@@ -14,13 +17,13 @@
    */
   static CountDownLatch term() {
     CountDownLatch term = new CountDownLatch(1);
-    Signal.handle(new Signal("TERM"), signal -> term.countDown());
-    Signal.handle(new Signal("INT"), signal -> term.countDown());
+    cloverpulley.engine.Signals.handle("TERM", term::countDown, LOG::warn);
+    cloverpulley.engine.Signals.handle("INT", term::countDown, LOG::debug); // A shell ignores it for what runs in the background.
     return term;
   }
 
   /** Run at each SIGHUP. */
   static void onHup(Runnable task) {
-    Signal.handle(new Signal("HUP"), signal -> task.run());
+    cloverpulley.engine.Signals.handle("HUP", task, LOG::warn);
   }
 }
