The HTTP balancer in a module of its own, which other programs can start with their own lists

What proves agreement between instances has to run many of the same balancer, from the operators' file; the package was part of the platform's jar alone.

Change: `git mv` of cloverpulley.serve from balancer/ to http/; the platform's module keeps Main, the adapter, packaging and the class archive. Balance is the way in for other programs: lists from any source, a second witness, and upstreams out by agreement, which the door's word alone does not bring back (and the other way round).

--- /dev/null
+++ b/http/src/main/java/cloverpulley/serve/Balance.java
@@ -0,0 +1,103 @@
+package cloverpulley.serve;
+
+import cloverpulley.Balancer.ListKind;
+import cloverpulley.Balancer.Settings;
+import cloverpulley.engine.Engine;
+import cloverpulley.engine.Fleet;
+import cloverpulley.engine.ServerList;
+import cloverpulley.engine.Witness;
+import cloverpulley.Logic;
+import io.netty.channel.EventLoop;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** The HTTP balancer as a part of another program: the same front and engine as the platform's, told where its lists come from. */
+public final class Balance {
+
+  /** Where lists come from. */
+  public interface Lists {
+    /** Opens the source, on the loop, where all of it runs. */
+    Engine.ListSource open(EventLoop loop, Fleet fleet, BiConsumer<ListKind, ServerList> news);
+  }
+
+  /**
+   * What it is told at its start.
+   *
+   * @param management where operators' calls come to; null for nowhere
+   * @param shared the folder that a successor beside it sees too; null for none
+   * @param sockets descriptors it may hold, clients' and upstreams'
+   * @param memoryBytes what its bounds are counted from
+   * @param known the list it starts with
+   * @param idleNanos after this an upstream may close a connection that stands idle
+   * @param witness told of what happens
+   * @param wired run once there is an engine, before clients are heard
+   */
+  public record Given(String name, InetSocketAddress listen, InetSocketAddress management, Path shared, int sockets, long memoryBytes,
+      ServerList known, Settings settings, long idleNanos, long seed, Lists lists, Witness witness, Consumer<Acts> wired) {}
+
+  /** What the fleet's agreement does to it. */
+  public interface Acts {
+    /**
+     * Nothing new goes to this upstream any more, whatever lists say; it was out for so long already.
+     *
+     * @return done once the module has been told
+     */
+    CompletableFuture<Void> takeOut(String id, long forNanos);
+
+    /** It may serve again, and is taken for cold; out it stays where the door says so. */
+    CompletableFuture<Void> callBack(String id);
+  }
+
+  private final Server server;
+
+  private Balance(Server server) {
+    this.server = server;
+  }
+
+  /** Starts one and returns once it listens. */
+  public static Balance start(Given g) {
+    Config config = new Config(g.name(), g.listen(), null, g.seed(), g.sockets(), g.memoryBytes(), null, List.of(), null, g.known(),
+        g.settings(), g.idleNanos(), false, g.management(), g.shared(), null);
+    return new Balance(Server.start(config, n -> new Logic(g.settings(), g.seed() + n), g.lists(), g.witness(), s -> g.wired().accept(new Acts() {
+      @Override
+      public CompletableFuture<Void> takeOut(String id, long forNanos) {
+        return s.agreedOut(id, forNanos);
+      }
+
+      @Override
+      public CompletableFuture<Void> callBack(String id) {
+        return s.agreedBack(id);
+      }
+    })));
+  }
+
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  /** Where operators call; null for nowhere. */
+  public InetSocketAddress door() {
+    return server.hasDoor() ? server.door() : null;
+  }
+
+  /** A list that was written in a file has changed. */
+  public CompletableFuture<Void> listed(ServerList list) {
+    return server.tell(engine -> engine.news(ListKind.FULL, list));
+  }
+
+  /** Attempts under way now, by the engine's own count. */
+  public CompletableFuture<Integer> inFlight() {
+    CompletableFuture<Integer> count = new CompletableFuture<>();
+    server.tell(engine -> count.complete(engine.inFlight()));
+    return count;
+  }
+
+  /** Leaves in order, and returns once no client is left. */
+  public void stop() {
+    server.stop();
+  }
+}
--- a/balancer/src/main/java/cloverpulley/serve/Operations.java
+++ b/http/src/main/java/cloverpulley/serve/Operations.java
@@ -19,6 +19,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
@@ -49,6 +50,7 @@
   /** Where there is no folder: upstreams that are out, with the Unix time since when. */
   private final Map<String, Long> unshared = new ConcurrentHashMap<>();
   private volatile Parts parts;
+  private volatile Set<String> calledOut = Set.of();
   private volatile boolean serving;
   private volatile boolean ready;
   private volatile boolean leaving;
@@ -62,7 +64,8 @@
   private int processes = 1;
 
   /** What there is of a balancer once it is wired. */
-  record Parts(EventLoop loop, Engine engine, Fleet fleet, Sockets sockets, UpstreamPool pool, Frontend frontend) {}
+  record Parts(EventLoop loop, Engine engine, Fleet fleet, Sockets sockets, UpstreamPool pool, Frontend frontend,
+      Set<String> agreed) {}
 
   /** Opens the door, which says that nothing is ready yet. A folder that can't be used is done without. */
   Operations(Config config) {
@@ -114,6 +117,11 @@
     wired.loop().submit(() -> { }).syncUninterruptibly();
   }
 
+  /** Whether an upstream is out by a call to the door. */
+  boolean isOut(String id) {
+    return calledOut.contains(id);
+  }
+
   /** It takes clients. */
   void serving() {
     serving = true;
@@ -246,9 +254,10 @@
   // ---- On the engine's loop ------------------------------------------------------------------------------
 
   private void takeUp(Parts p, Map<String, Long> out) {
+    calledOut = out.keySet();
     out.forEach((id, since) ->
         p.engine().takeOut(id, TimeUnit.MILLISECONDS.toNanos(Math.max(0, System.currentTimeMillis() - since))));
-    p.fleet().out().stream().filter(id -> !out.containsKey(id)).forEach(p.engine()::callBack);
+    p.fleet().out().stream().filter(id -> !out.containsKey(id) && !p.agreed().contains(id)).forEach(p.engine()::callBack);
     ready = !leaving && p.frontend().isReady();
   }
 
--- a/balancer/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -6,11 +6,13 @@
 import cloverpulley.Balancer.Settings;
 import cloverpulley.Logic;
 import cloverpulley.discovery.Discovery;
+import cloverpulley.engine.Both;
 import cloverpulley.engine.Clock;
 import cloverpulley.engine.Engine;
 import cloverpulley.engine.Fleet;
 import cloverpulley.engine.ServerList;
 import cloverpulley.engine.Sockets;
+import cloverpulley.engine.Witness;
 import cloverpulley.handover.Legacy;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -28,9 +30,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
@@ -84,6 +90,11 @@
   private Engine engine;
   private Frontend frontend;
   private Discovery discovery;
+  /** Where lists come from in place of discovery; null for discovery. */
+  private Balance.Lists lists;
+  private Witness witness = Witness.NONE;
+  /** Upstreams that are out by agreement of the fleet: the door's word alone does not bring them back. */
+  private final Set<String> agreed = ConcurrentHashMap.newKeySet();
   private Peers peers;
   private Channel listener;
   private boolean pushed;
@@ -111,7 +122,17 @@
 
   /** The same around other decisions; {@code modules} makes the n-th module of this process. */
   static Server start(Config config, LongFunction<Balancer> modules) {
+    return start(config, modules, null, Witness.NONE, s -> { });
+  }
+
+  /**
+   * The same with lists from elsewhere than the platform's discovery, where {@code lists} is not null; {@code wired} is run before clients
+   * are heard.
+   */
+  static Server start(Config config, LongFunction<Balancer> modules, Balance.Lists lists, Witness witness, Consumer<Server> wired) {
     Server server = new Server();
+    server.lists = lists;
+    server.witness = witness;
     server.config = config;
     try {
       if (config.management() != null) {
@@ -126,6 +147,7 @@
       if (config.peerListen() != null && config.settings().limits().peers()) {
         server.peers.listen(server.group, config.peerListen(), server.operations != null, server.engine).syncUninterruptibly();
       }
+      wired.accept(server);
       ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
           .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
           .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
@@ -169,14 +191,21 @@
         config.idleNanos(), fleet::isReady, config.loadReports(), new Room(config.memoryBytes() / ANSWERS_PART), counts);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
-    discovery = new Discovery(
-        connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
-        config.discovery(), fleet::revision, this::news);
-    engine = new Engine(loop, clock, config.settings(), modules, fleet, counts.counted(discovery), peers, counts);
+    Engine.ListSource source;
+    if (lists == null) {
+      discovery = new Discovery(
+          connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
+          config.discovery(), fleet::revision, this::news);
+      source = discovery;
+    } else {
+      source = lists.open(loop, fleet, this::news);
+    }
+    engine = new Engine(loop, clock, config.settings(), modules, fleet, counts.counted(source), peers,
+        witness == Witness.NONE ? counts : new Both(counts, witness));
     engine.attach(pool);
     frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
         new RequestReader.Rooms(new Room(config.memoryBytes() / KEPT_PART), new Room(config.memoryBytes() / UPLOADS_PART)), counts);
-    parts = new Operations.Parts(loop, engine, fleet, sockets, pool, frontend);
+    parts = new Operations.Parts(loop, engine, fleet, sockets, pool, frontend, agreed);
     boolean newer = legacy != null && legacy.list().revision() >= config.known().revision();
     engine.news(ListKind.CACHED, newer ? legacy.list() : config.known());
     if (legacy != null) {
@@ -280,6 +309,40 @@
     return words.isEmpty() ? "other figures" : String.join(" ", words);
   }
 
+  /** Has the engine do something on its loop; done once the module has been told what it has to know of that. */
+  CompletableFuture<Void> tell(Consumer<Engine> what) {
+    CompletableFuture<Void> told = new CompletableFuture<>();
+    loop.execute(() -> {
+      try {
+        what.accept(engine);
+        loop.execute(() -> told.complete(null)); // Behind the engine's own turn.
+      } catch (RuntimeException e) {
+        told.completeExceptionally(e);
+      }
+    });
+    return told;
+  }
+
+  /** The fleet has agreed that this upstream is out. */
+  CompletableFuture<Void> agreedOut(String id, long forNanos) {
+    agreed.add(id);
+    return tell(engine -> engine.takeOut(id, forNanos));
+  }
+
+  /** The fleet has agreed that it is back; out it stays where this one's door says so. */
+  CompletableFuture<Void> agreedBack(String id) {
+    agreed.remove(id);
+    return tell(engine -> {
+      if (operations == null || !operations.isOut(id)) {
+        engine.callBack(id);
+      }
+    });
+  }
+
+  boolean hasDoor() {
+    return operations != null;
+  }
+
   /** Where operators call. */
   InetSocketAddress door() {
     return (InetSocketAddress) operations.door().localAddress();
