--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/AgreeConfig.java
@@ -0,0 +1,128 @@
+package cloverpulley.agree;
+
+import cloverpulley.config.Section;
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Limit;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * {@code [agree]} of the operators' file: the fleet that agrees, its voters, its limits.
+ *
+ * @param fleet the fleet's name: nobody of another one is heard
+ * @param name this instance's name, unlike any other's and the same after a restart
+ * @param groups what this instance belongs to beside "balancers"
+ * @param folder where a voter keeps its file
+ * @param labels further groups of upstreams, by id
+ * @param raftListen where a voter hears the others
+ * @param apiListen where a voter is asked
+ */
+public record AgreeConfig(String fleet, String name, List<String> groups, Path folder, int pollMillis, int silentMillis, int mostMb,
+    List<VoterAt> voters, Command.Rules rules, Map<String, List<String>> labels, InetSocketAddress raftListen,
+    InetSocketAddress apiListen) {
+
+  /** The group of all balancers. */
+  public static final String BALANCERS = "balancers";
+  /** The group of all upstreams. */
+  public static final String UPSTREAMS = "upstreams";
+  /** The group of those that hold the ledger. */
+  public static final String VOTERS = "voters";
+
+  private static final int MOST_NAME = 128;
+
+  /** A voter, and where it is. */
+  public record VoterAt(String name, InetSocketAddress raft, InetSocketAddress api) {}
+
+  /** Reads the section. */
+  public static AgreeConfig read(Section s, String zone) {
+    String name = name(s, "name");
+    List<VoterAt> voters = new ArrayList<>();
+    Set<String> names = new HashSet<>();
+    for (Section v : s.tables("voter")) {
+      String voter = name(v, "name");
+      if (!names.add(voter)) {
+        v.wrong("name", "two voters are called \"" + voter + "\"");
+      }
+      voters.add(new VoterAt(voter, v.address("raft", null), v.address("api", null)));
+    }
+    if (voters.size() != 3 && voters.size() != 5 && voters.size() != 7) {
+      s.wrong("voter", "expected three, five or seven voters, got " + voters.size());
+    }
+    Map<String, Limit> limits = new TreeMap<>();
+    for (Section g : s.tables("group")) {
+      String group = name(g, "name");
+      if (limits.containsKey(group)) {
+        g.wrong("name", "two groups are called \"" + group + "\"");
+      }
+      limits.put(group, new Limit((int) g.whole("most", 0, 100_000, 100_000), g.number("part", 0, 1, 1), (int) g.whole("back", 1, 100_000, 1)));
+    }
+    int minority = Math.max(0, (voters.size() - 1) / 2);
+    if (limits.containsKey(VOTERS) && limits.get(VOTERS).most() > minority) {
+      s.wrong("group", "expected most of " + VOTERS + " of " + minority + " or less: more would cost the majority");
+    }
+    limits.putIfAbsent(VOTERS, new Limit(minority, 1, 1));
+    Map<String, List<String>> labels = new TreeMap<>();
+    for (Section l : s.tables("label")) {
+      labels.put(l.text("upstream"), l.texts("groups", List.of()));
+    }
+    Command.Rules rules = new Command.Rules(s.whole("version", 1, Long.MAX_VALUE, 1), limits, (int) s.whole("words", 1, 8, 2),
+        s.whole("fresh_ms", 100, 3_600_000, 10_000), s.number("dead_part", 0.001, 1, 1));
+    VoterAt own = voters.stream().filter(v -> v.name().equals(name)).findFirst().orElse(null);
+    return new AgreeConfig(name(s, "fleet"), name, groups(s, own != null, zone), Path.of(s.text("folder", ".")),
+        (int) s.whole("poll_ms", 10, 60_000, 200), (int) s.whole("silent_ms", 100, 600_000, 2000), (int) s.whole("most_mb", 1, 1024, 16),
+        List.copyOf(voters), rules, labels,
+        s.has("raft_listen") || own == null ? s.address("raft_listen", "127.0.0.1:0") : own.raft(),
+        s.has("api_listen") || own == null ? s.address("api_listen", "127.0.0.1:0") : own.api());
+  }
+
+  private static List<String> groups(Section s, boolean votes, String zone) {
+    List<String> groups = new ArrayList<>(List.of(BALANCERS));
+    if (!zone.isEmpty()) {
+      groups.add(BALANCERS + ":" + zone);
+    }
+    if (votes) {
+      groups.add(VOTERS);
+    }
+    groups.addAll(s.texts("groups", List.of()));
+    return groups.stream().distinct().sorted().toList();
+  }
+
+  private static String name(Section s, String key) {
+    String name = s.text(key);
+    if (name.length() > MOST_NAME || !name.matches("[\\w.:#-]*")) {
+      s.wrong(key, "expected letters, digits and . : # - _, " + MOST_NAME + " at most, got \"" + name + "\"");
+    }
+    return name;
+  }
+
+  /** Whether this instance holds the ledger. */
+  public boolean votes() {
+    return voters.stream().anyMatch(v -> v.name().equals(name));
+  }
+
+  Path journal() {
+    return folder.resolve(name + ".ledger");
+  }
+
+  /** Makes the file of a voter that has never been one. */
+  public Path init() throws java.io.IOException {
+    RaftJournal.create(journal(), fleet);
+    return journal();
+  }
+
+  /** The groups of an upstream of the list. */
+  public List<String> groupsOf(String id, String zone, int cell) {
+    List<String> groups = new ArrayList<>(List.of(UPSTREAMS, "cell:" + cell));
+    if (!zone.isEmpty()) {
+      groups.add(UPSTREAMS + ":" + zone);
+    }
+    groups.addAll(labels.getOrDefault(id, List.of()));
+    return groups.stream().distinct().sorted().toList();
+  }
+}
--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/Follower.java
@@ -0,0 +1,147 @@
+package cloverpulley.agree;
+
+import cloverpulley.outs.Acting;
+import cloverpulley.outs.Command;
+import cloverpulley.outs.State;
+import cloverpulley.outs.Watch;
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * An instance's side of the ledger, on a thread of its own: looks at it, has its module act, says so with the next look, and tells what it
+ * sees of upstreams. Without a word from any voter everything stays as it is: what is out stays out, the rest serves.
+ */
+public final class Follower implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(Follower.class);
+
+  private static final long TELL_MILLIS = 1000;
+  private static final long ACT_MILLIS = 1000;
+  private static final int MOST_WORDS = 50;
+
+  /** Where an instance acts. */
+  public interface Upstreams {
+    /** Nothing new to it; done once the module knows. */
+    CompletableFuture<Void> takeOut(String id, long forMillis);
+
+    /** It may serve again, cold; done once the module knows. */
+    CompletableFuture<Void> callBack(String id);
+  }
+
+  private final AgreeConfig config;
+  private final AgreeClient client;
+  private final Upstreams upstreams;
+  private final Acting acting = new Acting();
+  private final Watch watch;
+  private final ScheduledExecutorService thread = new ScheduledThreadPoolExecutor(1, task -> {
+    Thread made = new Thread(task, "ledger");
+    made.setDaemon(true);
+    return made;
+  });
+  private final ArrayDeque<Acting.Step> todo = new ArrayDeque<>();
+  private final CompletableFuture<Void> first = new CompletableFuture<>();
+  private State seen;
+  private long acted = -1;
+  private boolean deaf;
+
+  /** Begins to look at once; {@code warmMillis} is how long an upstream that came back takes until it is warm. */
+  public Follower(AgreeConfig config, Upstreams upstreams, long warmMillis) {
+    this.config = config;
+    this.upstreams = upstreams;
+    client = new AgreeClient(config.voters());
+    watch = new Watch(config.name(), warmMillis, Math.max(config.pollMillis(), config.rules().freshMillis() / 3));
+    thread.scheduleWithFixedDelay(this::look, 0, config.pollMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** An attempt at an upstream has ended; from any thread. */
+  public void ended(String upstream, boolean answered, boolean nothingCame) {
+    synchronized (watch) {
+      watch.ended(now(), upstream, answered, nothingCame);
+    }
+  }
+
+  /** Done once the ledger was looked at and acted on for the first time. */
+  public CompletableFuture<Void> first() {
+    return first;
+  }
+
+  private static long now() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Never throws: a turn that did would be the last. */
+  private void look() {
+    try {
+      if (!todo.isEmpty()) {
+        act(seen == null ? State.EMPTY : seen);
+      }
+      State s = client.look(config.name(), config.groups(), acted, acted);
+      if (s != null) {
+        act(s);
+      }
+      if (deaf) {
+        deaf = false;
+        LOG.info("the ledger is heard again");
+      }
+      if (seen != null) {
+        tell();
+      }
+    } catch (IOException | RuntimeException e) {
+      if (!deaf) {
+        deaf = true;
+        LOG.warn("the ledger can't be heard, what is out stays out: {}", e.getMessage());
+      }
+    }
+  }
+
+  private void act(State s) throws IOException {
+    try {
+      todo.addAll(acting.look(s));
+      while (!todo.isEmpty()) {
+        Acting.Step step = todo.peek(); // Gone only once it is done: what the module has not heard is told again.
+        if (step instanceof Acting.Step.TakeOut t) {
+          LOG.info("agreed: {} out", t.upstream());
+          upstreams.takeOut(t.upstream(), t.forMillis()).get(ACT_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (step instanceof Acting.Step.CallBack c) {
+          LOG.info("agreed: {} back", c.upstream());
+          upstreams.callBack(c.upstream()).get(ACT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        todo.poll();
+      }
+      if (s.index() >= acting.index()) {
+        seen = s;
+        acted = s.index();
+        first.complete(null);
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException e) {
+      throw new IOException("the module could not act", e); // Not said to have acted.
+    }
+  }
+
+  private void tell() throws IOException {
+    List<Command> words;
+    synchronized (watch) {
+      words = watch.look(now(), seen);
+    }
+    for (int i = 0; i < Math.min(MOST_WORDS, words.size()); i++) {
+      client.command(words.get(i), TELL_MILLIS);
+    }
+  }
+
+  /** Looks no more; what is out stays out. */
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/Peer.java
@@ -0,0 +1,12 @@
+package cloverpulley.agree;
+
+import io.microraft.RaftEndpoint;
+
+/** A voter, known by its name. */
+record Peer(String name) implements RaftEndpoint {
+
+  @Override
+  public Object getId() {
+    return name;
+  }
+}
--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -0,0 +1,206 @@
+package cloverpulley.agree;
+
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Ledger;
+import cloverpulley.outs.Reply;
+import cloverpulley.outs.Roll;
+import cloverpulley.outs.State;
+import io.microraft.Ordered;
+import io.microraft.RaftEndpoint;
+import io.microraft.RaftNode;
+import io.microraft.RaftNodeStatus;
+import io.microraft.persistence.RestoredRaftState;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One that holds the ledger: Raft, its file and its links, and, where it leads, what the ledger is to be told of who is there. */
+public final class Voter implements AutoCloseable {
+
+  private static final Logger LOG = LoggerFactory.getLogger(Voter.class);
+
+  private static final String GROUP = "outs";
+  private static final int SNAPSHOT_EVERY = 2000;
+  private static final long DUTY_MILLIS = 100;
+  /** Commands of one turn of the duty; the rest follows in the next. */
+  private static final int MOST_A_TURN = 500;
+
+  private final AgreeConfig config;
+  private final LedgerMachine machine = new LedgerMachine(new Ledger());
+  private final RaftJournal journal;
+  private final RaftLink link;
+  private final RaftNode node;
+  private final Roll roll;
+  private final Map<String, CompletableFuture<?>> pending = new ConcurrentHashMap<>();
+  private final ScheduledExecutorService duty = new ScheduledThreadPoolExecutor(1, task -> {
+    Thread made = new Thread(task, "ledger duty");
+    made.setDaemon(true);
+    return made;
+  });
+
+  private Voter(AgreeConfig config) throws IOException {
+    this.config = config;
+    roll = new Roll(config.name(), config.silentMillis());
+    journal = RaftJournal.open(config.journal(), config.fleet(), (long) config.mostMb() << 20);
+    Codec codec = new Codec(GROUP);
+    List<RaftEndpoint> voters = config.voters().stream().map(v -> (RaftEndpoint) new Peer(v.name())).toList();
+    RaftNode[] made = new RaftNode[1];
+    try {
+      link = new RaftLink(config.fleet(), config.name(), config.raftListen(), config.voters().stream()
+          .filter(v -> !v.name().equals(config.name())).collect(Collectors.toMap(AgreeConfig.VoterAt::name, AgreeConfig.VoterAt::raft)), codec,
+          m -> made[0].handle(m));
+      RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(new Pace())
+          .setClock(Pace.clock()).setTransport(link).setStateMachine(machine).setStore(journal);
+      RestoredRaftState restored = journal.restored();
+      if (restored == null) {
+        builder.setLocalEndpoint(new Peer(config.name())).setInitialGroupMembers(voters);
+      } else {
+        check(restored, voters);
+        builder.setRestoredState(restored);
+      }
+      node = builder.build();
+      made[0] = node;
+    } catch (IOException | RuntimeException e) {
+      journal.close();
+      throw e;
+    }
+  }
+
+  private void check(RestoredRaftState restored, List<RaftEndpoint> voters) throws IOException {
+    Object was = restored.getLocalEndpointPersistentState().getLocalEndpoint().getId();
+    if (!was.equals(config.name())) {
+      throw new IOException(config.journal() + " is the file of voter \"" + was + "\"");
+    }
+    if (!restored.getInitialGroupMembers().getMembers().containsAll(voters)) {
+      throw new IOException(config.journal() + " knows other voters than agree.voter: " + restored.getInitialGroupMembers().getMembers());
+    }
+  }
+
+  /** Starts a voter; its file has to be there. */
+  public static Voter start(AgreeConfig config) throws IOException {
+    Voter v = new Voter(config);
+    v.link.start();
+    v.node.start();
+    v.duty.scheduleWithFixedDelay(v::work, DUTY_MILLIS, DUTY_MILLIS, TimeUnit.MILLISECONDS);
+    return v;
+  }
+
+  /** Whether this one leads, as far as it knows: what it says then holds only with a majority. */
+  public boolean leads() {
+    RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+    return leader != null && leader.getId().equals(config.name());
+  }
+
+  /** The name of who leads as far as this one knows; empty for nobody. */
+  public String leader() {
+    RaftEndpoint leader = node.getTerm().getLeaderEndpoint();
+    return leader == null ? "" : (String) leader.getId();
+  }
+
+  /** Whether it takes part: a voter whose file could not be written does not. */
+  public boolean isActive() {
+    return !RaftNodeStatus.isTerminal(node.getStatus());
+  }
+
+  /** Puts a command in the one order; fails where this one does not lead, and where nobody knows whether it came through. */
+  public CompletableFuture<Reply> command(Command c) {
+    CompletableFuture<Ordered<Reply>> ordered = node.replicate(new Stamped(System.currentTimeMillis(), c));
+    return ordered.thenApply(Ordered::getResult);
+  }
+
+  /** The ledger as this one holds it; another may be ahead. */
+  public State state() {
+    return machine.state();
+  }
+
+  long index() {
+    return machine.index();
+  }
+
+  /** An instance has looked here. */
+  public void heard(String name, List<String> groups, long acted) {
+    synchronized (roll) {
+      roll.heard(now(), name, groups, acted);
+    }
+  }
+
+  /** The upstreams there are, by id, with their groups. */
+  public void listed(Map<String, Roll.Entry> upstreams) {
+    synchronized (roll) {
+      roll.listed(upstreams);
+    }
+  }
+
+  /** Instances in service that have not acted on all up to an index, as this one has heard. */
+  public List<String> notActed(long index) {
+    synchronized (roll) {
+      return roll.notActed(index, state());
+    }
+  }
+
+  private static long now() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Never throws: a turn that did would be the last. */
+  private void work() {
+    try {
+      boolean leads = leads() && isActive();
+      State s = state();
+      List<Command> told;
+      synchronized (roll) {
+        told = roll.look(now(), leads, s);
+      }
+      if (leads && s.rules().version() < config.rules().version()) {
+        tell("rules", config.rules());
+      }
+      told.stream().limit(MOST_A_TURN).forEach(c -> tell(c.toString(), c));
+    } catch (RuntimeException e) {
+      LOG.warn("the ledger's duty: {}", e.toString());
+    }
+  }
+
+  /** One of a kind at a time: what has no answer yet is not said again. */
+  private void tell(String key, Command c) {
+    pending.computeIfAbsent(key, k -> {
+      CompletableFuture<Reply> reply = command(c);
+      return reply.handle((r, e) -> {
+        duty.execute(() -> pending.remove(k));
+        return null;
+      });
+    });
+  }
+
+  @Override
+  public void close() {
+    duty.shutdownNow();
+    try {
+      node.terminate().get(1, TimeUnit.SECONDS);
+      link.close();
+      journal.close();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    } catch (Exception e) {
+      LOG.debug("at the end: {}", e.toString());
+    }
+  }
+
+  /** Where it hears other voters. */
+  public java.net.InetSocketAddress raftAddress() {
+    return link.address();
+  }
+
+  /** For tests: whatever is asked of the node. */
+  <T> T with(Function<RaftNode, T> what) {
+    return what.apply(node);
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/outs/Acting.java
@@ -0,0 +1,57 @@
+package cloverpulley.outs;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * What one instance does about the ledger: each upstream that was granted is taken out at its module, each that returns is called back. An
+ * older look than the last changes nothing, so that a voter which lags can't bring back what is out. One thread at a time.
+ */
+public final class Acting {
+
+  /** Something to be done. */
+  public sealed interface Step {
+    /** Nothing new to it; it was out for so long already. */
+    record TakeOut(String upstream, long forMillis) implements Step {}
+
+    /** It may serve again, cold. */
+    record CallBack(String upstream) implements Step {}
+  }
+
+  private final Set<String> out = new TreeSet<>();
+  private long index;
+
+  /** The ledger as it was looked at; what is to be done now, in order. */
+  public List<Step> look(State s) {
+    if (s.index() < index) {
+      return List.of();
+    }
+    index = s.index();
+    List<Step> steps = new ArrayList<>();
+    Set<String> wanted = new TreeSet<>();
+    for (Map.Entry<String, State.Out> e : s.outs().entrySet()) {
+      State.Member m = s.members().get(e.getKey());
+      if (m != null && m.kind() == Kind.UPSTREAM && e.getValue().phase() != Phase.RETURNING) {
+        wanted.add(e.getKey());
+        if (out.add(e.getKey())) {
+          steps.add(new Step.TakeOut(e.getKey(), Math.max(0, s.nowMillis() - e.getValue().sinceMillis())));
+        }
+      }
+    }
+    for (String name : List.copyOf(out)) {
+      if (!wanted.contains(name)) {
+        out.remove(name);
+        steps.add(new Step.CallBack(name));
+      }
+    }
+    return steps;
+  }
+
+  /** The look that was acted on last. */
+  public long index() {
+    return index;
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/outs/Kind.java
@@ -0,0 +1,4 @@
+package cloverpulley.outs;
+
+/** What can be out. */
+public enum Kind { BALANCER, UPSTREAM }
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/outs/Roll.java
@@ -0,0 +1,106 @@
+package cloverpulley.outs;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What who leads the ledger makes of those it hears, and of the list of upstreams it holds: the commands that bring the ledger up to it.
+ * Time is any that does not go back; whoever leads anew hears everybody from then on, so that a change of leader takes nobody for silent.
+ * One thread at a time.
+ */
+public final class Roll {
+
+  /** One to be enrolled: an instance that looks, or an upstream of the list. */
+  public record Entry(Kind kind, List<String> groups) {}
+
+  private record Heard(Entry as, long atMillis, long acted) {}
+
+  private final String me;
+  private final long silentMillis;
+  private final Map<String, Heard> heard = new TreeMap<>();
+  private final Map<String, Long> toldAt = new HashMap<>();
+  private Map<String, Entry> upstreams = Map.of();
+  private boolean leads;
+  private long ledBy;
+
+  /**
+   * @param me the name of who leads here
+   * @param silentMillis after so long without a word an instance counts as out
+   */
+  public Roll(String me, long silentMillis) {
+    this.me = me;
+    this.silentMillis = silentMillis;
+  }
+
+  /** An instance has looked, having acted on all up to an index. */
+  public void heard(long nowMillis, String name, List<String> groups, long acted) {
+    if (heard.containsKey(name) || heard.size() < Ledger.MOST_MEMBERS) {
+      heard.put(name, new Heard(new Entry(Kind.BALANCER, groups), nowMillis, acted));
+    }
+  }
+
+  /** The upstreams that there are; an empty list is no list. */
+  public void listed(Map<String, Entry> all) {
+    if (!all.isEmpty()) {
+      upstreams = Map.copyOf(all);
+    }
+  }
+
+  /** What the ledger is to be told now; nothing where this one does not lead. */
+  public List<Command> look(long nowMillis, boolean isLeading, State s) {
+    if (!isLeading) {
+      leads = false;
+      return List.of();
+    }
+    if (!leads) {
+      leads = true;
+      ledBy = nowMillis;
+      toldAt.clear();
+    }
+    List<Command> told = new ArrayList<>();
+    heard.forEach((name, h) -> enrol(told, s, name, h.as()));
+    upstreams.forEach((name, e) -> enrol(told, s, name, e));
+    s.members().forEach((name, m) -> {
+      if (m.kind() == Kind.UPSTREAM && !upstreams.isEmpty() && !upstreams.containsKey(name) && !s.outs().containsKey(name)) {
+        told.add(new Command.Strike(name)); // One that is out stays, listed or not: it holds its place until it is seen back.
+      } else if (m.kind() == Kind.BALANCER) {
+        hear(told, nowMillis, s, name, m);
+      }
+    });
+    if (!s.queue().isEmpty() || !s.back().isEmpty()) {
+      told.add(new Command.Tick());
+    }
+    return told;
+  }
+
+  private static void enrol(List<Command> told, State s, String name, Entry e) {
+    Command.Enrol wanted = new Command.Enrol(name, e.kind(), e.groups());
+    State.Member is = s.members().get(name);
+    if (is == null || is.kind() != wanted.kind() || !is.groups().equals(wanted.groups())) {
+      told.add(wanted);
+    }
+  }
+
+  private void hear(List<Command> told, long now, State s, String name, State.Member m) {
+    Heard h = heard.get(name);
+    long since = h == null ? ledBy : Math.max(ledBy, h.atMillis());
+    boolean isSilent = now - since > silentMillis;
+    State.Out out = s.outs().get(name);
+    boolean returning = out != null && out.phase() == Phase.RETURNING;
+    boolean news = isSilent != m.unwell() && (isSilent || h != null && h.atMillis() >= ledBy) || returning && !isSilent;
+    if (news && now - toldAt.getOrDefault(name, Long.MIN_VALUE / 2) >= silentMillis / 4) {
+      toldAt.put(name, now);
+      told.add(new Command.Seen(me, name, isSilent ? Health.SILENT : Health.WARM));
+    }
+  }
+
+  /** Instances in service that have not acted on all up to an index; those that are out or silent are not waited for. */
+  public List<String> notActed(long index, State s) {
+    return s.members().entrySet().stream()
+        .filter(e -> e.getValue().kind() == Kind.BALANCER && !e.getValue().unwell() && !s.outs().containsKey(e.getKey()))
+        .map(Map.Entry::getKey).filter(name -> heard.get(name) == null || heard.get(name).acted() < index).toList();
+  }
+}
--- /dev/null
+++ b/decision/src/main/java/cloverpulley/outs/Tally.java
@@ -0,0 +1,60 @@
+package cloverpulley.outs;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** How many of each group there are, and are out: kept with each change, so that a check costs a member's groups and no more. */
+final class Tally {
+
+  private final Map<String, Set<String>> members = new HashMap<>();
+  private final Map<String, Set<String>> out = new HashMap<>();
+  private final Map<String, Integer> returning = new HashMap<>();
+
+  void add(String member, List<String> groups) {
+    groups.forEach(g -> members.computeIfAbsent(g, k -> new LinkedHashSet<>()).add(member));
+  }
+
+  void remove(String member, List<String> groups) {
+    groups.forEach(g -> {
+      members.getOrDefault(g, Set.of()).remove(member);
+      out.getOrDefault(g, Set.of()).remove(member);
+    });
+  }
+
+  void count(String member, List<String> groups, boolean isOut) {
+    for (String g : groups) {
+      if (isOut) {
+        out.computeIfAbsent(g, k -> new LinkedHashSet<>()).add(member);
+      } else {
+        out.getOrDefault(g, Set.of()).remove(member);
+      }
+    }
+  }
+
+  void returning(List<String> groups, int by) {
+    groups.forEach(g -> returning.merge(g, by, Integer::sum));
+  }
+
+  int members(String group) {
+    return members.getOrDefault(group, Set.of()).size();
+  }
+
+  int out(String group) {
+    return out.getOrDefault(group, Set.of()).size();
+  }
+
+  boolean isOut(String group, String member) {
+    return out.getOrDefault(group, Set.of()).contains(member);
+  }
+
+  int returning(String group) {
+    return returning.getOrDefault(group, 0);
+  }
+
+  List<String> holders(String group, int most) {
+    return out.getOrDefault(group, Set.of()).stream().limit(most).toList();
+  }
+}
--- a/dist/src/main/java/cloverpulley/cli/CheckCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/CheckCommand.java
@@ -21,6 +21,9 @@
         : "servers found by a source of its own";
     System.out.println(file + ": ok, " + read.settings().classes().size() + " classes, "
         + read.settings().tenants().size() + " tenants, " + servers);
+    if (read.agree() != null) {
+      OutsCommand.neverGrant(read).forEach(g -> System.out.println(file + ": agree.group " + g + ": its limit lets nobody out, ever"));
+    }
     return 0;
   }
 }
--- a/dist/src/main/java/cloverpulley/cli/Main.java
+++ b/dist/src/main/java/cloverpulley/cli/Main.java
@@ -7,7 +7,7 @@
 /** The {@code ashdeck} command: 0 at a proper end, 1 for bad input or configuration, 2 for a wrong command line. */
 @Command(name = "ashdeck", mixinStandardHelpOptions = true, version = "ashdeck 0.1.0",
     description = "Routes requests to fleets of servers, and says so to proxies that ask.",
-    subcommands = {ProcessCommand.class, DnsCommand.class, DnsSdCommand.class, CheckCommand.class, DemoCommand.class, LoadCommand.class,
+    subcommands = {BalanceCommand.class, OutsCommand.class, ProcessCommand.class, DnsCommand.class, DnsSdCommand.class, CheckCommand.class, DemoCommand.class, LoadCommand.class,
       IncidentCommand.class, QuotaCommand.class, ModelCommand.class},
     footer = {"", "Exit status: 0 at a proper end, 1 for bad input or configuration, 2 for a wrong command line.",
       "The balancer of the platform is a program of its own, see deploy/balancer.toml."})
--- a/dist/src/main/java/cloverpulley/cli/Operators.java
+++ b/dist/src/main/java/cloverpulley/cli/Operators.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Settings;
+import cloverpulley.agree.AgreeConfig;
 import cloverpulley.config.BadFileException;
 import cloverpulley.config.OperatorsFile;
 import cloverpulley.config.Section;
@@ -23,12 +24,14 @@
  * @param dnssd what the fleet is found by, for the tools; null where it is not by DNS-SD
  * @param records where what happens is written down
  * @param quota who may have how much; null where the file does not speak of it
+ * @param balance the HTTP balancer; null where the file does not speak of it
+ * @param agree the fleet that agrees on who is out; null where it does not
  * @param log how the program speaks of itself
  * @param publish null where the program does not register itself
  */
 record Operators(Settings settings, FleetSource fleet, ProcessorConfig processor, DnsConfig dns, DnsSdConfig dnssd,
     PublishConfig publish, RecordsConfig records, LogConfig log,
-    QuotaConfig quota) {
+    QuotaConfig quota, BalanceConfig balance, AgreeConfig agree) {
 
   static Operators read(Path path) throws BadFileException {
     return OperatorsFile.read(path, Operators::read);
@@ -39,7 +42,7 @@
     if (file.has("dns") && !file.has("class") && !file.has("fleet") && !file.has("processor")) {
       DnsConfig dns = DnsConfig.read(file.table("dns"), null);
       return new Operators(dns.settings(), null, null, dns, null, publish(file), records(file), LogConfig.read(file.table("log")),
-          quota(file));
+          quota(file), null, null);
     }
     Settings settings = ServiceSection.read(file);
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0)
@@ -49,7 +52,8 @@
         ProcessorConfig.read(file.table("processor"), longest),
         file.has("dns") ? DnsConfig.read(file.table("dns"), settings) : null,
         fleet.has("dnssd") ? DnsSdConfig.read(fleet.table("dnssd")) : null, publish(file), records(file), LogConfig.read(file.table("log")),
-        quota(file));
+        quota(file), file.has("balance") ? BalanceConfig.read(file.table("balance")) : null,
+        file.has("agree") ? AgreeConfig.read(file.table("agree"), settings.zone()) : null);
   }
 
   private static QuotaConfig quota(Section file) {
