--- a/agree/src/main/java/cloverpulley/agree/Histories.java
+++ b/agree/src/main/java/cloverpulley/agree/Histories.java
@@ -295,6 +295,20 @@
     }
   }
 
+  private static String difference(State a, State b) {
+    StringBuilder s = new StringBuilder();
+    for (java.lang.reflect.RecordComponent c : State.class.getRecordComponents()) {
+      try {
+        Object x = c.getAccessor().invoke(a);
+        Object y = c.getAccessor().invoke(b);
+        s.append(x.equals(y) ? "" : c.getName() + ": " + x + " and " + y + "; ");
+      } catch (ReflectiveOperationException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+    return s.toString();
+  }
+
   // ---- In the end ----------------------------------------------------------------------------------------
 
   private void check() {
@@ -306,7 +320,7 @@
     if (leaders != 1) {
       broken = leaders + " leaders after the quiet time";
     } else if (voters.stream().anyMatch(v -> !v.state().equals(first))) {
-      broken = "the voters' ledgers differ";
+      broken = "the voters' ledgers differ: " + voters.stream().map(v -> difference(first, v.state())).toList();
     } else if (!first.outs().keySet().equals(trulyOut)) {
       broken = "the ledger has out " + first.outs().keySet() + ", the operators " + trulyOut;
     }
--- a/agree/src/main/java/cloverpulley/agree/Json.java
+++ b/agree/src/main/java/cloverpulley/agree/Json.java
@@ -5,7 +5,9 @@
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.MapperFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.jsontype.NamedType;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -20,8 +22,10 @@
   @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "do")
   private interface Named {}
 
-  private static final ObjectMapper MAPPER = new ObjectMapper(JsonFactory.builder()
+  private static final ObjectMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
       .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(MOST_DEPTH).build()).build())
+      // A record's parts, and nothing that it works out of them.
+      .disable(MapperFeature.AUTO_DETECT_IS_GETTERS).build()
       .addMixIn(Command.class, Named.class)
       // An older program does not act on half of what a newer one says.
       .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
--- a/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
+++ b/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
@@ -123,7 +123,11 @@
     };
   }
 
+  /** Starts the machine, if it is down. */
   void start() {
+    if (up) {
+      return;
+    }
     life++;
     up = true;
     paused = false;
--- a/decision/src/main/java/cloverpulley/outs/Ledger.java
+++ b/decision/src/main/java/cloverpulley/outs/Ledger.java
@@ -257,7 +257,7 @@
   }
 
   private Reply grant(String ask, String member, String by, String why, boolean forced) {
-    outs.put(member, new Out(Phase.GRANTED, ask, by, why, forced, index, now));
+    outs.put(member, new Out(Phase.GRANTED, ask, by, why, forced, index, now, index));
     recount(member);
     note(forced ? "forced" : "granted", member, by, why);
     return answer(ask, new Reply(Word.GRANTED, "", List.of(), index, index));
@@ -308,7 +308,7 @@
   private void phase(String member, Out out, Phase to) {
     Member m = members.get(member);
     tally.returning(m.groups(), out.phase() == Phase.RETURNING ? -1 : 0);
-    outs.put(member, new Out(to, out.ask(), out.by(), out.why(), out.forced(), out.epoch(), now));
+    outs.put(member, new Out(to, out.ask(), out.by(), out.why(), out.forced(), out.epoch(), now, index));
     tally.returning(m.groups(), to == Phase.RETURNING ? 1 : 0);
     note(to.name().toLowerCase(java.util.Locale.ROOT), member, out.by(), out.why());
   }
@@ -332,7 +332,7 @@
       return say(Word.UNKNOWN_MEMBER);
     }
     Map<String, Told> words = new TreeMap<>(m.words());
-    words.put(s.observer(), new Told(s.health(), now));
+    words.put(s.observer(), new Told(s.health(), now, index));
     words.values().removeIf(t -> now - t.atMillis() > rules.freshMillis());
     while (words.size() > MOST_OBSERVERS) {
       words.remove(words.entrySet().stream().min(Map.Entry.comparingByValue((x, y) -> Long.compare(x.atMillis(), y.atMillis()))).get().getKey());
@@ -351,7 +351,7 @@
     }
     Out out = outs.get(s.member());
     if (out != null && out.phase() == Phase.RETURNING && !isUnwell) {
-      long warmSince = words.values().stream().filter(t -> t.health() == Health.WARM && t.atMillis() > out.sinceMillis()).count();
+      long warmSince = words.values().stream().filter(t -> t.health() == Health.WARM && t.index() > out.sinceIndex()).count();
       if (warmSince >= needed) {
         count(s.member(), is, false);
         outs.remove(s.member());
@@ -485,6 +485,16 @@
     });
   }
 
+  /** Who is out by permit, as it is now and not later. */
+  public Map<String, Out> outs() {
+    return java.util.Collections.unmodifiableMap(outs);
+  }
+
+  /** How many wait for their turn. */
+  public int waiting() {
+    return queue.size();
+  }
+
   /** The place in the order of the last command. */
   public long index() {
     return index;
--- a/decision/src/main/java/cloverpulley/outs/State.java
+++ b/decision/src/main/java/cloverpulley/outs/State.java
@@ -29,11 +29,11 @@
   /** One that is there, and the words on its health that were told last. */
   public record Member(Kind kind, List<String> groups, boolean unwell, Map<String, Told> words) {}
 
-  /** An observer's word, and when it was told. */
-  public record Told(Health health, long atMillis) {}
+  /** An observer's word, when it was told, and at which place in the order. */
+  public record Told(Health health, long atMillis, long index) {}
 
-  /** One that is out by permit. */
-  public record Out(Phase phase, String ask, String by, String why, boolean forced, long epoch, long sinceMillis) {}
+  /** One that is out by permit; {@code sinceIndex} is where its phase began. */
+  public record Out(Phase phase, String ask, String by, String why, boolean forced, long epoch, long sinceMillis, long sinceIndex) {}
 
   /** One that waits for its turn. */
   public record Waiting(String ask, String member, String by, String why, long untilMillis) {}
--- a/decision/src/main/java/cloverpulley/outs/Tally.java
+++ b/decision/src/main/java/cloverpulley/outs/Tally.java
@@ -1,12 +1,12 @@
 package cloverpulley.outs;
 
 import java.util.HashMap;
-import java.util.LinkedHashSet;
+import java.util.TreeSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
-/** How many of each group there are, and are out: kept with each change, so that a check costs a member's groups and no more. */
+/** How many of each group there are, and are out, in the order of their names, as whoever restores it has it too: kept with each change, so that a check costs a member's groups and no more. */
 final class Tally {
 
   private final Map<String, Set<String>> members = new HashMap<>();
@@ -14,26 +14,33 @@
   private final Map<String, Integer> returning = new HashMap<>();
 
   void add(String member, List<String> groups) {
-    groups.forEach(g -> members.computeIfAbsent(g, k -> new LinkedHashSet<>()).add(member));
+    groups.forEach(g -> members.computeIfAbsent(g, k -> new TreeSet<>()).add(member));
   }
 
   void remove(String member, List<String> groups) {
     groups.forEach(g -> {
-      members.getOrDefault(g, Set.of()).remove(member);
-      out.getOrDefault(g, Set.of()).remove(member);
+      take(members, g, member);
+      take(out, g, member);
     });
   }
 
   void count(String member, List<String> groups, boolean isOut) {
     for (String g : groups) {
       if (isOut) {
-        out.computeIfAbsent(g, k -> new LinkedHashSet<>()).add(member);
+        out.computeIfAbsent(g, k -> new TreeSet<>()).add(member);
       } else {
-        out.getOrDefault(g, Set.of()).remove(member);
+        take(out, g, member);
       }
     }
   }
 
+  private static void take(Map<String, Set<String>> from, String group, String member) {
+    Set<String> all = from.get(group);
+    if (all != null && all.remove(member) && all.isEmpty()) {
+      from.remove(group); // Guards the memory: groups come and go with their members.
+    }
+  }
+
   void returning(List<String> groups, int by) {
     groups.forEach(g -> returning.merge(g, by, Integer::sum));
   }
--- a/decision/src/main/java/cloverpulley/outs/Watch.java
+++ b/decision/src/main/java/cloverpulley/outs/Watch.java
@@ -19,6 +19,9 @@
     boolean silent;
     long servedAt = Long.MIN_VALUE;
     long toldAt = Long.MIN_VALUE / 2;
+    /** Since when it is seen to come back, with the permit that ends so; by this instance's own clock. */
+    long backSince;
+    long backEpoch;
     Health told;
   }
 
@@ -70,8 +73,12 @@
         continue;
       }
       boolean returning = out != null;
+      if (returning && own.backEpoch != out.epoch()) {
+        own.backEpoch = out.epoch();
+        own.backSince = nowMillis;
+      }
       Health health = own.failures >= FAILURES ? own.silent ? Health.SILENT : Health.DEAD
-          : returning && s.nowMillis() - out.sinceMillis() < warmMillis ? Health.COLD : Health.WARM;
+          : returning && nowMillis - own.backSince < warmMillis ? Health.COLD : Health.WARM;
       boolean knows = health != Health.WARM || own.servedAt > Long.MIN_VALUE && nowMillis - own.servedAt < againMillis;
       boolean news = health == Health.WARM ? unwell || returning : health != Health.COLD;
       if (knows && news && (health != own.told || nowMillis - own.toldAt >= againMillis)) {
--- /dev/null
+++ b/decision/src/test/java/cloverpulley/outs/InstancesTest.java
@@ -0,0 +1,127 @@
+package cloverpulley.outs;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What an instance does about the ledger, tells it of upstreams, and what who leads tells it of instances. */
+class InstancesTest {
+
+  private final Ledger ledger = new Ledger();
+  private long index;
+  private long now = 5000;
+
+  private Reply tell(Command c) {
+    return ledger.apply(++index, now, c);
+  }
+
+  private void tellAll(List<Command> all) {
+    all.forEach(this::tell);
+  }
+
+  @Test
+  void anInstanceActsOnEachChangeOnceAndOnNoOlderLook() {
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
+    tell(new Command.Enrol("b1", Kind.BALANCER, List.of()));
+    State before = ledger.state();
+    tell(new Command.Ask("a", "s1", "op", "", 0, false));
+    tell(new Command.Ask("b", "b1", "op", "", 0, false));
+    now += 700;
+    tell(new Command.Tick());
+    Acting acting = new Acting();
+    assertEquals(List.of(new Acting.Step.TakeOut("s1", 700)), acting.look(ledger.state().slim()), "a balancer's out is not the module's business");
+    assertEquals(List.of(), acting.look(ledger.state().slim()));
+    assertEquals(List.of(), acting.look(before), "a voter that lags brings nothing back");
+    tell(new Command.Return("s1", "op"));
+    assertEquals(List.of(new Acting.Step.CallBack("s1")), acting.look(ledger.state().slim()));
+    assertEquals(index, acting.index());
+  }
+
+  @Test
+  void anInstanceTellsOfWhatFailsAndOfWhatIsWarmAgain() {
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
+    Watch watch = new Watch("b1", 3000, 1000);
+    watch.ended(0, "s1", true, false);
+    assertEquals(List.of(), watch.look(0, ledger.state()), "nothing new");
+    watch.ended(1, "s1", false, false);
+    watch.ended(2, "s1", false, false);
+    assertEquals(List.of(), watch.look(2, ledger.state()), "two failures are an accident");
+    watch.ended(3, "s1", false, false);
+    List<Command> dead = List.of(new Command.Seen("b1", "s1", Health.DEAD));
+    assertEquals(dead, watch.look(3, ledger.state()));
+    assertEquals(List.of(), watch.look(4, ledger.state()), "told already");
+    assertEquals(dead, watch.look(1003, ledger.state()), "and told again after a while");
+    tellAll(dead);
+    watch.ended(1100, "s1", true, false);
+    List<Command> warm = List.of(new Command.Seen("b1", "s1", Health.WARM));
+    assertEquals(warm, watch.look(1100, ledger.state()));
+    tellAll(warm);
+    assertEquals(List.of(), watch.look(2200, ledger.state()));
+    tell(new Command.Ask("a", "s1", "op", "", 0, false));
+    for (int i = 0; i < 5; i++) {
+      watch.ended(2300, "s1", false, true);
+    }
+    assertEquals(List.of(), watch.look(2300, ledger.state()), "nobody wonders that one fails which is out");
+    tell(new Command.Return("s1", "op"));
+    watch.ended(2400, "s1", true, false);
+    assertEquals(List.of(), watch.look(2400, ledger.state()), "back and cold");
+    watch.ended(6000, "s1", true, false);
+    assertEquals(warm, watch.look(6000, ledger.state()));
+    tellAll(warm);
+    assertTrue(ledger.state().outs().isEmpty());
+  }
+
+  @Test
+  void whoLeadsEnrolsThoseThatAreHeardAndTellsOfTheSilent() {
+    tell(new Command.Rules(1, Map.of("balancers", new Limit(1, 1, 1)), 1, 10_000, 1));
+    Roll roll = new Roll("b1", 1000);
+    roll.heard(0, "b1", List.of("balancers"), 0);
+    roll.heard(0, "b2", List.of("balancers"), 0);
+    roll.listed(Map.of("s1", new Roll.Entry(Kind.UPSTREAM, List.of("u"))));
+    assertEquals(List.of(), roll.look(0, false, ledger.state()), "not while another leads");
+    tellAll(roll.look(100, true, ledger.state()));
+    assertEquals(3, ledger.state().members().size());
+    assertEquals(List.of("b1", "b2"), roll.notActed(index, ledger.state()));
+    roll.heard(900, "b1", List.of("balancers"), index);
+    assertEquals(List.of("b2"), roll.notActed(index, ledger.state()));
+    tellAll(roll.look(1050, true, ledger.state()));
+    assertEquals(false, ledger.state().members().get("b2").unwell());
+    roll.heard(1100, "b1", List.of("balancers"), index);
+    tellAll(roll.look(1200, true, ledger.state()));
+    assertEquals(true, ledger.state().members().get("b2").unwell());
+    assertEquals(Word.LIMIT, tell(new Command.Ask("a", "b1", "op", "", 0, false)).word(), "the one place is the silent one's");
+    assertEquals(List.of(), roll.notActed(1, ledger.state()), "nobody waits for one that is silent");
+    roll.heard(2000, "b2", List.of("balancers"), index);
+    roll.heard(2000, "b1", List.of("balancers"), index);
+    tellAll(roll.look(2000, true, ledger.state()));
+    assertEquals(false, ledger.state().members().get("b2").unwell());
+  }
+
+  /** Who begins to lead has heard nobody yet: that is no silence. */
+  @Test
+  void aChangeOfLeaderTakesNobodyForSilent() {
+    tell(new Command.Enrol("b2", Kind.BALANCER, List.of()));
+    Roll roll = new Roll("b1", 1000);
+    assertEquals(List.of(), roll.look(500_000, true, ledger.state()));
+    assertEquals(List.of(), roll.look(500_900, true, ledger.state()));
+    assertEquals(List.of(new Command.Seen("b1", "b2", Health.SILENT)), roll.look(501_100, true, ledger.state()));
+  }
+
+  @Test
+  void anUpstreamThatTheListHasNoMoreIsStruckUnlessItIsOut() {
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
+    tell(new Command.Enrol("s2", Kind.UPSTREAM, List.of()));
+    tell(new Command.Ask("a", "s1", "op", "", 0, false));
+    Roll roll = new Roll("b1", 1000);
+    roll.listed(Map.of());
+    assertEquals(List.of(), roll.look(0, true, ledger.state()), "no list is not an empty one");
+    roll.listed(Map.of("s3", new Roll.Entry(Kind.UPSTREAM, List.of())));
+    assertEquals(List.of(new Command.Enrol("s3", Kind.UPSTREAM, List.of()), new Command.Strike("s2")), roll.look(0, true, ledger.state()));
+  }
+}
--- /dev/null
+++ b/dist/src/test/java/cloverpulley/cli/OutsIT.java
@@ -0,0 +1,360 @@
+package cloverpulley.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.agree.AgreeClient;
+import cloverpulley.agree.AgreeConfig.VoterAt;
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Phase;
+import cloverpulley.outs.Reply;
+import cloverpulley.outs.State;
+import cloverpulley.outs.Word;
+import cloverpulley.standins.StandInUpstream;
+import cloverpulley.standins.StandInUpstream.Answer;
+import cloverpulley.standins.faults.AgreeingFleet;
+import cloverpulley.standins.faults.AgreeingFleet.Plan;
+import cloverpulley.standins.faults.AgreeingFleet.Upstream;
+import cloverpulley.standins.faults.Instance;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * Five balancers as processes of the built jar, three of them voters joined by relays, six upstreams in two dedup groups, and clients at all of
+ * them all the time. What is out is counted at the upstreams and by what who asked was told, never by the ledger's word.
+ */
+@Timeout(value = 4, unit = TimeUnit.MINUTES)
+class OutsIT {
+
+  private static final int VOTERS = 3;
+  private static final int ALL = 5;
+  private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  @TempDir
+  private Path folder;
+
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+    Thread t = new Thread(task);
+    t.setDaemon(true);
+    return t;
+  });
+  private final Map<String, StandInUpstream> upstreams = new ConcurrentHashMap<>();
+  private final Map<String, Long> outSince = new ConcurrentHashMap<>();
+  private final AtomicInteger answered = new AtomicInteger();
+  private final AtomicInteger lost = new AtomicInteger();
+  private volatile boolean over;
+  private AgreeingFleet fleet;
+  private AgreeClient client;
+
+  @BeforeEach
+  void start() throws Exception {
+    List<Upstream> listed = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      StandInUpstream u = new StandInUpstream(group, r -> Answer.ok());
+      upstreams.put("s" + i, u);
+      listed.add(new Upstream("s" + i, u.address(), i / 3));
+    }
+    String groups = "[[agree.group]]\nname = \"upstreams\"\npart = 0.34\nback = 2\n[[agree.group]]\nname = \"cell:0\"\nmost = 1\n"
+        + "[[agree.group]]\nname = \"cell:1\"\nmost = 1\n[[agree.group]]\nname = \"balancers\"\nmost = 1\n";
+    fleet = new AgreeingFleet(folder, List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1", "-Xmx48m", "-jar", System.getProperty("jar")), new Plan(VOTERS, ALL - VOTERS, listed, groups, 300, 50, 1500, true));
+    for (Instance i : fleet.instances()) {
+      i.start();
+    }
+    List<VoterAt> voters = new ArrayList<>();
+    for (int i = 0; i < VOTERS; i++) {
+      voters.add(new VoterAt("b" + i, null, fleet.api(i)));
+    }
+    client = new AgreeClient(voters);
+    for (Instance i : fleet.instances()) {
+      clientsOf(i);
+    }
+    await("all are enrolled", () -> whole().members().size() == 6 + ALL && whole().rules().version() == 1
+        && whole().members().values().stream().noneMatch(State.Member::unwell));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    over = true;
+    if (fleet != null) {
+      for (Instance i : fleet.instances()) {
+        if (i.isAlive()) {
+          i.goOn();
+        }
+      }
+      fleet.close();
+    }
+    upstreams.values().forEach(StandInUpstream::close);
+    threads.shutdownNow();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** A client that asks without end, on a new connection where the last one was closed between two requests. */
+  private void clientsOf(Instance i) throws Exception {
+    InetSocketAddress at = i.address("balance");
+    threads.execute(() -> {
+      int number = 0;
+      while (!over) {
+        try (Socket s = new Socket(at.getAddress(), at.getPort())) {
+          s.setSoTimeout(10_000);
+          while (!over) {
+            s.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: b\r\nX-Trace-Id: " + i.name() + "-" + number++
+                + "\r\nX-Qos: lookup\r\nCookie: sid=k" + number % 50 + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+            int status = answer(s.getInputStream());
+            if (status == 0) {
+              break;
+            }
+            answered.incrementAndGet();
+            lost.addAndGet(status == 200 || status == 429 || status == 503 ? 0 : 1);
+            TimeUnit.MILLISECONDS.sleep(5); // The client's own pace.
+          }
+        } catch (IOException e) {
+          if (!i.isAlive()) {
+            return; // It was killed: what it held is the client's to ask again.
+          }
+        } catch (InterruptedException e) {
+          return;
+        }
+      }
+    });
+  }
+
+  /** An answer's status; 0 for the connection's end. */
+  private static int answer(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
+      int b = in.read();
+      if (b < 0) {
+        return 0;
+      }
+      head.append((char) b);
+    }
+    int at = head.toString().toLowerCase().indexOf("content-length: ");
+    int end = at < 0 ? 0 : head.indexOf("\r", at);
+    in.readNBytes(at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, end)));
+    return Integer.parseInt(head.substring(9, 12));
+  }
+
+  private State whole() throws IOException {
+    return client.whole();
+  }
+
+  private static void await(String what, Callable<Boolean> holds) throws Exception {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+    Exception last = null;
+    while (System.nanoTime() < until) {
+      try {
+        if (holds.call()) {
+          return;
+        }
+      } catch (IOException e) {
+        last = e;
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    throw new AssertionError("never: " + what, last);
+  }
+
+  private Reply ask(AgreeClient by, String name, String member, long waitMillis) throws IOException {
+    Reply r = by.command(new Command.Ask(name, member, "it", "test", waitMillis, false), 20_000);
+    if (r.isYes()) {
+      outSince.putIfAbsent(member, System.nanoTime());
+    }
+    return r;
+  }
+
+  private AgreeClient at(int voter) {
+    return new AgreeClient(List.of(new VoterAt("b" + voter, null, fleet.api(voter))));
+  }
+
+  private int leader() throws Exception {
+    await("somebody leads", () -> !client.leader().isEmpty() && whole() != null && client.leader().startsWith("b"));
+    return Integer.parseInt(client.leader().substring(1));
+  }
+
+  /** Nothing new at one that is out later than two seconds after the yes. */
+  private void assertQuiet(String member) {
+    long from = outSince.get(member) + GRACE_NANOS;
+    assertEquals(0, upstreams.get(member).seen().stream().filter(s -> s.atNanos() > from).count(), member + " got work after it was out");
+  }
+
+  private void assertNobodyLost() {
+    assertEquals(0, lost.get(), "answers other than 200 and refusals");
+    assertTrue(answered.get() > 100, "there were clients");
+  }
+
+  /** Sixty asks for the three of one dedup group, at once and through all voters, each made twice: one grant, acted on by all. */
+  @Test
+  void manyAskAtOnceForTheLastPlace() throws Exception {
+    List<Future<Reply>> all = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      int n = i;
+      all.add(threads.submit(() -> ask(new AgreeClient(List.of(new VoterAt("b" + n % 3, null, fleet.api(n % 3)), new VoterAt("b" + (n + 1) % 3, null,
+          fleet.api((n + 1) % 3)), new VoterAt("b" + (n + 2) % 3, null, fleet.api((n + 2) % 3)))), "a" + n / 2, "s" + n / 2 % 3, 0)));
+    }
+    List<Long> epochs = new ArrayList<>();
+    for (Future<Reply> f : all) {
+      if (f.get().isYes()) {
+        epochs.add(f.get().epoch());
+      }
+    }
+    assertEquals(1, epochs.stream().distinct().count(), "one permit, however often it was told: " + epochs);
+    assertEquals(1, outSince.size(), outSince::toString);
+    String out = outSince.keySet().iterator().next();
+    await("all have acted", () -> client.notActed(epochs.get(0)).isEmpty());
+    // The clients go on for as long as the grace and more: what they reach is counted at the upstream.
+    long until = outSince.get(out) + 2 * GRACE_NANOS;
+    await("time for late ones", () -> System.nanoTime() > until);
+    assertQuiet(out);
+    assertEquals(0, Main.run("outs", "why", out, "--config", fleet.config(0).toString()));
+    assertEquals(1, Main.run("outs", "ask", out, "--why", "again", "--config", fleet.config(1).toString()), "it is out already");
+    client.command(new Command.Return(out, "it"), 5000);
+    await("it is seen warm", () -> !whole().outs().containsKey(out));
+    long before = upstreams.get(out).seen().size();
+    await("it serves again", () -> upstreams.get(out).seen().size() > before);
+    assertNobodyLost();
+  }
+
+  /** The one that granted is killed, paused, cut off: its successor knows, and it grants nothing in its half. */
+  @Test
+  void whoLeadsDiesOrIsPausedOrCutOff() throws Exception {
+    assertEquals(Word.GRANTED, ask(client, "k", "s0", 0).word());
+    int killed = leader();
+    long from = System.nanoTime();
+    fleet.instances().get(killed).kill();
+    assertEquals("cell:0", ask(client, "k2", "s1", 0).binding(), "the successor knows of the grant");
+    System.out.printf("a leader killed: the next answers after %.2f s%n", (System.nanoTime() - from) / 1e9);
+    assertEquals(Word.SAME_AGAIN, ask(client, "k", "s0", 0).word(), "and of whose it is");
+    await("the dead one is counted", () -> whole().members().get("b" + killed).unwell());
+    assertEquals("balancers", ask(client, "k3", "b4", 0).binding(), "it has the one place of a balancer, whatever nobody asked for");
+    fleet.instances().get(killed).start();
+    clientsOf(fleet.instances().get(killed));
+    await("it is back", () -> !whole().members().get("b" + killed).unwell());
+
+    int paused = leader();
+    fleet.instances().get(paused).pause();
+    assertEquals(Word.LIMIT, ask(client, "p", "s2", 0).word());
+    assertEquals(Word.GRANTED, ask(client, "p2", "s3", 0).word());
+    fleet.instances().get(paused).goOn();
+    assertEquals(Word.LIMIT, at(paused).command(new Command.Ask("p3", "s4", "it", "", 0, false), 20_000).word(), "what it thought it led is over");
+    await("it is back", () -> !whole().members().get("b" + paused).unwell());
+
+    client.command(new Command.Return("s3", "it"), 5000);
+    outSince.remove("s3");
+    await("s3 is warm", () -> !whole().outs().containsKey("s3"));
+    int cut = leader();
+    fleet.cutOff(cut, true);
+    assertThrows(AgreeClient.NoMajority.class, () -> at(cut).command(new Command.Ask("c", "s5", "it", "", 0, false), 4000),
+        "alone in its half it grants nothing");
+    List<VoterAt> others = new ArrayList<>();
+    for (int i = 0; i < VOTERS; i++) {
+      if (i != cut) {
+        others.add(new VoterAt("b" + i, null, fleet.api(i)));
+      }
+    }
+    assertEquals(Word.GRANTED, ask(new AgreeClient(others), "c2", "s4", 0).word());
+    fleet.cutOff(cut, false);
+    await("the one ask that had no answer is one or none", () -> at(cut).whole().outs().containsKey("s4"));
+    assertTrue(whole().outs().keySet().stream().filter(s -> s.compareTo("s3") >= 0).count() <= 1, () -> "cell:1 has one place");
+    long late = System.nanoTime() + 2 * GRACE_NANOS;
+    await("time for late ones", () -> System.nanoTime() > late);
+    assertQuiet("s0");
+    assertQuiet("s4");
+    assertNobodyLost();
+  }
+
+  /** A halt and what is out are there after all voters were killed together; a voter whose file is spoilt serves and does not vote. */
+  @Test
+  void allRestartTogetherAndOneLosesItsFile() throws Exception {
+    assertEquals(Word.GRANTED, ask(client, "r", "s0", 0).word());
+    assertEquals(0, Main.run("outs", "halt", "--why", "storm", "--config", fleet.config(2).toString()));
+    for (Instance i : fleet.instances()) {
+      i.kill();
+    }
+    Path spoilt = folder.resolve("b2.ledger");
+    byte[] bytes = Files.readAllBytes(spoilt);
+    bytes[bytes.length / 2] ^= 1;
+    Files.write(spoilt, bytes, StandardOpenOption.TRUNCATE_EXISTING);
+    long reached = upstreams.get("s0").seen().size();
+    for (Instance i : fleet.instances()) {
+      i.start();
+    }
+    for (Instance i : fleet.instances()) {
+      clientsOf(i);
+    }
+    assertTrue(fleet.instances().get(2).log().contains("does not vote"), "it says so");
+    assertEquals(Word.HALTED, ask(client, "r2", "s3", 0).word());
+    assertEquals(Phase.GRANTED, whole().outs().get("s0").phase());
+    assertEquals(1, Main.run("outs", "resume", "another", "--config", fleet.config(0).toString()));
+    assertEquals(0, Main.run("outs", "resume", "by-hand", "--config", fleet.config(0).toString()));
+    assertEquals(Word.GRANTED, ask(client, "r3", "s3", 0).word(), "two of three are a majority");
+    int before = answered.get();
+    await("clients are served", () -> answered.get() > before + 500);
+    assertEquals(reached, upstreams.get("s0").seen().size(), "one that starts hears the ledger before it hears clients");
+
+    int other = leader() == 0 ? 1 : 0;
+    fleet.instances().get(other).kill();
+    assertThrows(AgreeClient.NoMajority.class, () -> client.command(new Command.Ask("r4", "s1", "it", "", 0, false), 3000));
+    int served = answered.get();
+    await("traffic goes on without a majority", () -> answered.get() > served + 300);
+    assertEquals(reached, upstreams.get("s0").seen().size(), "and what is out stays out");
+    fleet.instances().get(other).start();
+    assertEquals("cell:0", ask(client, "r5", "s1", 0).binding());
+    assertNobodyLost();
+  }
+
+  /** An upstream that dies takes a place; what waits is served in turn, once it has come back warm; a balancer's own out ends by SIGTERM. */
+  @Test
+  void theDeadCountAndWhoWaitsIsServed() throws Exception {
+    upstreams.get("s1").behave(r -> Answer.reset());
+    await("it is seen dead by two", () -> whole().members().get("s1").unwell());
+    assertEquals("cell:0", ask(client, "d", "s0", 0).binding());
+    assertEquals(Word.WAITING, ask(client, "d2", "s0", 60_000).word());
+    assertEquals(Word.GRANTED, ask(client, "d3", "s3", 0).word(), "the other group is not held up");
+    upstreams.get("s1").behave(r -> Answer.ok());
+    await("it is seen warm by two, and who waited has its place", () -> whole().outs().containsKey("s0"));
+    outSince.put("s0", System.nanoTime());
+    assertEquals(0, Main.run("outs", "back", "--all", "--config", fleet.config(1).toString()));
+    await("all are back", () -> whole().outs().isEmpty());
+    outSince.clear();
+
+    assertEquals(Word.GRANTED, ask(client, "d4", "b4", 0).word());
+    assertEquals("balancers", ask(client, "d5", "b3", 0).binding());
+    assertEquals(0, fleet.instances().get(4).terminate());
+    assertEquals("balancers", ask(client, "d6", "b3", 0).binding(), "gone and granted is one place");
+    fleet.instances().get(4).start();
+    clientsOf(fleet.instances().get(4));
+    client.command(new Command.Return("b4", "it"), 5000);
+    await("it is back", () -> !whole().outs().containsKey("b4"));
+    assertEquals(Word.GRANTED, ask(client, "d7", "b3", 0).word());
+    assertFalse(whole().members().get("b4").unwell());
+    assertNobodyLost();
+  }
+}
--- /dev/null
+++ b/model/src/main/java/cloverpulley/model/outs/SmallWorld.java
@@ -0,0 +1,172 @@
+package cloverpulley.model.outs;
+
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Health;
+import cloverpulley.outs.Kind;
+import cloverpulley.outs.Ledger;
+import cloverpulley.outs.Limit;
+import cloverpulley.outs.Reply;
+import cloverpulley.outs.State;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * A small world of the ledger, searched to its end: three upstreams, two of them one dedup group, one observer, two permits at most; every
+ * command that changes anything, in every order. In each state the kept counts are those that a look at the members gives, no step took a
+ * group past its limit by a grant, and nothing is granted while it is halted.
+ */
+public final class SmallWorld {
+
+  /** What was searched. */
+  public record Searched(int states, long steps) {}
+
+  private static final Map<String, Limit> LIMITS = Map.of("all", new Limit(2, 1, 1), "cell", new Limit(1, 1, 1));
+  private static final List<String> MEMBERS = List.of("a", "b", "c");
+  private static final List<String> OBSERVERS = List.of("x");
+  private static final long LONG = Long.MAX_VALUE / 8;
+  /** More is no small world: something that should not matter tells states apart. */
+  private static final int MOST_STATES = 300_000;
+
+  private SmallWorld() {}
+
+  private static Ledger world() {
+    Ledger l = new Ledger();
+    long at = 0;
+    l.apply(++at, 1, new Command.Rules(1, LIMITS, 1, LONG, 1));
+    l.apply(++at, 1, new Command.Enrol("a", Kind.UPSTREAM, List.of("all", "cell")));
+    l.apply(++at, 1, new Command.Enrol("b", Kind.UPSTREAM, List.of("all", "cell")));
+    l.apply(++at, 1, new Command.Enrol("c", Kind.UPSTREAM, List.of("all")));
+    l.apply(++at, 1, new Command.Enrol("x", Kind.BALANCER, List.of()));
+    return l;
+  }
+
+  private static List<Command> commands() {
+    List<Command> all = new ArrayList<>();
+    for (String m : MEMBERS) {
+      all.add(new Command.Ask("now " + m, m, "op", "", 0, false));
+      all.add(new Command.Return(m, "op"));
+      for (String o : OBSERVERS) {
+        all.add(new Command.Seen(o, m, Health.WARM));
+        all.add(new Command.Seen(o, m, Health.DEAD));
+      }
+    }
+    all.add(new Command.Ask("wait b", "b", "op", "", LONG, false));
+    all.add(new Command.Ask("wait c", "c", "op", "", LONG, false));
+    all.add(new Command.Withdraw("wait b"));
+    all.add(new Command.Halt("h", "op", ""));
+    all.add(new Command.Resume("h", "op"));
+    all.add(new Command.Back("", "op"));
+    return all;
+  }
+
+  /** A state without what only says when, and without what was answered: an ask may be made again. */
+  private static State plain(State s) {
+    Map<String, State.Member> members = new TreeMap<>();
+    s.members().forEach((n, m) -> {
+      Map<String, State.Told> words = new TreeMap<>();
+      State.Out out = s.outs().get(n);
+      // Of a word's place only whether it came after the phase began matters.
+      m.words().forEach((o, t) -> words.put(o, new State.Told(t.health(), 0, out != null && t.index() > out.sinceIndex() ? 2 : 0)));
+      members.put(n, new State.Member(m.kind(), m.groups(), m.unwell(), words));
+    });
+    Map<String, State.Out> outs = new TreeMap<>();
+    List<Long> epochs = s.outs().values().stream().map(State.Out::epoch).sorted().toList();
+    s.outs().forEach((n, o) -> outs.put(n,
+        new State.Out(o.phase(), o.ask(), o.by(), o.why(), o.forced(), epochs.indexOf(o.epoch()) + 1, 1, 1)));
+    List<State.Waiting> queue = s.queue().stream().map(w -> new State.Waiting(w.ask(), w.member(), w.by(), w.why(), LONG)).toList();
+    Map<String, State.Halted> halts = new TreeMap<>();
+    s.halts().forEach((n, h) -> halts.put(n, new State.Halted(h.by(), h.why(), 0)));
+    return new State(10, 1, s.rules(), members, outs, queue, halts, s.back(), Map.of(), List.of());
+  }
+
+  /**
+   * Searches all of it.
+   *
+   * @throws IllegalStateException where a state breaks a rule, with the step to it
+   */
+  public static Searched search() {
+    Set<State> seen = new HashSet<>();
+    ArrayDeque<State> open = new ArrayDeque<>();
+    State first = plain(world().state());
+    seen.add(first);
+    open.add(first);
+    List<Command> commands = commands();
+    long steps = 0;
+    while (!open.isEmpty()) {
+      State s = open.poll();
+      for (Command c : commands) {
+        Ledger l = new Ledger();
+        l.restore(s);
+        Reply r = l.apply(s.index() + 10, s.nowMillis() + 10, c);
+        steps++;
+        State after = l.state();
+        check(s, c, r, after);
+        State next = plain(after);
+        if (seen.add(next)) {
+          checkCounts(next);
+          open.add(next);
+          if (seen.size() > MOST_STATES) {
+            throw new IllegalStateException("the world has no end");
+          }
+        }
+      }
+    }
+    return new Searched(seen.size(), steps);
+  }
+
+  private static Set<String> counted(State s, String group) {
+    Set<String> counted = new HashSet<>();
+    s.members().forEach((n, m) -> {
+      if (m.groups().contains(group) && (m.unwell() || s.outs().containsKey(n))) {
+        counted.add(n);
+      }
+    });
+    return counted;
+  }
+
+  private static int may(State s, String group) {
+    return LIMITS.get(group).of((int) s.members().values().stream().filter(m -> m.groups().contains(group)).count());
+  }
+
+  private static void check(State before, Command c, Reply r, State after) {
+    for (String g : LIMITS.keySet()) {
+      Set<String> granted = new HashSet<>(after.outs().keySet());
+      granted.removeAll(before.outs().keySet());
+      granted.retainAll(counted(after, g));
+      granted.removeAll(counted(before, g));
+      // Who dies may pass a limit; who is granted may not, whoever died.
+      if (!granted.isEmpty() && counted(after, g).size() > may(after, g)) {
+        throw new IllegalStateException(c + " gave " + r + ", " + granted + " past " + g + ": " + before + " became " + after);
+      }
+    }
+    if (!before.halts().isEmpty() && !after.halts().isEmpty() && !before.outs().keySet().containsAll(after.outs().keySet())) {
+      throw new IllegalStateException(c + " was granted while it is halted: " + before);
+    }
+  }
+
+  /** The kept counts, as an ask shows them, are those of a plain count. */
+  private static void checkCounts(State s) {
+    if (!s.halts().isEmpty() || !s.queue().isEmpty()) {
+      return;
+    }
+    for (String m : MEMBERS) {
+      if (!s.outs().containsKey(m)) {
+        boolean fits = s.members().get(m).groups().stream().allMatch(g -> {
+          Set<String> with = counted(s, g);
+          with.add(m);
+          return with.size() <= may(s, g);
+        });
+        Ledger copy = new Ledger();
+        copy.restore(s);
+        if (copy.apply(999, s.nowMillis(), new Command.Ask("probe", m, "op", "", 0, false)).isYes() != fits) {
+          throw new IllegalStateException("the counts are wrong for " + m + " in " + s);
+        }
+      }
+    }
+  }
+}
