--- a/agree/src/main/java/cloverpulley/agree/MemoryStore.java
+++ b/agree/src/main/java/cloverpulley/agree/MemoryStore.java
@@ -22,12 +22,19 @@
   private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
   private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
   private final List<Runnable> unflushed = new ArrayList<>();
+  private Overlap overlap = new Overlap();
 
   /** The machine goes down: a part of what was not flushed is kept, from its beginning on. */
   void crash(Random random) {
     int kept = unflushed.isEmpty() ? 0 : random.nextInt(unflushed.size() + 1);
     unflushed.subList(0, kept).forEach(Runnable::run);
     unflushed.clear();
+    overlap = new Overlap();
+    overlap.has(new ArrayList<>(entries.values()));
+  }
+
+  Overlap overlap() {
+    return overlap;
   }
 
   RestoredRaftState restored() {
@@ -68,6 +75,7 @@
   @Override
   public void persistLogEntries(List<LogEntry> more) {
     List<LogEntry> copy = List.copyOf(more);
+    overlap.has(copy);
     unflushed.add(() -> copy.forEach(e -> entries.put(e.getIndex(), e)));
   }
 
@@ -78,11 +86,13 @@
 
   @Override
   public void truncateLogEntriesFrom(long index) {
+    overlap.lostFrom(index);
     unflushed.add(() -> entries.tailMap(index, true).clear());
   }
 
   @Override
   public void truncateLogEntriesUntil(long index) {
+    overlap.lostUntil(index);
     unflushed.add(() -> entries.headMap(index, true).clear());
   }
 
--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/Overlap.java
@@ -0,0 +1,49 @@
+package cloverpulley.agree;
+
+import io.microraft.model.log.LogEntry;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.RaftMessage;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Which entries a voter has, and what of a leader's request it has already. Guards a follower from standing still: where the answer to the
+ * first entries behind a snapshot is lost, the leader sends them again from the snapshot's index, which the library no longer finds in
+ * the follower's log; it says no, and the leader, which knows that the snapshot is there, asks the same for ever. Entries of the same index
+ * and term are the same, and all before them (Raft's log matching), so that a request may as well begin behind them. One thread.
+ */
+final class Overlap {
+
+  private final TreeMap<Long, Integer> terms = new TreeMap<>();
+
+  void has(List<LogEntry> entries) {
+    entries.forEach(e -> terms.put(e.getIndex(), e.getTerm()));
+  }
+
+  void lostFrom(long index) {
+    terms.tailMap(index, true).clear();
+  }
+
+  void lostUntil(long index) {
+    terms.headMap(index, true).clear();
+  }
+
+  /** The same message, or one that begins behind what is here already. */
+  RaftMessage without(RaftMessage m) {
+    if (!(m instanceof AppendEntriesRequest r) || r.getLogEntries().isEmpty() || terms.containsKey(r.getPreviousLogIndex())) {
+      return m;
+    }
+    int same = 0;
+    while (same < r.getLogEntries().size() && Integer.valueOf(r.getLogEntries().get(same).getTerm()).equals(terms.get(r.getLogEntries().get(same).getIndex()))) {
+      same++;
+    }
+    if (same == 0) {
+      return m;
+    }
+    LogEntry last = r.getLogEntries().get(same - 1);
+    return Codec.MODEL.createAppendEntriesRequestBuilder().setGroupId(r.getGroupId()).setSender(r.getSender()).setTerm(r.getTerm())
+        .setPreviousLogTerm(last.getTerm()).setPreviousLogIndex(last.getIndex()).setCommitIndex(r.getCommitIndex())
+        .setLogEntries(List.copyOf(r.getLogEntries().subList(same, r.getLogEntries().size()))).setQuerySequenceNumber(r.getQuerySequenceNumber())
+        .setFlowControlSequenceNumber(r.getFlowControlSequenceNumber()).build();
+  }
+}
--- a/agree/src/main/java/cloverpulley/agree/RaftJournal.java
+++ b/agree/src/main/java/cloverpulley/agree/RaftJournal.java
@@ -65,6 +65,7 @@
   private RaftTermPersistentState term;
   private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
   private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+  private final Overlap overlap = new Overlap();
 
   private RaftJournal(Path file, String fleet, long most) {
     this.file = file;
@@ -137,6 +138,7 @@
         throw new IOException(file + " is spoilt at octet " + at + " with sound parts behind: it is not used, replace the voter");
       }
     }
+    overlap.has(new ArrayList<>(entries.values()));
     out.truncate(at);
     out.position(at);
     size = at;
@@ -262,6 +264,7 @@
   @Override
   public void persistLogEntries(List<LogEntry> more) throws IOException {
     more.forEach(e -> entries.put(e.getIndex(), e));
+    overlap.has(more);
     append(ENTRIES, o -> entries(o, more));
   }
 
@@ -281,12 +284,14 @@
   @Override
   public void truncateLogEntriesFrom(long index) throws IOException {
     entries.tailMap(index, true).clear();
+    overlap.lostFrom(index);
     append(FROM, o -> o.writeLong(index));
   }
 
   @Override
   public void truncateLogEntriesUntil(long index) throws IOException {
     entries.headMap(index, true).clear();
+    overlap.lostUntil(index);
     append(UNTIL, o -> o.writeLong(index));
   }
 
@@ -345,6 +350,11 @@
     return size;
   }
 
+  /** Used on Raft's thread, as everything that changes it. */
+  Overlap overlap() {
+    return overlap;
+  }
+
   RaftEndpoint endpoint() {
     return endpoint == null ? null : endpoint.getLocalEndpoint();
   }
--- a/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
+++ b/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
@@ -182,7 +182,7 @@
     Runnable take = () -> {
       if (up && to == life) {
         try {
-          node.handle(codec.read(message));
+          node.handle(store.overlap().without(codec.read(message)));
         } catch (IOException e) {
           throw new IllegalStateException(e);
         }
--- a/agree/src/main/java/cloverpulley/agree/Voter.java
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -35,6 +35,7 @@
   private static final int MOST_A_TURN = 500;
 
   private final AgreeConfig config;
+  private final Pace pace = new Pace();
   private final LedgerMachine machine = new LedgerMachine(new Ledger());
   private final RaftJournal journal;
   private final RaftLink link;
@@ -57,8 +58,8 @@
     try {
       link = new RaftLink(config.fleet(), config.name(), config.raftListen(), config.voters().stream()
           .filter(v -> !v.name().equals(config.name())).collect(Collectors.toMap(AgreeConfig.VoterAt::name, AgreeConfig.VoterAt::raft)), codec,
-          m -> made[0].handle(m));
-      RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(new Pace())
+          m -> pace.submit(() -> made[0].handle(journal.overlap().without(m))));
+      RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(pace)
           .setClock(Pace.clock()).setTransport(link).setStateMachine(machine).setStore(journal);
       RestoredRaftState restored = journal.restored();
       if (restored == null) {
--- a/decision/src/main/java/cloverpulley/outs/Ledger.java
+++ b/decision/src/main/java/cloverpulley/outs/Ledger.java
@@ -219,7 +219,7 @@
       return answer(a.ask(), new Reply(Word.ALREADY_OUT, "", List.of(out.by()), 0, index));
     }
     Reply no = a.force() ? null : against(a.member(), m, Set.of());
-    if (no == null && !a.force() && a.waitMillis() >= 0 && isBehind(m)) {
+    if (no == null && !a.force() && !java.util.Collections.disjoint(awaited(), m.groups())) {
       no = new Reply(Word.LIMIT, "queue", List.of(), 0, index); // First come, first served.
     }
     if (no == null) {
@@ -236,9 +236,27 @@
     return new Reply(Word.WAITING, no.binding(), no.holders(), 0, index);
   }
 
-  /** Whether somebody waits already for a group of this member. */
-  private boolean isBehind(Member m) {
-    return queue.stream().anyMatch(w -> members.get(w.member()).groups().stream().anyMatch(m.groups()::contains));
+  /** Groups for whose next place somebody waits already. */
+  private Set<String> awaited() {
+    Set<String> awaited = new HashSet<>();
+    queue.forEach(w -> await(w, awaited));
+    return awaited;
+  }
+
+  /** Adds the groups that one who waits finds full, or awaited by somebody in front: nobody behind takes their next place. */
+  private void await(Waiting w, Set<String> awaited) {
+    Member m = members.get(w.member());
+    for (String g : m.groups()) {
+      if (isFull(g, w.member(), awaited)) {
+        awaited.add(g);
+      }
+    }
+  }
+
+  private boolean isFull(String group, String name, Set<String> closed) {
+    Limit limit = rules.groups().get(group);
+    int more = tally.isOut(group, name) ? 0 : 1;
+    return limit != null && (tally.out(group) + more > limit.of(tally.members(group)) || closed.contains(group));
   }
 
   /** What stands against one more; null for nothing. {@code closed} are groups for which somebody waits in front. */
@@ -247,9 +265,7 @@
       return new Reply(Word.HALTED, halts.keySet().iterator().next(), List.of(), 0, index);
     }
     for (String g : m.groups()) {
-      Limit limit = rules.groups().get(g);
-      int more = tally.isOut(g, name) ? 0 : 1;
-      if (limit != null && (tally.out(g) + more > limit.of(tally.members(g)) || closed.contains(g))) {
+      if (isFull(g, name, closed)) {
         return new Reply(Word.LIMIT, g, tally.holders(g, SHOWN_HOLDERS), 0, index);
       }
     }
@@ -409,7 +425,7 @@
           grant(w.ask(), w.member(), w.by(), w.why(), false);
           i.remove();
         } else {
-          closed.addAll(m.groups()); // Nobody behind it takes what it waits for.
+          await(w, closed);
         }
       }
     }
