--- a/agree/src/test/java/cloverpulley/agree/HistoriesTest.java
+++ b/agree/src/test/java/cloverpulley/agree/HistoriesTest.java
@@ -24,6 +24,7 @@
         all.stream().mapToInt(Histories.Result::refused).sum(), all.stream().mapToInt(Histories.Result::unknown).sum(),
         all.stream().mapToInt(Histories.Result::faults).sum());
     assertEquals(List.of(), all.stream().filter(r -> !r.broken().isEmpty()).map(r -> "seed " + r.seed() + ": " + r.broken()).limit(10).toList());
+    assertEquals(0, all.stream().mapToInt(Histories.Result::behind).sum(), "voters that did not catch up");
     assertTrue(all.stream().mapToInt(Histories.Result::granted).sum() > 5 * COUNT, "there is progress");
     assertEquals(List.of(), all.stream().filter(r -> !Linearizable.check(r.ops(), MOST)).map(r -> "seed " + r.seed() + " has no order").limit(10).toList());
   }
