--- a/agree/src/main/java/cloverpulley/agree/RaftJournal.java
+++ b/agree/src/main/java/cloverpulley/agree/RaftJournal.java
@@ -1,6 +1,5 @@
 package cloverpulley.agree;
 
-import io.microraft.RaftEndpoint;
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
@@ -355,10 +354,6 @@
     return overlap;
   }
 
-  RaftEndpoint endpoint() {
-    return endpoint == null ? null : endpoint.getLocalEndpoint();
-  }
-
   @Override
   public void close() throws IOException {
     out.close();
--- a/agree/src/main/java/cloverpulley/agree/Voter.java
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -199,9 +198,4 @@
   public java.net.InetSocketAddress raftAddress() {
     return link.address();
   }
-
-  /** For tests: whatever is asked of the node. */
-  <T> T with(Function<RaftNode, T> what) {
-    return what.apply(node);
-  }
 }
