No text from a socket breaks the ledger's voters; names bounded; no lock on the engine's loop

Seen: a command with a null member came through the way in, was replicated, and threw in the ledger of every voter, again at each restart; names of instances in looks had no bound and were kept for ever; an observer's name had none; outcomes of the engine's loop waited for a lock that the ledger's thread holds while it looks at all upstreams; balancers that are gone for good kept their place, for nothing could strike them.

Change: a command that is not whole can't be made, so that none can be in the log; names checked at the door, who was heard once makes room; outcomes go through a bounded lock-free queue (JCTools), lists as a value; `outs strike`. One clock for Raft, and one way to what a voter restores, which stood twice each.

Measured: JsonTest puts ten odd values in the place of each value of each command: turned down, or the ledger answers and its state can be read again.

--- a/agree/src/main/java/cloverpulley/agree/AgreeApi.java
+++ b/agree/src/main/java/cloverpulley/agree/AgreeApi.java
@@ -34,7 +34,6 @@
   private static final int THREADS = 8;
   private static final int MOST_WAITING = 1024;
   private static final int BACKLOG = 512;
-  private static final int MOST_GROUPS = 32;
   /** A caller waits for 3 s; within this it hears that nothing is known. */
   private static final long ANSWER_MILLIS = 2000;
 
@@ -59,7 +58,7 @@
       Thread t = new Thread(task, "ledger api");
       t.setDaemon(true);
       return t;
-    }, (task, pool) -> { }); // Past it a caller is not answered, and asks another voter.
+    }, new ThreadPoolExecutor.CallerRunsPolicy()); // Past it nobody new is heard until there is room.
     server.setExecutor(threads);
     server.createContext(PATH, this::serve);
     server.start();
@@ -126,8 +125,12 @@
 
   private void look(HttpExchange x, Map<String, String> query) throws IOException {
     String name = query.getOrDefault("name", "");
+    if (!name.isEmpty() && !AgreeConfig.isName(name)) {
+      answer(x, 400, "name: expected letters, digits and . : # - _");
+      return;
+    }
     if (!name.isEmpty()) {
-      List<String> groups = Arrays.stream(query.getOrDefault("groups", "").split(",")).filter(g -> !g.isEmpty()).limit(MOST_GROUPS).toList();
+      List<String> groups = Arrays.stream(query.getOrDefault("groups", "").split(",")).filter(AgreeConfig::isName).limit(Command.MOST_GROUPS).toList();
       voter.heard(name, groups, number(query.get("acted")));
     }
     if (query.containsKey("whole")) {
--- a/agree/src/main/java/cloverpulley/agree/AgreeConfig.java
+++ b/agree/src/main/java/cloverpulley/agree/AgreeConfig.java
@@ -95,12 +95,17 @@
 
   private static String name(Section s, String key) {
     String name = s.text(key);
-    if (name.length() > MOST_NAME || !name.matches("[\\w.:#-]*")) {
+    if (!name.isEmpty() && !isName(name)) {
       s.wrong(key, "expected letters, digits and . : # - _, " + MOST_NAME + " at most, got \"" + name + "\"");
     }
     return name;
   }
 
+  /** Whether a text can be the name of an instance, a group or a fleet. */
+  static boolean isName(String text) {
+    return text.length() <= MOST_NAME && text.matches("[\\w.:#-]+");
+  }
+
   /** Whether this instance holds the ledger. */
   public boolean votes() {
     return voters.stream().anyMatch(v -> v.name().equals(name));
--- a/agree/src/main/java/cloverpulley/agree/Follower.java
+++ b/agree/src/main/java/cloverpulley/agree/Follower.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.jctools.queues.MpscArrayQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -27,6 +28,9 @@
   private static final long TELL_MILLIS = 1000;
   private static final long ACT_MILLIS = 1000;
   private static final int MOST_WORDS = 50;
+  private static final int MOST_OUTCOMES = 8192;
+
+  private record Outcome(String upstream, boolean answered, boolean nothingCame) {}
 
   /** Where an instance acts. */
   public interface Upstreams {
@@ -42,6 +46,7 @@
   private final Upstreams upstreams;
   private final Acting acting = new Acting();
   private final Watch watch;
+  private final MpscArrayQueue<Outcome> outcomes = new MpscArrayQueue<>(MOST_OUTCOMES);
   private final ScheduledExecutorService thread = new ScheduledThreadPoolExecutor(1, task -> {
     Thread made = new Thread(task, "ledger");
     made.setDaemon(true);
@@ -62,11 +67,9 @@
     thread.scheduleWithFixedDelay(this::look, 0, config.pollMillis(), TimeUnit.MILLISECONDS);
   }
 
-  /** An attempt at an upstream has ended; from any thread. */
+  /** An attempt at an upstream has ended; from any thread, which waits for nobody: what there is no room for is not told. */
   public void ended(String upstream, boolean answered, boolean nothingCame) {
-    synchronized (watch) {
-      watch.ended(now(), upstream, answered, nothingCame);
-    }
+    outcomes.offer(new Outcome(upstream, answered, nothingCame));
   }
 
   /** Done once the ledger was looked at and acted on for the first time. */
@@ -92,6 +95,7 @@
         deaf = false;
         LOG.info("the ledger is heard again");
       }
+      outcomes.drain(o -> watch.ended(now(), o.upstream(), o.answered(), o.nothingCame()));
       if (seen != null) {
         tell();
       }
@@ -130,10 +134,7 @@
   }
 
   private void tell() throws IOException {
-    List<Command> words;
-    synchronized (watch) {
-      words = watch.look(now(), seen);
-    }
+    List<Command> words = watch.look(now(), seen);
     for (int i = 0; i < Math.min(MOST_WORDS, words.size()); i++) {
       client.command(words.get(i), TELL_MILLIS);
     }
--- a/agree/src/main/java/cloverpulley/agree/Json.java
+++ b/agree/src/main/java/cloverpulley/agree/Json.java
@@ -50,6 +50,10 @@
 
   /** The value of a text; throws where it is no such value, or one with more than this program knows. */
   public static <T> T read(byte[] text, Class<T> type) throws IOException {
-    return MAPPER.readValue(text, type);
+    T value = MAPPER.readValue(text, type);
+    if (value == null) {
+      throw new IOException("expected " + type.getSimpleName().toLowerCase(Locale.ROOT) + ", got nothing");
+    }
+    return value;
   }
 }
--- a/agree/src/main/java/cloverpulley/agree/MemoryStore.java
+++ b/agree/src/main/java/cloverpulley/agree/MemoryStore.java
@@ -3,7 +3,6 @@
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
-import io.microraft.model.log.SnapshotEntry;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RaftStore;
@@ -16,21 +15,17 @@
 /** A voter's file in a simulation: what was not flushed when it crashed is there up to some point, as on a disk. */
 final class MemoryStore implements RaftStore {
 
-  private RaftEndpointPersistentState endpoint;
-  private RaftGroupMembersView members;
-  private RaftTermPersistentState term;
-  private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
-  private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+  private final Kept kept = new Kept();
   private final List<Runnable> unflushed = new ArrayList<>();
   private Overlap overlap = new Overlap();
 
   /** The machine goes down: a part of what was not flushed is kept, from its beginning on. */
   void crash(Random random) {
-    int kept = unflushed.isEmpty() ? 0 : random.nextInt(unflushed.size() + 1);
-    unflushed.subList(0, kept).forEach(Runnable::run);
+    int left = unflushed.isEmpty() ? 0 : random.nextInt(unflushed.size() + 1);
+    unflushed.subList(0, left).forEach(Runnable::run);
     unflushed.clear();
     overlap = new Overlap();
-    overlap.has(new ArrayList<>(entries.values()));
+    overlap.has(new ArrayList<>(kept.entries.values()));
   }
 
   Overlap overlap() {
@@ -38,67 +33,54 @@
   }
 
   RestoredRaftState restored() {
-    if (endpoint == null || members == null) {
-      return null;
-    }
-    SnapshotEntry snapshot = null;
-    for (TreeMap<Integer, SnapshotChunk> s : chunks.values()) {
-      SnapshotChunk first = s.firstEntry().getValue();
-      if (s.size() == first.getSnapshotChunkCount()) {
-        snapshot = Codec.MODEL.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-            .setSnapshotChunks(new ArrayList<>(s.values())).setGroupMembersView(first.getGroupMembersView()).build();
-      }
-    }
-    List<LogEntry> log = new ArrayList<>(snapshot == null ? entries.values() : entries.tailMap(snapshot.getIndex(), false).values());
-    RaftTermPersistentState t = term != null ? term : Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm(0).setVotedFor(null).build();
-    return new RestoredRaftState(endpoint, members, t, snapshot, log);
+    return kept.restored();
   }
 
   @Override
   public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState s) {
     flush();
-    endpoint = s;
+    kept.endpoint = s;
   }
 
   @Override
   public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) {
     flush();
-    members = v;
+    kept.members = v;
   }
 
   @Override
   public void persistAndFlushTerm(RaftTermPersistentState t) {
     flush();
-    term = t;
+    kept.term = t;
   }
 
   @Override
   public void persistLogEntries(List<LogEntry> more) {
     List<LogEntry> copy = List.copyOf(more);
     overlap.has(copy);
-    unflushed.add(() -> copy.forEach(e -> entries.put(e.getIndex(), e)));
+    unflushed.add(() -> kept.add(copy));
   }
 
   @Override
   public void persistSnapshotChunk(SnapshotChunk c) {
-    unflushed.add(() -> chunks.computeIfAbsent(c.getIndex(), k -> new TreeMap<>()).put(c.getSnapshotChunkIndex(), c));
+    unflushed.add(() -> kept.add(c));
   }
 
   @Override
   public void truncateLogEntriesFrom(long index) {
     overlap.lostFrom(index);
-    unflushed.add(() -> entries.tailMap(index, true).clear());
+    unflushed.add(() -> kept.entries.tailMap(index, true).clear());
   }
 
   @Override
   public void truncateLogEntriesUntil(long index) {
     overlap.lostUntil(index);
-    unflushed.add(() -> entries.headMap(index, true).clear());
+    unflushed.add(() -> kept.entries.headMap(index, true).clear());
   }
 
   @Override
   public void deleteSnapshotChunks(long index, int count) {
-    unflushed.add(() -> chunks.remove(index));
+    unflushed.add(() -> kept.chunks.remove(index));
   }
 
   @Override
--- a/agree/src/main/java/cloverpulley/agree/Pace.java
+++ b/agree/src/main/java/cloverpulley/agree/Pace.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * Raft's thread and time. The library counts heartbeats in whole seconds; here its second lasts a tenth, by a clock that does not step, so
@@ -39,7 +40,8 @@
         .setCommitCountToTakeSnapshot(snapshotEvery).build();
   }
 
-  static Clock clock() {
+  /** The library's clock over one of ours, in microseconds. */
+  static Clock clock(LongSupplier micros) {
     return new Clock() {
       @Override
       public ZoneId getZone() {
@@ -58,7 +60,7 @@
 
       @Override
       public long millis() {
-        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) * FASTER;
+        return micros.getAsLong() * FASTER / 1000;
       }
     };
   }
--- a/agree/src/main/java/cloverpulley/agree/RaftJournal.java
+++ b/agree/src/main/java/cloverpulley/agree/RaftJournal.java
@@ -3,7 +3,6 @@
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
-import io.microraft.model.log.SnapshotEntry;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RaftStore;
@@ -59,11 +58,7 @@
   /** What it had when it was written anew last. */
   private long least;
   private boolean failed;
-  private RaftEndpointPersistentState endpoint;
-  private RaftGroupMembersView members;
-  private RaftTermPersistentState term;
-  private final TreeMap<Long, LogEntry> entries = new TreeMap<>();
-  private final TreeMap<Long, TreeMap<Integer, SnapshotChunk>> chunks = new TreeMap<>();
+  private final Kept kept = new Kept();
   private final Overlap overlap = new Overlap();
 
   private RaftJournal(Path file, String fleet, long most) {
@@ -137,7 +132,7 @@
         throw new IOException(file + " is spoilt at octet " + at + " with sound parts behind: it is not used, replace the voter");
       }
     }
-    overlap.has(new ArrayList<>(entries.values()));
+    overlap.has(new ArrayList<>(kept.entries.values()));
     out.truncate(at);
     out.position(at);
     size = at;
@@ -165,39 +160,22 @@
 
   private void take(int type, DataInputStream i) throws IOException {
     switch (type) {
-      case ENDPOINT -> endpoint = Codec.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(Codec.endpoint(i))
+      case ENDPOINT -> kept.endpoint = Codec.MODEL.createRaftEndpointPersistentStateBuilder().setLocalEndpoint(Codec.endpoint(i))
           .setVoting(i.readBoolean()).build();
-      case MEMBERS -> members = Codec.members(i);
-      case TERM -> term = Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm(i.readInt()).setVotedFor(Codec.endpoint(i)).build();
-      case ENTRIES -> Codec.entries(i).forEach(e -> entries.put(e.getIndex(), e));
-      case CHUNK -> add(Codec.chunk(i));
-      case FROM -> entries.tailMap(i.readLong(), true).clear();
-      case UNTIL -> entries.headMap(i.readLong(), true).clear();
-      case DROP -> chunks.remove(i.readLong());
+      case MEMBERS -> kept.members = Codec.members(i);
+      case TERM -> kept.term = Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm(i.readInt()).setVotedFor(Codec.endpoint(i)).build();
+      case ENTRIES -> kept.add(Codec.entries(i));
+      case CHUNK -> kept.add(Codec.chunk(i));
+      case FROM -> kept.entries.tailMap(i.readLong(), true).clear();
+      case UNTIL -> kept.entries.headMap(i.readLong(), true).clear();
+      case DROP -> kept.chunks.remove(i.readLong());
       default -> throw new IOException(file + ": a frame of type " + type);
     }
   }
 
-  private void add(SnapshotChunk c) {
-    chunks.computeIfAbsent(c.getIndex(), k -> new TreeMap<>()).put(c.getSnapshotChunkIndex(), c);
-  }
-
   /** What Raft starts with; null for a voter that has never been one. */
   RestoredRaftState restored() {
-    if (endpoint == null || members == null) {
-      return null;
-    }
-    SnapshotEntry snapshot = null;
-    for (TreeMap<Integer, SnapshotChunk> s : chunks.values()) {
-      SnapshotChunk first = s.firstEntry().getValue();
-      if (s.size() == first.getSnapshotChunkCount()) {
-        snapshot = Codec.MODEL.createSnapshotEntryBuilder().setIndex(first.getIndex()).setTerm(first.getTerm())
-            .setSnapshotChunks(new ArrayList<>(s.values())).setGroupMembersView(first.getGroupMembersView()).build();
-      }
-    }
-    List<LogEntry> log = new ArrayList<>(snapshot == null ? entries.values() : entries.tailMap(snapshot.getIndex(), false).values());
-    RaftTermPersistentState t = term != null ? term : Codec.MODEL.createRaftTermPersistentStateBuilder().setTerm(0).setVotedFor(null).build();
-    return new RestoredRaftState(endpoint, members, t, snapshot, log);
+    return kept.restored();
   }
 
   private void append(int type, Writer body) throws IOException {
@@ -231,7 +209,7 @@
 
   @Override
   public void persistAndFlushLocalEndpoint(RaftEndpointPersistentState s) throws IOException {
-    endpoint = s;
+    kept.endpoint = s;
     append(ENDPOINT, o -> endpoint(o, s));
     flush();
   }
@@ -243,14 +221,14 @@
 
   @Override
   public void persistAndFlushInitialGroupMembers(RaftGroupMembersView v) throws IOException {
-    members = v;
+    kept.members = v;
     append(MEMBERS, o -> Codec.members(o, v));
     flush();
   }
 
   @Override
   public void persistAndFlushTerm(RaftTermPersistentState t) throws IOException {
-    term = t;
+    kept.term = t;
     append(TERM, o -> term(o, t));
     flush();
   }
@@ -262,7 +240,7 @@
 
   @Override
   public void persistLogEntries(List<LogEntry> more) throws IOException {
-    more.forEach(e -> entries.put(e.getIndex(), e));
+    kept.add(more);
     overlap.has(more);
     append(ENTRIES, o -> entries(o, more));
   }
@@ -276,27 +254,27 @@
 
   @Override
   public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
-    add(c);
+    kept.add(c);
     append(CHUNK, o -> Codec.chunk(o, c));
   }
 
   @Override
   public void truncateLogEntriesFrom(long index) throws IOException {
-    entries.tailMap(index, true).clear();
+    kept.entries.tailMap(index, true).clear();
     overlap.lostFrom(index);
     append(FROM, o -> o.writeLong(index));
   }
 
   @Override
   public void truncateLogEntriesUntil(long index) throws IOException {
-    entries.headMap(index, true).clear();
+    kept.entries.headMap(index, true).clear();
     overlap.lostUntil(index);
     append(UNTIL, o -> o.writeLong(index));
   }
 
   @Override
   public void deleteSnapshotChunks(long index, int count) throws IOException {
-    chunks.remove(index);
+    kept.chunks.remove(index);
     append(DROP, o -> o.writeLong(index));
   }
 
@@ -317,21 +295,21 @@
     try {
       held = next.tryLock();
       write(next, ByteBuffer.wrap(head(fleet)));
-      if (endpoint != null) {
-        write(next, ByteBuffer.wrap(frame(ENDPOINT, o -> endpoint(o, endpoint))));
+      if (kept.endpoint != null) {
+        write(next, ByteBuffer.wrap(frame(ENDPOINT, o -> endpoint(o, kept.endpoint))));
       }
-      if (members != null) {
-        write(next, ByteBuffer.wrap(frame(MEMBERS, o -> Codec.members(o, members))));
+      if (kept.members != null) {
+        write(next, ByteBuffer.wrap(frame(MEMBERS, o -> Codec.members(o, kept.members))));
       }
-      if (term != null) {
-        write(next, ByteBuffer.wrap(frame(TERM, o -> term(o, term))));
+      if (kept.term != null) {
+        write(next, ByteBuffer.wrap(frame(TERM, o -> term(o, kept.term))));
       }
-      for (TreeMap<Integer, SnapshotChunk> s : chunks.values()) {
+      for (TreeMap<Integer, SnapshotChunk> s : kept.chunks.values()) {
         for (SnapshotChunk c : s.values()) {
           write(next, ByteBuffer.wrap(frame(CHUNK, o -> Codec.chunk(o, c))));
         }
       }
-      write(next, ByteBuffer.wrap(frame(ENTRIES, o -> entries(o, new ArrayList<>(entries.values())))));
+      write(next, ByteBuffer.wrap(frame(ENTRIES, o -> entries(o, new ArrayList<>(kept.entries.values())))));
       next.force(true);
       Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
     } catch (IOException e) {
--- a/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
+++ b/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
@@ -12,10 +12,6 @@
 import io.microraft.persistence.RestoredRaftState;
 import io.microraft.transport.Transport;
 import java.io.IOException;
-import java.time.Clock;
-import java.time.Instant;
-import java.time.ZoneId;
-import java.time.ZoneOffset;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Random;
@@ -99,30 +95,6 @@
     }
   }
 
-  private Clock clock() {
-    return new Clock() {
-      @Override
-      public ZoneId getZone() {
-        return ZoneOffset.UTC;
-      }
-
-      @Override
-      public Clock withZone(ZoneId zone) {
-        return this;
-      }
-
-      @Override
-      public Instant instant() {
-        return Instant.ofEpochMilli(millis());
-      }
-
-      @Override
-      public long millis() {
-        return time.micros() * Pace.FASTER / 1000;
-      }
-    };
-  }
-
   /** Starts the machine, if it is down. */
   void start() {
     if (up) {
@@ -135,7 +107,7 @@
     machine = new LedgerMachine(new Ledger());
     Life l = new Life();
     RaftNode.RaftNodeBuilder b = RaftNode.newBuilder().setGroupId("outs").setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(l).setTransport(l)
-        .setClock(clock()).setRandom(random).setStateMachine(machine).setStore(store);
+        .setClock(Pace.clock(time::micros)).setRandom(random).setStateMachine(machine).setStore(store);
     RestoredRaftState restored = store.restored();
     if (restored == null) {
       b.setLocalEndpoint(new Peer(name)).setInitialGroupMembers(all);
--- a/agree/src/main/java/cloverpulley/agree/Voter.java
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -40,6 +40,7 @@
   private final RaftLink link;
   private final RaftNode node;
   private final Roll roll;
+  private volatile Map<String, Roll.Entry> listed = Map.of();
   private final Map<String, CompletableFuture<?>> pending = new ConcurrentHashMap<>();
   private final ScheduledExecutorService duty = new ScheduledThreadPoolExecutor(1, task -> {
     Thread made = new Thread(task, "ledger duty");
@@ -59,7 +60,7 @@
           .filter(v -> !v.name().equals(config.name())).collect(Collectors.toMap(AgreeConfig.VoterAt::name, AgreeConfig.VoterAt::raft)), codec,
           m -> pace.submit(() -> made[0].handle(journal.overlap().without(m))));
       RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(pace)
-          .setClock(Pace.clock()).setTransport(link).setStateMachine(machine).setStore(journal);
+          .setClock(Pace.clock(() -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime()))).setTransport(link).setStateMachine(machine).setStore(journal);
       RestoredRaftState restored = journal.restored();
       if (restored == null) {
         builder.setLocalEndpoint(new Peer(config.name())).setInitialGroupMembers(voters);
@@ -135,9 +136,7 @@
 
   /** The upstreams there are, by id, with their groups. */
   public void listed(Map<String, Roll.Entry> upstreams) {
-    synchronized (roll) {
-      roll.listed(upstreams);
-    }
+    listed = Map.copyOf(upstreams); // Taken up by the duty: who tells it, the engine's loop, waits for nobody.
   }
 
   /** Instances in service that have not acted on all up to an index, as this one has heard. */
@@ -158,6 +157,7 @@
       State s = state();
       List<Command> told;
       synchronized (roll) {
+        roll.listed(listed);
         told = roll.look(now(), leads, s);
       }
       if (leads && s.rules().version() < config.rules().version()) {
--- /dev/null
+++ b/agree/src/test/java/cloverpulley/agree/JsonTest.java
@@ -0,0 +1,94 @@
+package cloverpulley.agree;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Health;
+import cloverpulley.outs.Kind;
+import cloverpulley.outs.Ledger;
+import cloverpulley.outs.Limit;
+import cloverpulley.outs.Reply;
+import cloverpulley.outs.State;
+import cloverpulley.outs.Word;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+
+/** Commands and states as text: what comes from a socket either is whole or is none. */
+class JsonTest {
+
+  private static final List<Command> ALL = List.of(new Command.Rules(3, Map.of("g", new Limit(1, 0.5, 2)), 2, 500, 0.5),
+      new Command.Enrol("m", Kind.UPSTREAM, List.of("g", "h")), new Command.Strike("m"), new Command.Ask("a", "m", "op", "why", 5, false),
+      new Command.Withdraw("a"), new Command.Left("m", 7), new Command.Return("m", "op"), new Command.Seen("o", "m", Health.COLD),
+      new Command.Halt("h", "op", "why"), new Command.Resume("h", "op"), new Command.Back("", "op"), new Command.Tick());
+
+  @Test
+  void whatIsWrittenIsReadAgain() throws IOException {
+    Ledger ledger = new Ledger();
+    long at = 0;
+    for (Command c : ALL) {
+      assertEquals(c, Json.read(Json.write(c), Command.class));
+      Reply r = ledger.apply(++at, at, c);
+      assertEquals(r, Json.read(Json.write(r), Reply.class));
+      assertEquals(ledger.state(), Json.read(Json.write(ledger.state()), State.class));
+    }
+    assertEquals(ALL.size(), Command.class.getPermittedSubclasses().length, "each kind is here");
+  }
+
+  /** Each value of each command in turn is nothing, of another kind, endless, or below all: it is turned down, or the ledger has an answer. */
+  @Test
+  void noTextBreaksALedger() throws IOException {
+    int turnedDown = 0;
+    int taken = 0;
+    for (Command c : ALL) {
+      String text = new String(Json.write(c), StandardCharsets.UTF_8);
+      Matcher value = Pattern.compile("(?<=:)(\"[^\"]*\"|-?[\\d.]+|true|false|\\[[^\\]]*]|\\{[^{}]*})").matcher(text);
+      while (value.find()) {
+        for (String odd : List.of("null", "[null]", "{\"g\":null}", "\"\"", "\"" + "x".repeat(10_000) + "\"", "-1", "9223372036854775807", "1e400", "{}", "[]")) {
+          byte[] changed = (text.substring(0, value.start()) + odd + text.substring(value.end())).getBytes(StandardCharsets.UTF_8);
+          Command read;
+          try {
+            read = Json.read(changed, Command.class);
+          } catch (IOException e) {
+            turnedDown++;
+            continue;
+          }
+          taken++;
+          Ledger ledger = new Ledger();
+          long at = 0;
+          for (Command before : ALL.subList(0, 2)) {
+            ledger.apply(++at, at, before);
+          }
+          assertNotNull(ledger.apply(++at, at, read), () -> new String(changed, StandardCharsets.UTF_8));
+          assertNotNull(ledger.apply(++at, at, read));
+          assertEquals(ledger.state(), Json.read(Json.write(ledger.state()), State.class));
+        }
+      }
+    }
+    assertTrue(turnedDown > 100 && taken > 10, turnedDown + " turned down, " + taken + " taken");
+  }
+
+  @Test
+  void whatAnOlderProgramDoesNotKnowIsTurnedDown() {
+    for (String text : List.of("{\"do\":\"vanish\"}", "{\"do\":\"tick\",\"more\":1}", "{\"do\":\"strike\"}", "{", "null", "[]", "")) {
+      assertThrows(IOException.class, () -> Json.read(text.getBytes(StandardCharsets.UTF_8), Command.class), text);
+    }
+  }
+
+  /** A wait longer than there is time does not end at once. */
+  @Test
+  void theLongestWaitWaits() {
+    Ledger ledger = new Ledger();
+    ledger.apply(1, 1, new Command.Enrol("m", Kind.UPSTREAM, List.of()));
+    ledger.apply(2, 1, new Command.Halt("h", "op", ""));
+    assertEquals(Word.WAITING, ledger.apply(3, 1_700_000_000_000L, new Command.Ask("a", "m", "op", "", Long.MAX_VALUE, false)).word());
+    assertEquals(1, ledger.waiting());
+  }
+}
--- a/decision/src/main/java/cloverpulley/outs/Command.java
+++ b/decision/src/main/java/cloverpulley/outs/Command.java
@@ -6,6 +6,33 @@
 /** What the ledger is told; all are taken in one order by all that hold it. */
 public sealed interface Command {
 
+  /** Longest name or reason. */
+  int MOST_TEXT = 256;
+  /** Most groups of one member. */
+  int MOST_GROUPS = 32;
+
+  /**
+   * Guards all voters at once: what is taken into the log is applied by each of them, and what one can't apply none can. So a command that
+   * is not whole can't be made, from whatever text.
+   */
+  private static void check(String... texts) {
+    for (String text : texts) {
+      if (text == null || text.length() > MOST_TEXT) {
+        throw new IllegalArgumentException("expected a text of " + MOST_TEXT + " characters at most, got "
+            + (text == null ? "nothing" : text.length()));
+      }
+    }
+  }
+
+  private static void named(String... names) {
+    check(names);
+    for (String name : names) {
+      if (name.isEmpty()) {
+        throw new IllegalArgumentException("expected a name, got an empty text");
+      }
+    }
+  }
+
   /**
    * The limits by group, whole, with the rest of the rules.
    *
@@ -18,7 +45,11 @@
 
     /** Checks that the figures make sense. */
     public Rules {
+      if (groups == null || groups.size() > MOST_GROUPS * MOST_GROUPS) {
+        throw new IllegalArgumentException("expected limits by group, " + MOST_GROUPS * MOST_GROUPS + " at most");
+      }
       groups = Map.copyOf(groups);
+      named(groups.keySet().toArray(String[]::new));
       if (words < 1 || freshMillis < 1 || !(deadPart > 0 && deadPart <= 1)) {
         throw new IllegalArgumentException("expected words and freshMillis above 0 and deadPart above 0, at most 1");
       }
@@ -30,12 +61,23 @@
 
     /** Groups are kept as told, each once. */
     public Enrol {
+      named(member);
+      if (kind == null || groups == null || groups.size() > MOST_GROUPS) {
+        throw new IllegalArgumentException("expected a kind and " + MOST_GROUPS + " groups at most");
+      }
+      named(groups.toArray(String[]::new));
       groups = groups.stream().distinct().sorted().toList();
     }
   }
 
   /** A member that is no more; not while it is out. */
-  record Strike(String member) implements Command {}
+  record Strike(String member) implements Command {
+
+    /** Checks that it is whole. */
+    public Strike {
+      named(member);
+    }
+  }
 
   /**
    * Somebody wants a member out.
@@ -44,28 +86,86 @@
    * @param waitMillis how long it may wait for its turn; 0: now or not
    * @param force whatever the limits and halts say; recorded as such
    */
-  record Ask(String ask, String member, String by, String why, long waitMillis, boolean force) implements Command {}
+  record Ask(String ask, String member, String by, String why, long waitMillis, boolean force) implements Command {
+
+    /** Checks that it is whole. */
+    public Ask {
+      named(ask, member, by);
+      check(why);
+      if (waitMillis < 0) {
+        throw new IllegalArgumentException("expected waitMillis of 0 or more, got " + waitMillis);
+      }
+      waitMillis = Math.min(waitMillis, Long.MAX_VALUE / 4);
+    }
+  }
 
   /** An ask that waits is not wanted any more, or one that was granted has not been used. */
-  record Withdraw(String ask) implements Command {}
+  record Withdraw(String ask) implements Command {
+
+    /** Checks that it is whole. */
+    public Withdraw {
+      named(ask);
+    }
+  }
 
   /** The holder says that it has left; {@code epoch} is that of its permit. */
-  record Left(String member, long epoch) implements Command {}
+  record Left(String member, long epoch) implements Command {
+
+    /** Checks that it is whole. */
+    public Left {
+      named(member);
+    }
+  }
 
   /** A member comes back, or did already. */
-  record Return(String member, String by) implements Command {}
+  record Return(String member, String by) implements Command {
+
+    /** Checks that it is whole. */
+    public Return {
+      named(member, by);
+    }
+  }
 
   /** An observer's word on a member. */
-  record Seen(String observer, String member, Health health) implements Command {}
+  record Seen(String observer, String member, Health health) implements Command {
+
+    /** Checks that it is whole. */
+    public Seen {
+      named(observer, member);
+      if (health == null) {
+        throw new IllegalArgumentException("expected a health, got nothing");
+      }
+    }
+  }
 
   /** No more grants until this halt is lifted by its name. */
-  record Halt(String name, String by, String why) implements Command {}
+  record Halt(String name, String by, String why) implements Command {
+
+    /** Checks that it is whole. */
+    public Halt {
+      named(name, by);
+      check(why);
+    }
+  }
 
   /** Lifts one halt. */
-  record Resume(String name, String by) implements Command {}
+  record Resume(String name, String by) implements Command {
+
+    /** Checks that it is whole. */
+    public Resume {
+      named(name, by);
+    }
+  }
 
   /** All that is out of a group comes back, a few at a time; empty: all there is. */
-  record Back(String group, String by) implements Command {}
+  record Back(String group, String by) implements Command {
+
+    /** Checks that it is whole. */
+    public Back {
+      check(group);
+      named(by);
+    }
+  }
 
   /** Time has passed. */
   record Tick() implements Command {}
--- a/decision/src/main/java/cloverpulley/outs/Ledger.java
+++ b/decision/src/main/java/cloverpulley/outs/Ledger.java
@@ -43,8 +43,6 @@
   public static final int MOST_HALTS = 100;
   private static final int MOST_ANSWERED = 4_000;
   private static final int MOST_HISTORY = 500;
-  private static final int MOST_GROUPS = 32;
-  private static final int MOST_TEXT = 256;
   private static final int MOST_OBSERVERS = 8;
   private static final int SHOWN_HOLDERS = 10;
   /** The halt that comes by itself. */
@@ -103,6 +101,9 @@
       if (!b.group().isEmpty() && tally.members(b.group()) == 0) {
         return say(Word.UNKNOWN_GROUP);
       }
+      if (back.size() >= MOST_HALTS) {
+        return say(Word.TOO_MANY);
+      }
       back.add(b.group());
       note("back", b.group(), b.by(), "");
     }
@@ -120,10 +121,6 @@
     }
   }
 
-  private static boolean isText(String s) {
-    return s != null && !s.isEmpty() && s.length() <= MOST_TEXT;
-  }
-
   // ---- Who there is --------------------------------------------------------------------------------------
 
   private Reply rules(Rules r) {
@@ -139,8 +136,7 @@
 
   private Reply enrol(Enrol e) {
     Member was = members.get(e.member());
-    if (!isText(e.member()) || e.groups().size() > MOST_GROUPS || e.groups().stream().anyMatch(g -> !isText(g))
-        || was == null && members.size() >= MOST_MEMBERS) {
+    if (was == null && members.size() >= MOST_MEMBERS) {
       return say(Word.TOO_MANY);
     }
     if (was != null && was.kind() == e.kind() && was.groups().equals(e.groups())) {
@@ -200,9 +196,6 @@
   // ---- Going out -----------------------------------------------------------------------------------------
 
   private Reply ask(Ask a) {
-    if (!isText(a.ask()) || !isText(a.by()) || a.why() == null || a.why().length() > MOST_TEXT) {
-      return say(Word.TOO_MANY);
-    }
     Reply before = answered.get(a.ask());
     if (before != null) {
       return before.word() == Word.GRANTED ? new Reply(Word.SAME_AGAIN, "", List.of(), before.epoch(), before.index()) : before;
@@ -393,7 +386,7 @@
   }
 
   private Reply halt(String name, String by, String why) {
-    if (!isText(name) || halts.size() >= MOST_HALTS && !halts.containsKey(name)) {
+    if (halts.size() >= MOST_HALTS && !halts.containsKey(name)) {
       return say(Word.TOO_MANY);
     }
     if (halts.putIfAbsent(name, new Halted(by, why, now)) == null) {
--- a/decision/src/main/java/cloverpulley/outs/Roll.java
+++ b/decision/src/main/java/cloverpulley/outs/Roll.java
@@ -18,6 +18,8 @@
 
   private record Heard(Entry as, long atMillis, long acted) {}
 
+  private static final int MOST_HEARD = 5_000;
+
   private final String me;
   private final long silentMillis;
   private final Map<String, Heard> heard = new TreeMap<>();
@@ -37,7 +39,11 @@
 
   /** An instance has looked, having acted on all up to an index. */
   public void heard(long nowMillis, String name, List<String> groups, long acted) {
-    if (heard.containsKey(name) || heard.size() < Ledger.MOST_MEMBERS) {
+    if (!heard.containsKey(name) && heard.size() >= MOST_HEARD) {
+      // Guards the memory, and those who come later, from names that were heard once.
+      heard.values().removeIf(h -> nowMillis - h.atMillis() > silentMillis);
+    }
+    if (heard.containsKey(name) || heard.size() < MOST_HEARD) {
       heard.put(name, new Heard(new Entry(Kind.BALANCER, groups), nowMillis, acted));
     }
   }
--- a/decision/src/test/java/cloverpulley/outs/LedgerTest.java
+++ b/decision/src/test/java/cloverpulley/outs/LedgerTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -260,8 +261,8 @@
   @Test
   void itIsBounded() {
     String big = "x".repeat(300);
-    assertEquals(Word.TOO_MANY, tell(new Command.Enrol(big, Kind.UPSTREAM, List.of())).word());
-    assertEquals(Word.TOO_MANY, tell(new Command.Ask("q", "s0", "op", big, 0, false)).word());
+    assertThrows(IllegalArgumentException.class, () -> new Command.Enrol(big, Kind.UPSTREAM, List.of()));
+    assertThrows(IllegalArgumentException.class, () -> new Command.Ask("q", "s0", "op", big, 0, false));
     tell(new Command.Halt("h", "op", ""));
     for (int i = 0; i < Ledger.MOST_WAITING; i++) {
       tell(new Command.Ask("w" + i, "s0", "op", "", 60_000, false));
--- a/dist/src/main/java/cloverpulley/cli/OutsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/OutsCommand.java
@@ -27,7 +27,7 @@
 @picocli.CommandLine.Command(name = "outs", mixinStandardHelpOptions = true,
     description = "Asks the ledger that the fleet agrees on: who is out, and who may be.",
     footer = {"", "Exit status: 0 yes; 1 no, with the reason in one line; 2 for a wrong command line."},
-    subcommands = {OutsCommand.Init.class, OutsCommand.AskFor.class, OutsCommand.LeftNow.class, OutsCommand.ReturnNow.class,
+    subcommands = {OutsCommand.Init.class, OutsCommand.AskFor.class, OutsCommand.LeftNow.class, OutsCommand.ReturnNow.class, OutsCommand.StrikeOut.class,
       OutsCommand.Show.class, OutsCommand.Why.class, OutsCommand.HaltAll.class, OutsCommand.ResumeAll.class, OutsCommand.BackAll.class,
       OutsCommand.History.class})
 final class OutsCommand implements Runnable {
@@ -161,6 +161,15 @@
     }
   }
 
+  @picocli.CommandLine.Command(name = "strike", mixinStandardHelpOptions = true,
+      description = "Says that a member is no more and won't come back: a balancer that is gone for good would hold its place for ever.")
+  static final class StrikeOut extends OnMember {
+    @Override
+    public Integer call() throws BadFileException, IOException {
+      return say(id, common.client().command(new Command.Strike(id), TRY_MILLIS));
+    }
+  }
+
   @picocli.CommandLine.Command(name = "show", mixinStandardHelpOptions = true, description = "Who is out, what is halted, and how full each group is.")
   static final class Show implements Callable<Integer> {
     @Mixin
