How answers begin and what they mean out of UpstreamPool; one client for rig, test and bench

Change: Framed holds an answer's beginning, its framing and its meaning; Asking in the rig is the one client.

Measured: http's 174 tests and OutsIT's 4 green.

--- a/bench/src/main/java/cloverpulley/bench/OutsBench.java
+++ b/bench/src/main/java/cloverpulley/bench/OutsBench.java
@@ -17,15 +17,11 @@
 import cloverpulley.standins.faults.AgreeingFleet;
 import cloverpulley.standins.faults.AgreeingFleet.Plan;
 import cloverpulley.standins.faults.AgreeingFleet.Upstream;
+import cloverpulley.standins.faults.Asking;
 import cloverpulley.standins.faults.Instance;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -35,7 +31,6 @@
 import java.util.PriorityQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -59,9 +54,7 @@
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final Map<String, StandInUpstream> upstreams = new HashMap<>();
   private final Map<String, Long> outSince = new HashMap<>();
-  private final AtomicInteger answered = new AtomicInteger();
-  private final AtomicInteger lost = new AtomicInteger();
-  private volatile boolean over;
+  private final Asking asking = new Asking(20);
   private int overLimit;
   private int afterOut;
 
@@ -125,7 +118,7 @@
     try (AgreeingFleet fleet = new AgreeingFleet(run, java, new Plan(VOTERS, processes - VOTERS, listed, groups, 300, 200, 3000, false))) {
       measure(fleet, processes, figures, histories.get(), world.states(), rolling);
     } finally {
-      over = true;
+      asking.close();
       upstreams.values().forEach(StandInUpstream::close);
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
@@ -167,7 +160,7 @@
     });
     System.out.printf("%d processes serve and are enrolled after %.1f s%n", processes, (System.nanoTime() - begun) / 1e9);
     for (int i = 0; i < Math.min(CALLED, processes); i++) {
-      clients(fleet.instances().get(processes - 1 - i));
+      asking.at(fleet.instances().get(processes - 1 - i));
     }
     List<Double> permit = new ArrayList<>();
     List<Double> acted = new ArrayList<>();
@@ -184,9 +177,9 @@
     }
     double bytes = bytes(client);
     double loss = leaderLoss(fleet, client);
-    over = true;
+    asking.close();
     figures.addAll(List.of("processes", "" + processes, "histories", "" + histories, "states", "" + states, "over_limit", "" + overLimit,
-        "after_out", "" + afterOut, "lost", "" + lost, "answered", "" + answered, "permit_p50_ms", Child.figure(at(permit, 0.5)),
+        "after_out", "" + afterOut, "lost", "" + asking.lost(), "answered", "" + asking.answered(), "permit_p50_ms", Child.figure(at(permit, 0.5)),
         "permit_p99_ms", Child.figure(at(permit, 0.99)), "acted_on_all_p50_ms", Child.figure(at(acted, 0.5)), "acted_on_all_p99_ms",
         Child.figure(at(acted, 0.99)), "halt_all_p99_ms", Child.figure(at(halts, 0.99)), "leader_loss_s", Child.figure(loss),
         "rolling_over_least", Child.figure(rolling), "bytes_per_s_instance", Child.figure(bytes), "resident_mb", Child.figure(resident)));
@@ -289,51 +282,6 @@
     return (double) now / least;
   }
 
-  // ---- Clients -------------------------------------------------------------------------------------------
-
-  private void clients(Instance of) throws Exception {
-    InetSocketAddress at = of.address("balance");
-    Thread t = new Thread(() -> {
-      int number = 0;
-      while (!over) {
-        try (Socket s = new Socket(at.getAddress(), at.getPort())) {
-          s.setSoTimeout(10_000);
-          while (!over) {
-            s.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: b\r\nX-Trace-Id: " + of.name() + "-" + number++
-                + "\r\nX-Qos: lookup\r\nCookie: sid=k" + number % 100 + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-            int status = answer(s.getInputStream());
-            if (status == 0) {
-              break;
-            }
-            answered.incrementAndGet();
-            lost.addAndGet(status == 200 || status == 429 || status == 503 ? 0 : 1);
-            TimeUnit.MILLISECONDS.sleep(20);
-          }
-        } catch (IOException e) {
-          lost.addAndGet(over ? 0 : 1);
-        } catch (InterruptedException e) {
-          return;
-        }
-      }
-    });
-    t.setDaemon(true);
-    t.start();
-  }
-
-  private static int answer(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-      int b = in.read();
-      if (b < 0) {
-        return 0;
-      }
-      head.append((char) b);
-    }
-    int at = head.toString().toLowerCase().indexOf("content-length: ");
-    in.readNBytes(at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, head.indexOf("\r", at))));
-    return Integer.parseInt(head.substring(9, 12));
-  }
-
   private static void await(String what, Callable<Boolean> holds) throws Exception {
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(MOST_SECONDS);
     while (!holds.call()) {
--- a/dist/src/test/java/cloverpulley/cli/OutsIT.java
+++ b/dist/src/test/java/cloverpulley/cli/OutsIT.java
@@ -17,15 +17,12 @@
 import cloverpulley.standins.faults.AgreeingFleet;
 import cloverpulley.standins.faults.AgreeingFleet.Plan;
 import cloverpulley.standins.faults.AgreeingFleet.Upstream;
+import cloverpulley.standins.faults.Asking;
 import cloverpulley.standins.faults.Instance;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -38,7 +35,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -67,9 +63,7 @@
   });
   private final Map<String, StandInUpstream> upstreams = new ConcurrentHashMap<>();
   private final Map<String, Long> outSince = new ConcurrentHashMap<>();
-  private final AtomicInteger answered = new AtomicInteger();
-  private final AtomicInteger lost = new AtomicInteger();
-  private volatile boolean over;
+  private final Asking asking = new Asking(5);
   private AgreeingFleet fleet;
   private AgreeClient client;
 
@@ -94,7 +88,7 @@
     }
     client = new AgreeClient(voters);
     for (Instance i : fleet.instances()) {
-      clientsOf(i);
+      asking.at(i);
     }
     await("all are enrolled", () -> whole().members().size() == 6 + ALL && whole().rules().version() == 1
         && whole().members().values().stream().noneMatch(State.Member::unwell));
@@ -102,7 +96,7 @@
 
   @AfterEach
   void stop() throws Exception {
-    over = true;
+    asking.close();
     if (fleet != null) {
       for (Instance i : fleet.instances()) {
         if (i.isAlive()) {
@@ -116,52 +110,6 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** A client that asks without end, on a new connection where the last one was closed between two requests. */
-  private void clientsOf(Instance i) throws Exception {
-    InetSocketAddress at = i.address("balance");
-    threads.execute(() -> {
-      int number = 0;
-      while (!over) {
-        try (Socket s = new Socket(at.getAddress(), at.getPort())) {
-          s.setSoTimeout(10_000);
-          while (!over) {
-            s.getOutputStream().write(("GET /api HTTP/1.1\r\nHost: b\r\nX-Trace-Id: " + i.name() + "-" + number++
-                + "\r\nX-Qos: lookup\r\nCookie: sid=k" + number % 50 + "\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
-            int status = answer(s.getInputStream());
-            if (status == 0) {
-              break;
-            }
-            answered.incrementAndGet();
-            lost.addAndGet(status == 200 || status == 429 || status == 503 ? 0 : 1);
-            TimeUnit.MILLISECONDS.sleep(5); // The client's own pace.
-          }
-        } catch (IOException e) {
-          if (!i.isAlive()) {
-            return; // It was killed: what it held is the client's to ask again.
-          }
-        } catch (InterruptedException e) {
-          return;
-        }
-      }
-    });
-  }
-
-  /** An answer's status; 0 for the connection's end. */
-  private static int answer(InputStream in) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.length() < 4 || !head.substring(head.length() - 4).equals("\r\n\r\n")) {
-      int b = in.read();
-      if (b < 0) {
-        return 0;
-      }
-      head.append((char) b);
-    }
-    int at = head.toString().toLowerCase().indexOf("content-length: ");
-    int end = at < 0 ? 0 : head.indexOf("\r", at);
-    in.readNBytes(at < 0 ? 0 : Integer.parseInt(head.substring(at + 16, end)));
-    return Integer.parseInt(head.substring(9, 12));
-  }
-
   private State whole() throws IOException {
     return client.whole();
   }
@@ -206,8 +154,8 @@
   }
 
   private void assertNobodyLost() {
-    assertEquals(0, lost.get(), "answers other than 200 and refusals");
-    assertTrue(answered.get() > 100, "there were clients");
+    assertEquals(0, asking.lost(), "answers other than 200 and refusals");
+    assertTrue(asking.answered() > 100, "there were clients");
   }
 
   /** Sixty asks for the three of one dedup group, at once and through all voters, each made twice: one grant, acted on by all. */
@@ -255,7 +203,7 @@
     await("the dead one is counted", () -> whole().members().get("b" + killed).unwell());
     assertEquals("balancers", ask(client, "k3", "b4", 0).binding(), "it has the one place of a balancer, whatever nobody asked for");
     fleet.instances().get(killed).start();
-    clientsOf(fleet.instances().get(killed));
+    asking.at(fleet.instances().get(killed));
     await("it is back", () -> !whole().members().get("b" + killed).unwell());
 
     int paused = leader();
@@ -312,7 +260,7 @@
       i.start();
     }
     for (Instance i : fleet.instances()) {
-      clientsOf(i);
+      asking.at(i);
     }
     assertTrue(fleet.instances().get(2).log().contains("does not vote"), "it says so");
     assertEquals(Word.HALTED, ask(client, "r2", "s3", 0).word());
@@ -320,15 +268,15 @@
     assertEquals(1, Main.run("outs", "resume", "another", "--config", fleet.config(0).toString()));
     assertEquals(0, Main.run("outs", "resume", "by-hand", "--config", fleet.config(0).toString()));
     assertEquals(Word.GRANTED, ask(client, "r3", "s3", 0).word(), "two of three are a majority");
-    int before = answered.get();
-    await("clients are served", () -> answered.get() > before + 500);
+    int before = asking.answered();
+    await("clients are served", () -> asking.answered() > before + 500);
     assertEquals(reached, upstreams.get("s0").seen().size(), "one that starts hears the ledger before it hears clients");
 
     int other = leader() == 0 ? 1 : 0;
     fleet.instances().get(other).kill();
     assertThrows(AgreeClient.NoMajority.class, () -> client.command(new Command.Ask("r4", "s1", "it", "", 0, false), 3000));
-    int served = answered.get();
-    await("traffic goes on without a majority", () -> answered.get() > served + 300);
+    int served = asking.answered();
+    await("traffic goes on without a majority", () -> asking.answered() > served + 300);
     assertEquals(reached, upstreams.get("s0").seen().size(), "and what is out stays out");
     fleet.instances().get(other).start();
     assertEquals("cell:0", ask(client, "r5", "s1", 0).binding());
@@ -355,7 +303,7 @@
     assertEquals(0, fleet.instances().get(4).terminate());
     assertEquals("balancers", ask(client, "d6", "b3", 0).binding(), "gone and granted is one place");
     fleet.instances().get(4).start();
-    clientsOf(fleet.instances().get(4));
+    asking.at(fleet.instances().get(4));
     client.command(new Command.Return("b4", "it"), 5000);
     await("it is back", () -> !whole().outs().containsKey("b4"));
     assertEquals(Word.GRANTED, ask(client, "d7", "b3", 0).word());
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -15,7 +15,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -37,7 +36,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -55,8 +53,6 @@
 
   private static final Logger LOG = Logger.getLogger(UpstreamPool.class.getName());
 
-  /** Header of an upstream that turned a request away unseen. */
-  private static final String NEVER_RAN = "X-Never-Ran";
   /** The part of the upstreams' idle time after which a connection is closed here: a request that crosses the
    * upstream's own closing would be a reset. */
   private static final double IDLE_PART = 0.7;
@@ -74,9 +70,6 @@
   /** From here on an answer needs a place of so many octets: what is held of it at most, or what passes. */
   private static final int SHORT_ANSWER = 8 * 1024;
   private static final int ANSWER_OCTETS = Frontend.MOST_BODY;
-  /** What every answer begins with. */
-  private static final byte[] START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
-
   private final Bootstrap bootstrap;
   private final Sockets sockets;
   private long idleNanos;
@@ -299,10 +292,12 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
           ByteBuf bytes = (ByteBuf) message;
-          if (call == null || !begins(bytes)) {
+          int looked = call == null ? -1 : Framed.begins(bytes, begun);
+          if (looked < 0) {
             bytes.release();
             spoilt();
           } else {
+            begun = looked;
             context.fireChannelRead(bytes);
           }
         }
@@ -317,15 +312,6 @@
       };
     }
 
-    private boolean begins(ByteBuf bytes) {
-      for (int i = 0; begun < START.length && i < bytes.readableBytes(); i++) {
-        if (bytes.getByte(bytes.readerIndex() + i) != START[begun++]) {
-          return false;
-        }
-      }
-      return true;
-    }
-
     /** Guards a client from an answer that stops on its way: its length does not fit, or its head does not end. */
     private void expectMore() {
       heardAt = System.nanoTime();
@@ -574,7 +560,7 @@
       nothingBegun();
       usedAgain(false);
       informational = 0;
-      Status status = status(response);
+      Status status = Framed.status(response);
       if (status == Status.SERVED && !answered.written) {
         // Guards the client: what came before its request had left is another's.
         status = Status.RESET;
@@ -611,34 +597,4 @@
       context.close();
     }
   }
-
-  /**
-   * Guards against a 200 cut short that looks whole: without a length only the connection's end marks the body's, and
-   * a process that dies ends it just so. Such an answer counts as broken.
-   */
-  private static final class Framed extends ChannelInboundHandlerAdapter {
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) {
-      if (message instanceof HttpResponse response && response.status().equals(HttpResponseStatus.OK)
-          && !HttpUtil.isContentLengthSet(response) && !HttpUtil.isTransferEncodingChunked(response)) {
-        response.setDecoderResult(DecoderResult.failure(new IOException("a body without a length")));
-      }
-      context.fireChannelRead(message);
-    }
-  }
-
-  /** What an answer means. */
-  private static Status status(FullHttpResponse response) {
-    HttpResponseStatus status = response.status();
-    if (!response.decoderResult().isSuccess()) {
-      return Status.RESET;
-    }
-    if (status.equals(HttpResponseStatus.OK)) {
-      return Status.SERVED;
-    }
-    boolean refused = status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
-        || status.equals(HttpResponseStatus.GATEWAY_TIMEOUT);
-    return refused && "1".equals(response.headers().get(NEVER_RAN)) ? Status.FULL : Status.ERROR;
-  }
 }
