--- a/agree/src/main/java/cloverpulley/agree/AgreeApi.java
+++ b/agree/src/main/java/cloverpulley/agree/AgreeApi.java
@@ -1,7 +1,7 @@
 package cloverpulley.agree;
 
 import cloverpulley.outs.Command;
-import cloverpulley.outs.Reply;
+import cloverpulley.outs.Look;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import io.microraft.exception.CannotReplicateException;
@@ -16,10 +16,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 
 /**
  * Where a voter is asked, over HTTP/1.1: POST a command, GET the ledger or who has not acted. 421 with Leader: ask that one; 503: nobody
@@ -29,6 +31,7 @@
 
   static final String PATH = "/v1/outs";
   static final String ACTED = PATH + "/acted";
+  static final String VOTERS = PATH + "/voters";
   static final String LEADER = "Leader";
   private static final int MOST_BODY = 64 * 1024;
   private static final int THREADS = 8;
@@ -75,7 +78,9 @@
       if (!voter.isActive()) {
         answer(x, 503, "this voter's file could not be written, it takes no part");
       } else if (x.getRequestMethod().equals("POST") && x.getRequestURI().getPath().equals(PATH)) {
-        command(x);
+        command(x, Command.class, voter::command);
+      } else if (x.getRequestMethod().equals("POST") && x.getRequestURI().getPath().equals(VOTERS)) {
+        command(x, Replace.class, r -> voter.replace(r.from(), r.to()));
       } else if (!x.getRequestMethod().equals("GET")) {
         answer(x, 405, "GET and POST only");
       } else if (x.getRequestURI().getPath().equals(PATH)) {
@@ -90,22 +95,21 @@
     }
   }
 
-  private void command(HttpExchange x) throws IOException {
+  private <T> void command(HttpExchange x, Class<T> type, Function<T, CompletableFuture<?>> take) throws IOException {
     byte[] body = body(x.getRequestBody());
     if (body == null) {
       answer(x, 413, "longer than " + MOST_BODY + " octets");
       return;
     }
-    Command c;
+    T c;
     try {
-      c = Json.read(body, Command.class);
+      c = Json.read(body, type);
     } catch (IOException e) {
       answer(x, 400, "no command: " + e.getMessage().lines().findFirst().orElse(""));
       return;
     }
     try {
-      Reply reply = voter.command(c).get(ANSWER_MILLIS, TimeUnit.MILLISECONDS);
-      answer(x, 200, Json.write(reply));
+      answer(x, 200, Json.write(take.apply(c).get(ANSWER_MILLIS, TimeUnit.MILLISECONDS)));
     } catch (TimeoutException e) {
       answer(x, 504, "no majority answers: not known whether it came through, ask the same again");
     } catch (ExecutionException e) {
@@ -131,9 +135,16 @@
     }
     if (!name.isEmpty()) {
       List<String> groups = Arrays.stream(query.getOrDefault("groups", "").split(",")).filter(AgreeConfig::isName).limit(Command.MOST_GROUPS).toList();
-      voter.heard(name, groups, number(query.get("acted")));
+      String process = query.getOrDefault("process", "");
+      if (!process.isEmpty() && !AgreeConfig.isName(process)) {
+        answer(x, 400, "process: expected letters, digits and . : # - _");
+        return;
+      }
+      voter.heard(name, new Look(process, groups, number(query.get("acted")), Double.parseDouble(query.getOrDefault("refused", "0"))));
     }
-    if (query.containsKey("whole")) {
+    if (!voter.isCaughtUp()) {
+      answer(x, 503, "this voter has not caught up since its start");
+    } else if (query.containsKey("whole")) {
       answer(x, 200, Json.write(voter.state()));
     } else if (voter.index() == number(query.get("since"))) {
       x.sendResponseHeaders(204, -1);
--- a/agree/src/main/java/cloverpulley/agree/AgreeClient.java
+++ b/agree/src/main/java/cloverpulley/agree/AgreeClient.java
@@ -1,6 +1,8 @@
 package cloverpulley.agree;
 
 import cloverpulley.outs.Command;
+import cloverpulley.outs.Look;
+import cloverpulley.outs.Replacing;
 import cloverpulley.outs.Reply;
 import cloverpulley.outs.State;
 import java.io.IOException;
@@ -15,6 +17,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** Asks the voters: first who led last, then the others in turn. One thread at a time. */
 public final class AgreeClient {
@@ -23,6 +26,7 @@
   private static final int READ_MILLIS = 3000;
   private static final int MOST_ANSWER = Codec.MOST_BYTES;
   private static final long AGAIN_MILLIS = 50;
+  private static final int MOST_CHANGES = 10;
 
   /** Nobody could be asked, or nobody knows. */
   public static final class NoMajority extends IOException {
@@ -37,6 +41,7 @@
 
   private final List<AgreeConfig.VoterAt> voters;
   private String leader = "";
+  private boolean led;
   private long octets;
 
   public AgreeClient(List<AgreeConfig.VoterAt> voters) {
@@ -62,15 +67,37 @@
    * @throws IOException where it was turned down as malformed
    */
   public Reply command(Command c, long forMillis) throws IOException {
+    return post(AgreeApi.PATH, Json.write(c), Reply.class, forMillis);
+  }
+
+  /**
+   * Has one voter take another's place, change by change; asked again it goes on where it stands.
+   *
+   * @param forMillis how long to try each change
+   * @param told is told each change that was made
+   */
+  public Replacing.Next replace(String from, String to, long forMillis, Consumer<Replacing.Next> told) throws IOException {
+    byte[] ask = Json.write(new Replace(from, to));
+    for (int i = 0; i < MOST_CHANGES; i++) {
+      Replacing.Next next = post(AgreeApi.VOTERS, ask, Replacing.Next.class, forMillis);
+      if (next.isEnd()) {
+        return next;
+      }
+      told.accept(next);
+    }
+    throw new NoMajority("more changes than there can be: somebody else changes the voters too");
+  }
+
+  private <T> T post(String path, byte[] body, Class<T> type, long forMillis) throws IOException {
     long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(forMillis);
     String last = "no voter answers";
     do {
       for (AgreeConfig.VoterAt v : inTurn()) {
         try {
-          Answer a = call(v.api(), "POST", AgreeApi.PATH, Json.write(c));
+          Answer a = call(v.api(), "POST", path, body);
           if (a.status() == 200) {
             leader = v.name();
-            return Json.read(a.body(), Reply.class);
+            return Json.read(a.body(), type);
           } else if (a.status() == 400 || a.status() == 413) {
             throw new IllegalArgumentException(text(a));
           }
@@ -94,9 +121,9 @@
   }
 
   /** Looks, and is heard with that; null where nothing changed since {@code since}. */
-  public State look(String name, List<String> groups, long acted, long since) throws IOException {
-    return look("?name=" + name + "&groups=" + URLEncoder.encode(String.join(",", groups), StandardCharsets.UTF_8) + "&acted=" + acted
-        + "&since=" + since);
+  public State look(String name, Look as, long since) throws IOException {
+    return look("?name=" + name + "&process=" + as.process() + "&groups=" + URLEncoder.encode(String.join(",", as.groups()), StandardCharsets.UTF_8)
+        + "&acted=" + as.acted() + "&refused=" + as.refused() + "&since=" + since);
   }
 
   /** The whole ledger. */
@@ -104,21 +131,39 @@
     return look("?whole=1");
   }
 
+  /** Whether the last look was answered by a voter that knows who leads: by one that does not, the ledger may have gone on elsewhere. */
+  boolean isLed() {
+    return led;
+  }
+
   private State look(String query) throws IOException {
     String last = "no voter answers";
+    Answer alone = null;
     for (AgreeConfig.VoterAt v : inTurn()) {
       try {
         Answer a = call(v.api(), "GET", AgreeApi.PATH + query, null);
-        if (a.status() == 200 || a.status() == 204) {
-          leader = a.leader().isEmpty() ? v.name() : a.leader();
-          return a.status() == 204 ? null : Json.read(a.body(), State.class);
+        boolean good = a.status() == 200 || a.status() == 204;
+        if (good && !a.leader().isEmpty()) {
+          leader = a.leader();
+          led = true;
+          return state(a);
+        } else if (good && alone == null) {
+          alone = a; // Another may know more.
         }
         last = v.name() + ": " + text(a);
       } catch (IOException e) {
         last = v.name() + ": " + e.getMessage();
       }
     }
-    throw new NoMajority(last);
+    if (alone == null) {
+      throw new NoMajority(last);
+    }
+    led = false;
+    return state(alone);
+  }
+
+  private static State state(Answer a) throws IOException {
+    return a.status() == 204 ? null : Json.read(a.body(), State.class);
   }
 
   /** Who has not acted on all up to an index, by who leads. */
--- a/agree/src/main/java/cloverpulley/agree/AgreeConfig.java
+++ b/agree/src/main/java/cloverpulley/agree/AgreeConfig.java
@@ -72,7 +72,7 @@
       labels.put(l.text("upstream"), l.texts("groups", List.of()));
     }
     Command.Rules rules = new Command.Rules(s.whole("version", 1, Long.MAX_VALUE, 1), limits, (int) s.whole("words", 1, 8, 2),
-        s.whole("fresh_ms", 100, 3_600_000, 10_000), s.number("dead_part", 0.001, 1, 1));
+        s.whole("fresh_ms", 100, 3_600_000, 10_000), s.number("dead_part", 0.001, 1, 1), s.number("refused_part", 0.001, 1, 1));
     VoterAt own = voters.stream().filter(v -> v.name().equals(name)).findFirst().orElse(null);
     return new AgreeConfig(name(s, "fleet"), name, groups(s, own != null, zone), Path.of(s.text("folder", ".")),
         (int) s.whole("poll_ms", 10, 60_000, 200), (int) s.whole("silent_ms", 100, 600_000, 2000), (int) s.whole("most_mb", 1, 1024, 16),
@@ -115,9 +115,9 @@
     return folder.resolve(name + ".ledger");
   }
 
-  /** Makes the file of a voter that has never been one. */
-  public Path init() throws java.io.IOException {
-    RaftJournal.create(journal(), fleet);
+  /** Makes the file of a voter that has never been one; one that {@code joins} takes the place of another. */
+  public Path init(boolean joins) throws java.io.IOException {
+    RaftJournal.create(journal(), fleet, joins);
     return journal();
   }
 
--- a/agree/src/main/java/cloverpulley/agree/Follower.java
+++ b/agree/src/main/java/cloverpulley/agree/Follower.java
@@ -2,17 +2,21 @@
 
 import cloverpulley.outs.Acting;
 import cloverpulley.outs.Command;
+import cloverpulley.outs.Look;
+import cloverpulley.outs.Refusals;
 import cloverpulley.outs.State;
 import cloverpulley.outs.Watch;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.LongAdder;
 import org.jctools.queues.MpscArrayQueue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -29,6 +33,8 @@
   private static final long ACT_MILLIS = 1000;
   private static final int MOST_WORDS = 50;
   private static final int MOST_OUTCOMES = 8192;
+  /** The part of its patience after which one that starts takes the ledger of a voter that knows of no leader: better old than none. */
+  private static final double PATIENCE_PART = 0.75;
 
   private record Outcome(String upstream, boolean answered, boolean nothingCame) {}
 
@@ -44,6 +50,7 @@
   private final AgreeConfig config;
   private final AgreeClient client;
   private final Upstreams upstreams;
+  private final long patientUntil;
   private final Acting acting = new Acting();
   private final Watch watch;
   private final MpscArrayQueue<Outcome> outcomes = new MpscArrayQueue<>(MOST_OUTCOMES);
@@ -52,14 +59,25 @@
     made.setDaemon(true);
     return made;
   });
+  /** Tells this process from another of the same name. */
+  private final String process = UUID.randomUUID().toString();
+  private final Refusals refusals = new Refusals();
+  private final LongAdder ended = new LongAdder();
+  private final LongAdder refused = new LongAdder();
   private final ArrayDeque<Acting.Step> todo = new ArrayDeque<>();
   private final CompletableFuture<Void> first = new CompletableFuture<>();
   private State seen;
   private long acted = -1;
   private boolean deaf;
 
-  /** Begins to look at once; {@code warmMillis} is how long an upstream that came back takes until it is warm. */
-  public Follower(AgreeConfig config, Upstreams upstreams, long warmMillis) {
+  /**
+   * Begins to look at once.
+   *
+   * @param warmMillis how long an upstream that came back takes until it is warm
+   * @param patienceMillis how long its first look may take
+   */
+  public Follower(AgreeConfig config, Upstreams upstreams, long warmMillis, long patienceMillis) {
+    patientUntil = now() + (long) (PATIENCE_PART * patienceMillis);
     this.config = config;
     this.upstreams = upstreams;
     client = new AgreeClient(config.voters());
@@ -72,6 +90,14 @@
     outcomes.offer(new Outcome(upstream, answered, nothingCame));
   }
 
+  /** A request has its answer; from any thread. */
+  public void answered(boolean wasRefused) {
+    ended.increment();
+    if (wasRefused) {
+      refused.increment();
+    }
+  }
+
   /** Done once the ledger was looked at and acted on for the first time. */
   public CompletableFuture<Void> first() {
     return first;
@@ -87,8 +113,8 @@
       if (!todo.isEmpty()) {
         act(seen == null ? State.EMPTY : seen);
       }
-      State s = client.look(config.name(), config.groups(), acted, acted);
-      if (s != null) {
+      State s = client.look(config.name(), new Look(process, config.groups(), acted, refusals.counted(now(), ended.sum(), refused.sum())), acted);
+      if (s != null && (client.isLed() || first.isDone() || now() >= patientUntil)) {
         act(s);
       }
       if (deaf) {
--- a/agree/src/main/java/cloverpulley/agree/Histories.java
+++ b/agree/src/main/java/cloverpulley/agree/Histories.java
@@ -109,7 +109,7 @@
 
   private void setUp() {
     List<Command> first = new ArrayList<>();
-    first.add(new Command.Rules(1, Map.of("all", new Limit(MOST_OUT, 1, 1)), 1, 10_000, 1));
+    first.add(new Command.Rules(1, Map.of("all", new Limit(MOST_OUT, 1, 1)), 1, 10_000, 1, 1));
     for (int i = 0; i < MEMBERS; i++) {
       first.add(new Command.Enrol("m" + i, Kind.UPSTREAM, List.of("all")));
     }
@@ -254,7 +254,7 @@
       }
       time.after(100_000 + random.nextInt(1_500_000), () -> {
         trulyOut.remove(a.member());
-        give(new Command.Return(a.member(), "o" + number), time.micros(), 0);
+        give(new Command.Return(a.member(), "o" + number, r.epoch()), time.micros(), 0);
       });
     }
 
@@ -269,7 +269,7 @@
             next(c, invoked, tries);
           } else if (c instanceof Command.Return ret) {
             // Warm a moment later, by the ledger's own time, whoever stamps it.
-            time.after(50_000, () -> give(new Command.Seen("o" + number, ret.member(), cloverpulley.outs.Health.WARM), invoked, 0));
+            time.after(50_000, () -> give(new Command.Seen("o" + number, ret.member(), cloverpulley.outs.Health.WARM, r.index()), invoked, 0));
           } else if (isBack(((Command.Seen) c).member())) {
             ops.add(new Op(number, ((Command.Seen) c).member(), false, invoked, time.micros(), Word.DONE));
             act();
@@ -304,7 +304,7 @@
     }
     List<SimulatedVoter> leaders = voters.stream().filter(SimulatedVoter::leads).toList();
     if (leaders.size() != 1) {
-      broken = leaders.size() + " leaders after the quiet time";
+      broken = leaders.size() + " leaders after the quiet time: " + voters.stream().map(SimulatedVoter::described).toList();
       return;
     }
     State agreed = leaders.get(0).state();
--- a/agree/src/main/java/cloverpulley/agree/Kept.java
+++ b/agree/src/main/java/cloverpulley/agree/Kept.java
@@ -4,6 +4,7 @@
 import io.microraft.model.log.RaftGroupMembersView;
 import io.microraft.model.log.SnapshotChunk;
 import io.microraft.model.log.SnapshotEntry;
+import io.microraft.model.groupop.UpdateRaftGroupMembersOp;
 import io.microraft.model.persistence.RaftEndpointPersistentState;
 import io.microraft.model.persistence.RaftTermPersistentState;
 import io.microraft.persistence.RestoredRaftState;
@@ -28,6 +29,32 @@
     more.forEach(e -> entries.put(e.getIndex(), e));
   }
 
+  /** The index of the last entry, or of the snapshot where there is none behind it; 0 for nothing. */
+  long last() {
+    RestoredRaftState s = restored();
+    if (s == null) {
+      return 0;
+    }
+    long snapshot = s.getSnapshotEntry() == null ? 0 : s.getSnapshotEntry().getIndex();
+    return s.getLogEntries().isEmpty() ? snapshot : s.getLogEntries().get(s.getLogEntries().size() - 1).getIndex();
+  }
+
+  /** The voters as they are known here: those of the start, or of the last change that was heard of. */
+  RaftGroupMembersView group() {
+    RestoredRaftState s = restored();
+    RaftGroupMembersView group = members;
+    if (s != null && s.getSnapshotEntry() != null) {
+      group = s.getSnapshotEntry().getGroupMembersView();
+    }
+    for (LogEntry e : s == null ? List.<LogEntry>of() : s.getLogEntries()) {
+      if (e.getOperation() instanceof UpdateRaftGroupMembersOp u) {
+        group = Codec.MODEL.createRaftGroupMembersViewBuilder().setLogIndex(e.getIndex()).setMembers(u.getMembers())
+            .setVotingMembers(u.getVotingMembers()).build();
+      }
+    }
+    return group;
+  }
+
   /** What Raft starts with: the last snapshot that is whole, and the entries behind it; null for a voter that has never been one. */
   RestoredRaftState restored() {
     if (endpoint == null || members == null) {
--- a/agree/src/main/java/cloverpulley/agree/RaftJournal.java
+++ b/agree/src/main/java/cloverpulley/agree/RaftJournal.java
@@ -23,6 +23,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 import java.util.zip.CRC32C;
 
 /**
@@ -44,6 +45,7 @@
   private static final int FROM = 6;
   private static final int UNTIL = 7;
   private static final int DROP = 8;
+  private static final int JOINS = 9;
 
   private interface Writer {
     void to(DataOutputStream o) throws IOException;
@@ -57,7 +59,11 @@
   private long size;
   /** What it had when it was written anew last. */
   private long least;
-  private boolean failed;
+  private volatile boolean failed;
+  private Consumer<IOException> onFailure = e -> { };
+  private boolean joins;
+  /** The last entry that it had at the start, as far as no leader has struck it out since. */
+  private volatile long restoredLast;
   private final Kept kept = new Kept();
   private final Overlap overlap = new Overlap();
 
@@ -67,12 +73,17 @@
     this.most = most;
   }
 
-  /** Makes the empty file of a voter that has never been one; fails where there is one. */
-  static void create(Path file, String fleet) throws IOException {
+  /** Makes the empty file of a voter that has never been one; fails where there is one. One that {@code joins} others is not of their first group. */
+  static void create(Path file, String fleet, boolean joins) throws IOException {
     if (file.toAbsolutePath().getParent() != null) {
       Files.createDirectories(file.toAbsolutePath().getParent());
     }
-    Files.write(file, head(fleet), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE, StandardOpenOption.DSYNC);
+    ByteArrayOutputStream first = new ByteArrayOutputStream();
+    first.write(head(fleet));
+    if (joins) {
+      first.write(frame(JOINS, o -> { }));
+    }
+    Files.write(file, first.toByteArray(), StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE, StandardOpenOption.DSYNC);
   }
 
   private static byte[] head(String fleet) {
@@ -133,6 +144,7 @@
       }
     }
     overlap.has(new ArrayList<>(kept.entries.values()));
+    restoredLast = kept.last();
     out.truncate(at);
     out.position(at);
     size = at;
@@ -168,16 +180,32 @@
       case CHUNK -> kept.add(Codec.chunk(i));
       case FROM -> kept.entries.tailMap(i.readLong(), true).clear();
       case UNTIL -> kept.entries.headMap(i.readLong(), true).clear();
+      case JOINS -> joins = true;
       case DROP -> kept.chunks.remove(i.readLong());
       default -> throw new IOException(file + ": a frame of type " + type);
     }
   }
 
+  /** The voters, as far as this one has heard. */
+  RaftGroupMembersView group() {
+    return kept.group();
+  }
+
   /** What Raft starts with; null for a voter that has never been one. */
   RestoredRaftState restored() {
     return kept.restored();
   }
 
+  /** What it had at the start goes up to here: whoever holds less of the ledger has not caught up with what it knew itself. */
+  long restoredLast() {
+    return restoredLast;
+  }
+
+  /** Whether it came to a group that was there before. */
+  boolean joins() {
+    return joins;
+  }
+
   private void append(int type, Writer body) throws IOException {
     if (failed) {
       throw new IOException(file + ": a write failed before, the voter is to be restarted");
@@ -187,11 +215,29 @@
       write(out, ByteBuffer.wrap(frame));
       size += frame.length;
     } catch (IOException e) {
-      failed = true; // What is in the file now is not known.
-      throw e;
+      throw failed(e);
     }
   }
 
+  /** What is in the file now is not known: nothing is written to it any more, and who owns it hears so. */
+  private IOException failed(IOException e) {
+    if (!failed) {
+      failed = true;
+      onFailure.accept(e);
+    }
+    return e;
+  }
+
+  /** Whether a write failed. */
+  boolean isFailed() {
+    return failed;
+  }
+
+  /** Who is told once where a write fails, on the thread that wrote. */
+  void onFailure(Consumer<IOException> told) {
+    onFailure = told;
+  }
+
   private static byte[] frame(int type, Writer body) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     bytes.write(new byte[HEAD]);
@@ -262,6 +308,7 @@
   public void truncateLogEntriesFrom(long index) throws IOException {
     kept.entries.tailMap(index, true).clear();
     overlap.lostFrom(index);
+    restoredLast = Math.min(restoredLast, index - 1);
     append(FROM, o -> o.writeLong(index));
   }
 
@@ -280,7 +327,11 @@
 
   @Override
   public void flush() throws IOException {
-    out.force(false);
+    try {
+      out.force(false);
+    } catch (IOException e) {
+      throw failed(e); // A second force may say yes over what the first has lost.
+    }
     if (size > Math.max(most, 2 * least)) {
       compact();
     }
--- /dev/null
+++ b/agree/src/main/java/cloverpulley/agree/Replace.java
@@ -0,0 +1,11 @@
+package cloverpulley.agree;
+
+/** Asks that one voter takes another's place. */
+record Replace(String from, String to) {
+
+  Replace {
+    if (from == null || to == null || from.isEmpty() || to.isEmpty() || !AgreeConfig.isName(from) || !AgreeConfig.isName(to)) {
+      throw new IllegalArgumentException("expected the names of two voters");
+    }
+  }
+}
--- a/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
+++ b/agree/src/main/java/cloverpulley/agree/SimulatedVoter.java
@@ -154,7 +154,7 @@
     Runnable take = () -> {
       if (up && to == life) {
         try {
-          node.handle(store.overlap().without(codec.read(message)));
+          node.handle(PreVotes.taken(store.overlap().without(codec.read(message)), node.getTerm().getTerm()));
         } catch (IOException e) {
           throw new IllegalStateException(e);
         }
@@ -197,6 +197,12 @@
     return leader != null && leader.getId().equals(name);
   }
 
+  /** How it stands, for who looks into a history that broke. */
+  String described() {
+    return name + (up ? "" : " down") + (paused ? " paused" : "") + " " + node.getStatus() + " term " + node.getTerm().getTerm() + " leader "
+        + (node.getTerm().getLeaderEndpoint() == null ? "none" : node.getTerm().getLeaderEndpoint().getId()) + " index " + machine.index();
+  }
+
   State state() {
     return machine.state();
   }
--- a/agree/src/main/java/cloverpulley/agree/Voter.java
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -2,17 +2,27 @@
 
 import cloverpulley.outs.Command;
 import cloverpulley.outs.Ledger;
+import cloverpulley.outs.Look;
+import cloverpulley.outs.Replacing;
 import cloverpulley.outs.Reply;
 import cloverpulley.outs.Roll;
 import cloverpulley.outs.State;
+import io.microraft.MembershipChangeMode;
 import io.microraft.Ordered;
 import io.microraft.RaftEndpoint;
 import io.microraft.RaftNode;
 import io.microraft.RaftNodeStatus;
+import io.microraft.model.message.AppendEntriesRequest;
+import io.microraft.model.message.InstallSnapshotRequest;
+import io.microraft.model.message.RaftMessage;
 import io.microraft.persistence.RestoredRaftState;
+import io.microraft.report.RaftGroupMembers;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
@@ -40,6 +50,9 @@
   private final RaftLink link;
   private final RaftNode node;
   private final Roll roll;
+  /** The first commit index that a leader told in this life; -1 before. */
+  private volatile long agreedBefore = -1;
+  private volatile boolean caughtUp;
   private volatile Map<String, Roll.Entry> listed = Map.of();
   private final Map<String, CompletableFuture<?>> pending = new ConcurrentHashMap<>();
   private final ScheduledExecutorService duty = new ScheduledThreadPoolExecutor(1, task -> {
@@ -58,18 +71,28 @@
     try {
       link = new RaftLink(config.fleet(), config.name(), config.raftListen(), config.voters().stream()
           .filter(v -> !v.name().equals(config.name())).collect(Collectors.toMap(AgreeConfig.VoterAt::name, AgreeConfig.VoterAt::raft)), codec,
-          m -> pace.submit(() -> made[0].handle(journal.overlap().without(m))));
+          m -> pace.submit(() -> {
+            heard(m);
+            made[0].handle(PreVotes.taken(journal.overlap().without(m), made[0].getTerm().getTerm()));
+          }));
       RaftNode.RaftNodeBuilder builder = RaftNode.newBuilder().setGroupId(GROUP).setConfig(Pace.config(SNAPSHOT_EVERY)).setExecutor(pace)
           .setClock(Pace.clock(() -> TimeUnit.NANOSECONDS.toMicros(System.nanoTime()))).setTransport(link).setStateMachine(machine).setStore(journal);
       RestoredRaftState restored = journal.restored();
       if (restored == null) {
-        builder.setLocalEndpoint(new Peer(config.name())).setInitialGroupMembers(voters);
+        // One that joins is not of the group that it joins, until that has taken it.
+        builder.setLocalEndpoint(new Peer(config.name())).setInitialGroupMembers(
+            voters.stream().filter(v -> !journal.joins() || !v.getId().equals(config.name())).toList());
       } else {
         check(restored, voters);
         builder.setRestoredState(restored);
       }
       node = builder.build();
       made[0] = node;
+      // Guards the others: the library goes on, and one that leads would go on leading without ever agreeing to anything.
+      journal.onFailure(e -> {
+        LOG.error("this voter's file can't be written, it takes no part until it is restarted: {}", e.toString());
+        node.terminate();
+      });
     } catch (IOException | RuntimeException e) {
       journal.close();
       throw e;
@@ -81,8 +104,13 @@
     if (!was.equals(config.name())) {
       throw new IOException(config.journal() + " is the file of voter \"" + was + "\"");
     }
-    if (!restored.getInitialGroupMembers().getMembers().containsAll(voters)) {
-      throw new IOException(config.journal() + " knows other voters than agree.voter: " + restored.getInitialGroupMembers().getMembers());
+    List<RaftEndpoint> unknown = new ArrayList<>(voters);
+    unknown.removeAll(journal.group().getMembers());
+    if (unknown.size() > 1) {
+      // One at a time: the others have to hold the majority.
+      throw new IOException(config.journal() + " knows other voters than agree.voter: " + journal.group().getMembers());
+    } else if (!unknown.isEmpty()) {
+      LOG.warn("{} is no voter yet: `ashdeck outs replace` puts it in another's place", unknown.get(0).getId());
     }
   }
 
@@ -109,7 +137,23 @@
 
   /** Whether it takes part: a voter whose file could not be written does not. */
   public boolean isActive() {
-    return !RaftNodeStatus.isTerminal(node.getStatus());
+    return !journal.isFailed() && !RaftNodeStatus.isTerminal(node.getStatus());
+  }
+
+  private void heard(RaftMessage m) {
+    if (agreedBefore < 0) {
+      agreedBefore = m instanceof AppendEntriesRequest a ? a.getCommitIndex() : m instanceof InstallSnapshotRequest i ? i.getSnapshotIndex() : -1;
+    }
+  }
+
+  /**
+   * Whether what it holds is worth looking at. Guards who starts beside a voter that starts too: that one's ledger is empty until a leader has
+   * agreed with it again, and an empty ledger has nobody out.
+   */
+  public boolean isCaughtUp() {
+    long index = machine.index();
+    caughtUp = caughtUp || index > 0 && index >= journal.restoredLast() && index >= agreedBefore && (agreedBefore >= 0 || leads());
+    return caughtUp;
   }
 
   /** Puts a command in the one order; fails where this one does not lead, and where nobody knows whether it came through. */
@@ -118,6 +162,30 @@
     return ordered.thenApply(Ordered::getResult);
   }
 
+  /** Makes the next change that puts one voter in another's place; done once the group has agreed to it. Fails as {@link #command} does. */
+  CompletableFuture<Replacing.Next> replace(String from, String to) {
+    if (config.voters().stream().noneMatch(v -> v.name().equals(to))) {
+      return CompletableFuture.completedFuture(new Replacing.Next(Replacing.Step.NO, to, to + " is no agree.voter of the file that " + config.name()
+          + " was started with"));
+    }
+    RaftGroupMembers group = node.getCommittedMembers();
+    Replacing.Next next = Replacing.next(names(group.getMembers()), names(group.getVotingMembers()), leader(), from, to);
+    if (next.isEnd()) {
+      return CompletableFuture.completedFuture(next);
+    }
+    LOG.info("voters: {} {}", next.step().name().toLowerCase(java.util.Locale.ROOT), next.voter());
+    MembershipChangeMode mode = switch (next.step()) {
+      case ADD -> MembershipChangeMode.ADD_LEARNER;
+      case PROMOTE -> MembershipChangeMode.ADD_OR_PROMOTE_TO_FOLLOWER;
+      default -> MembershipChangeMode.REMOVE_MEMBER;
+    };
+    return node.changeMembership(new Peer(next.voter()), mode, group.getLogIndex()).thenApply(o -> next);
+  }
+
+  private static Set<String> names(Collection<RaftEndpoint> of) {
+    return of.stream().map(e -> (String) e.getId()).collect(Collectors.toSet());
+  }
+
   /** The ledger as this one holds it; another may be ahead. */
   public State state() {
     return machine.state();
@@ -128,9 +196,9 @@
   }
 
   /** An instance has looked here. */
-  public void heard(String name, List<String> groups, long acted) {
+  public void heard(String name, Look look) {
     synchronized (roll) {
-      roll.heard(now(), name, groups, acted);
+      roll.heard(now(), name, look);
     }
   }
 
@@ -142,7 +210,7 @@
   /** Instances in service that have not acted on all up to an index, as this one has heard. */
   public List<String> notActed(long index) {
     synchronized (roll) {
-      return roll.notActed(index, state());
+      return roll.notActed(now(), index, state());
     }
   }
 
--- a/agree/src/test/java/cloverpulley/agree/JsonTest.java
+++ b/agree/src/test/java/cloverpulley/agree/JsonTest.java
@@ -24,9 +24,9 @@
 /** Commands and states as text: what comes from a socket either is whole or is none. */
 class JsonTest {
 
-  private static final List<Command> ALL = List.of(new Command.Rules(3, Map.of("g", new Limit(1, 0.5, 2)), 2, 500, 0.5),
+  private static final List<Command> ALL = List.of(new Command.Rules(3, Map.of("g", new Limit(1, 0.5, 2)), 2, 500, 0.5, 0.5),
       new Command.Enrol("m", Kind.UPSTREAM, List.of("g", "h")), new Command.Strike("m"), new Command.Ask("a", "m", "op", "why", 5, false),
-      new Command.Withdraw("a"), new Command.Left("m", 7), new Command.Return("m", "op"), new Command.Seen("o", "m", Health.COLD),
+      new Command.Withdraw("a"), new Command.Left("m", 7), new Command.Return("m", "op", 7), new Command.Seen("o", "m", Health.COLD, 6),
       new Command.Halt("h", "op", "why"), new Command.Resume("h", "op"), new Command.Back("", "op"), new Command.Tick());
 
   @Test
--- a/agree/src/test/java/cloverpulley/agree/RaftJournalTest.java
+++ b/agree/src/test/java/cloverpulley/agree/RaftJournalTest.java
@@ -43,7 +43,7 @@
   }
 
   private RaftJournal begun(long most) throws IOException {
-    RaftJournal.create(file(), "fleet");
+    RaftJournal.create(file(), "fleet", false);
     RaftJournal j = RaftJournal.open(file(), "fleet", most);
     assertNull(j.restored());
     j.persistAndFlushInitialGroupMembers(members());
@@ -134,7 +134,7 @@
     ByteBuffer.wrap(newer).putInt(4, RaftJournal.VERSION + 1);
     Files.write(file(), newer);
     assertTrue(assertThrows(IOException.class, this::again).getMessage().contains("version 2"));
-    assertThrows(IOException.class, () -> RaftJournal.create(file(), "fleet"), "there is one");
+    assertThrows(IOException.class, () -> RaftJournal.create(file(), "fleet", false), "there is one");
     Files.write(file(), whole);
     assertNotNull(again());
   }
--- a/bench/src/main/java/cloverpulley/bench/OutsBench.java
+++ b/bench/src/main/java/cloverpulley/bench/OutsBench.java
@@ -8,6 +8,7 @@
 import cloverpulley.outs.Health;
 import cloverpulley.outs.Kind;
 import cloverpulley.outs.Ledger;
+import cloverpulley.outs.Look;
 import cloverpulley.outs.Limit;
 import cloverpulley.outs.Reply;
 import cloverpulley.outs.State;
@@ -201,7 +202,7 @@
       afterOut += (int) upstreams.get(member).seen().stream().filter(s -> s.atNanos() > yes + GRACE_NANOS).count();
     }
     overLimit += client.whole().outs().size() > UPSTREAMS / 5 ? 1 : 0;
-    client.command(new Command.Return(member, "bench"), 10_000);
+    client.command(new Command.Return(member, "bench", r.epoch()), 10_000);
     if (number % 8 == 0 || client.whole().outs().size() >= UPSTREAMS / 5 - 1) {
       await("it is warm", () -> client.whole().outs().isEmpty());
     }
@@ -231,7 +232,7 @@
     long acted = s.index();
     int looks = 25;
     for (int i = 0; i < looks; i++) {
-      State next = of.look("", List.of(), acted, acted);
+      State next = of.look("", new Look("", List.of(), acted, 0), acted);
       acted = next == null ? acted : next.index();
       TimeUnit.MILLISECONDS.sleep(200);
     }
@@ -252,7 +253,7 @@
   private static double rolling(int members, int most, long downMillis, long warmMillis) {
     Ledger l = new Ledger();
     long[] index = {0};
-    l.apply(++index[0], 0, new Command.Rules(1, Map.of("all", new Limit(most, 1, most)), 1, 10_000, 1));
+    l.apply(++index[0], 0, new Command.Rules(1, Map.of("all", new Limit(most, 1, most)), 1, 10_000, 1, 1));
     for (int i = 0; i < members; i++) {
       l.apply(++index[0], 0, new Command.Enrol("s" + i, Kind.UPSTREAM, List.of("all")));
     }
@@ -275,8 +276,8 @@
       }
       Map.Entry<Long, String> next = due.poll();
       now = next.getKey();
-      l.apply(++index[0], now - 1, new Command.Return(next.getValue(), "roll"));
-      l.apply(++index[0], now, new Command.Seen("b", next.getValue(), Health.WARM));
+      l.apply(++index[0], now - 1, new Command.Return(next.getValue(), "roll", l.outs().get(next.getValue()).epoch()));
+      l.apply(++index[0], now, new Command.Seen("b", next.getValue(), Health.WARM, index[0]));
     }
     long least = (long) Math.ceil((double) members / most) * (downMillis + warmMillis);
     return (double) now / least;
--- a/decision/src/main/java/cloverpulley/outs/Command.java
+++ b/decision/src/main/java/cloverpulley/outs/Command.java
@@ -40,8 +40,10 @@
    * @param words how many observers have to agree on an upstream's health before it counts, 1 or more
    * @param freshMillis how long an observer's word is good
    * @param deadPart the part of all members of a kind beyond which unwell ones halt all grants by themselves; 1 for never
+   * @param refusedPart an instance is pressed that refuses so great a part of its requests; most of them pressed halt all grants; 1 for never
    */
-  record Rules(long version, Map<String, Limit> groups, int words, long freshMillis, double deadPart) implements Command {
+  record Rules(long version, Map<String, Limit> groups, int words, long freshMillis, double deadPart, double refusedPart)
+      implements Command {
 
     /** Checks that the figures make sense. */
     public Rules {
@@ -50,8 +52,8 @@
       }
       groups = Map.copyOf(groups);
       named(groups.keySet().toArray(String[]::new));
-      if (words < 1 || freshMillis < 1 || !(deadPart > 0 && deadPart <= 1)) {
-        throw new IllegalArgumentException("expected words and freshMillis above 0 and deadPart above 0, at most 1");
+      if (words < 1 || freshMillis < 1 || !(deadPart > 0 && deadPart <= 1) || !(refusedPart > 0 && refusedPart <= 1)) {
+        throw new IllegalArgumentException("expected words and freshMillis above 0, deadPart and refusedPart above 0, at most 1");
       }
     }
   }
@@ -117,8 +119,11 @@
     }
   }
 
-  /** A member comes back, or did already. */
-  record Return(String member, String by) implements Command {
+  /**
+   * A member comes back, or did already; {@code epoch} is that of its permit. Guards the next holder: a word that comes late, out of a paused
+   * process or sent again, must not end a permit that it does not speak of.
+   */
+  record Return(String member, String by, long epoch) implements Command {
 
     /** Checks that it is whole. */
     public Return {
@@ -126,8 +131,12 @@
     }
   }
 
-  /** An observer's word on a member. */
-  record Seen(String observer, String member, Health health) implements Command {
+  /**
+   * An observer's word on a member.
+   *
+   * @param at the ledger's index that the observer knew of when it saw this: a word is no news of what came after
+   */
+  record Seen(String observer, String member, Health health, long at) implements Command {
 
     /** Checks that it is whole. */
     public Seen {
--- a/decision/src/main/java/cloverpulley/outs/Ledger.java
+++ b/decision/src/main/java/cloverpulley/outs/Ledger.java
@@ -47,8 +47,10 @@
   private static final int SHOWN_HOLDERS = 10;
   /** The halt that comes by itself. */
   public static final String DEAD = "dead-above-bound";
+  /** The halt that who leads asks for where most instances refuse too much. */
+  public static final String REFUSED = "refused-above-bound";
 
-  private static final Rules NONE = new Rules(0, Map.of(), 1, 10_000, 1);
+  private static final Rules NONE = new Rules(0, Map.of(), 1, 10_000, 1, 1);
 
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Out> outs = new TreeMap<>();
@@ -288,7 +290,7 @@
     }
     for (Map.Entry<String, Out> e : outs.entrySet()) {
       if (e.getValue().ask().equals(w.ask())) {
-        return returns(new Return(e.getKey(), e.getValue().by())); // Modules may have drained it already: it comes back like any other.
+        return returns(new Return(e.getKey(), e.getValue().by(), e.getValue().epoch())); // Modules may have drained it already: it comes back like any other.
       }
     }
     return say(Word.NOT_OUT);
@@ -329,6 +331,9 @@
     if (out == null) {
       return say(Word.NOT_OUT);
     }
+    if (out.epoch() != r.epoch()) {
+      return say(Word.OLD_EPOCH);
+    }
     if (out.phase() != Phase.RETURNING) {
       phase(r.member(), out, Phase.RETURNING);
     }
@@ -340,8 +345,12 @@
     if (m == null) {
       return say(Word.UNKNOWN_MEMBER);
     }
+    Told last = m.words().get(s.observer());
+    if (last != null && last.at() > s.at()) {
+      return say(Word.OLD_EPOCH); // It was overtaken by a later word of the same observer.
+    }
     Map<String, Told> words = new TreeMap<>(m.words());
-    words.put(s.observer(), new Told(s.health(), now, index));
+    words.put(s.observer(), new Told(s.health(), now, Math.min(s.at(), index)));
     words.values().removeIf(t -> now - t.atMillis() > rules.freshMillis());
     while (words.size() > MOST_OBSERVERS) {
       words.remove(words.entrySet().stream().min(Map.Entry.comparingByValue((x, y) -> Long.compare(x.atMillis(), y.atMillis()))).get().getKey());
@@ -360,7 +369,7 @@
     }
     Out out = outs.get(s.member());
     if (out != null && out.phase() == Phase.RETURNING && !isUnwell) {
-      long warmSince = words.values().stream().filter(t -> t.health() == Health.WARM && t.index() > out.sinceIndex()).count();
+      long warmSince = words.values().stream().filter(t -> t.health() == Health.WARM && t.at() >= out.sinceIndex()).count();
       if (warmSince >= needed) {
         count(s.member(), is, false);
         outs.remove(s.member());
--- a/decision/src/main/java/cloverpulley/outs/Roll.java
+++ b/decision/src/main/java/cloverpulley/outs/Roll.java
@@ -16,9 +16,9 @@
   /** One to be enrolled: an instance that looks, or an upstream of the list. */
   public record Entry(Kind kind, List<String> groups) {}
 
-  private record Heard(Entry as, long atMillis, long acted) {}
-
   private static final int MOST_HEARD = 5_000;
+  /** So many instances at least have to be pressed before all is halted: no one's word does that. */
+  private static final int LEAST_PRESSED = 2;
 
   private final String me;
   private final long silentMillis;
@@ -37,14 +37,14 @@
     this.silentMillis = silentMillis;
   }
 
-  /** An instance has looked, having acted on all up to an index. */
-  public void heard(long nowMillis, String name, List<String> groups, long acted) {
+  /** A process of an instance has looked. */
+  public void heard(long nowMillis, String name, Look look) {
     if (!heard.containsKey(name) && heard.size() >= MOST_HEARD) {
       // Guards the memory, and those who come later, from names that were heard once.
       heard.values().removeIf(h -> nowMillis - h.atMillis() > silentMillis);
     }
     if (heard.containsKey(name) || heard.size() < MOST_HEARD) {
-      heard.put(name, new Heard(new Entry(Kind.BALANCER, groups), nowMillis, acted));
+      heard.computeIfAbsent(name, n -> new Heard()).heard(nowMillis, look, silentMillis);
     }
   }
 
@@ -76,6 +76,7 @@
         hear(told, nowMillis, s, name, m);
       }
     });
+    press(told, nowMillis, s);
     if (!s.queue().isEmpty() || !s.back().isEmpty()) {
       told.add(new Command.Tick());
     }
@@ -99,14 +100,30 @@
     boolean news = isSilent != m.unwell() && (isSilent || h != null && h.atMillis() >= ledBy) || returning && !isSilent;
     if (news && now - toldAt.getOrDefault(name, Long.MIN_VALUE / 2) >= silentMillis / 4) {
       toldAt.put(name, now);
-      told.add(new Command.Seen(me, name, isSilent ? Health.SILENT : Health.WARM));
+      told.add(new Command.Seen(me, name, isSilent ? Health.SILENT : Health.WARM, s.index()));
+    }
+  }
+
+  /**
+   * Where most of the instances that are there refuse too much, nobody is to take out more. The halt is lifted by its name, and comes again
+   * while this holds.
+   */
+  private void press(List<Command> told, long now, State s) {
+    double bound = s.rules().refusedPart();
+    if (bound >= 1 || s.halts().containsKey(Ledger.REFUSED)) {
+      return;
+    }
+    List<Heard> there = heard.values().stream().filter(h -> now - h.atMillis() <= silentMillis).toList();
+    long pressed = there.stream().filter(h -> h.refused() >= bound).count();
+    if (pressed >= LEAST_PRESSED && 2 * pressed > there.size()) {
+      told.add(new Command.Halt(Ledger.REFUSED, "ledger", pressed + " of " + there.size() + " instances refuse too much"));
     }
   }
 
   /** Instances in service that have not acted on all up to an index; those that are out or silent are not waited for. */
-  public List<String> notActed(long index, State s) {
+  public List<String> notActed(long nowMillis, long index, State s) {
     return s.members().entrySet().stream()
         .filter(e -> e.getValue().kind() == Kind.BALANCER && !e.getValue().unwell() && !s.outs().containsKey(e.getKey()))
-        .map(Map.Entry::getKey).filter(name -> heard.get(name) == null || heard.get(name).acted() < index).toList();
+        .map(Map.Entry::getKey).filter(name -> heard.get(name) == null || !heard.get(name).hasActed(nowMillis, index, silentMillis)).toList();
   }
 }
--- a/decision/src/main/java/cloverpulley/outs/State.java
+++ b/decision/src/main/java/cloverpulley/outs/State.java
@@ -29,8 +29,8 @@
   /** One that is there, and the words on its health that were told last. */
   public record Member(Kind kind, List<String> groups, boolean unwell, Map<String, Told> words) {}
 
-  /** An observer's word, when it was told, and at which place in the order. */
-  public record Told(Health health, long atMillis, long index) {}
+  /** An observer's word, when it was told, and the ledger's index that the observer knew of when it saw it. */
+  public record Told(Health health, long atMillis, long at) {}
 
   /** One that is out by permit; {@code sinceIndex} is where its phase began. */
   public record Out(Phase phase, String ask, String by, String why, boolean forced, long epoch, long sinceMillis, long sinceIndex) {}
--- a/decision/src/main/java/cloverpulley/outs/Watch.java
+++ b/decision/src/main/java/cloverpulley/outs/Watch.java
@@ -84,7 +84,7 @@
       if (knows && news && (health != own.told || nowMillis - own.toldAt >= againMillis)) {
         own.told = health;
         own.toldAt = nowMillis;
-        told.add(new Command.Seen(me, e.getKey(), health));
+        told.add(new Command.Seen(me, e.getKey(), health, s.index()));
       } else if (!news) {
         own.told = null;
       }
--- a/decision/src/test/java/cloverpulley/outs/InstancesTest.java
+++ b/decision/src/test/java/cloverpulley/outs/InstancesTest.java
@@ -24,7 +24,7 @@
 
   @Test
   void anInstanceActsOnEachChangeOnceAndOnNoOlderLook() {
-    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1, 1));
     tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
     tell(new Command.Enrol("b1", Kind.BALANCER, List.of()));
     State before = ledger.state();
@@ -36,14 +36,14 @@
     assertEquals(List.of(new Acting.Step.TakeOut("s1", 700)), acting.look(ledger.state().slim()), "a balancer's out is not the module's business");
     assertEquals(List.of(), acting.look(ledger.state().slim()));
     assertEquals(List.of(), acting.look(before), "a voter that lags brings nothing back");
-    tell(new Command.Return("s1", "op"));
+    tell(new Command.Return("s1", "op", ledger.state().outs().get("s1").epoch()));
     assertEquals(List.of(new Acting.Step.CallBack("s1")), acting.look(ledger.state().slim()));
     assertEquals(index, acting.index());
   }
 
   @Test
   void anInstanceTellsOfWhatFailsAndOfWhatIsWarmAgain() {
-    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1, 1));
     tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
     Watch watch = new Watch("b1", 3000, 1000);
     watch.ended(0, "s1", true, false);
@@ -52,13 +52,13 @@
     watch.ended(2, "s1", false, false);
     assertEquals(List.of(), watch.look(2, ledger.state()), "two failures are an accident");
     watch.ended(3, "s1", false, false);
-    List<Command> dead = List.of(new Command.Seen("b1", "s1", Health.DEAD));
+    List<Command> dead = List.of(new Command.Seen("b1", "s1", Health.DEAD, index));
     assertEquals(dead, watch.look(3, ledger.state()));
     assertEquals(List.of(), watch.look(4, ledger.state()), "told already");
     assertEquals(dead, watch.look(1003, ledger.state()), "and told again after a while");
     tellAll(dead);
     watch.ended(1100, "s1", true, false);
-    List<Command> warm = List.of(new Command.Seen("b1", "s1", Health.WARM));
+    List<Command> warm = List.of(new Command.Seen("b1", "s1", Health.WARM, index));
     assertEquals(warm, watch.look(1100, ledger.state()));
     tellAll(warm);
     assertEquals(List.of(), watch.look(2200, ledger.state()));
@@ -67,37 +67,38 @@
       watch.ended(2300, "s1", false, true);
     }
     assertEquals(List.of(), watch.look(2300, ledger.state()), "nobody wonders that one fails which is out");
-    tell(new Command.Return("s1", "op"));
+    tell(new Command.Return("s1", "op", ledger.state().outs().get("s1").epoch()));
     watch.ended(2400, "s1", true, false);
     assertEquals(List.of(), watch.look(2400, ledger.state()), "back and cold");
     watch.ended(6000, "s1", true, false);
-    assertEquals(warm, watch.look(6000, ledger.state()));
-    tellAll(warm);
+    List<Command> again = List.of(new Command.Seen("b1", "s1", Health.WARM, index));
+    assertEquals(again, watch.look(6000, ledger.state()));
+    tellAll(again);
     assertTrue(ledger.state().outs().isEmpty());
   }
 
   @Test
   void whoLeadsEnrolsThoseThatAreHeardAndTellsOfTheSilent() {
-    tell(new Command.Rules(1, Map.of("balancers", new Limit(1, 1, 1)), 1, 10_000, 1));
+    tell(new Command.Rules(1, Map.of("balancers", new Limit(1, 1, 1)), 1, 10_000, 1, 1));
     Roll roll = new Roll("b1", 1000);
-    roll.heard(0, "b1", List.of("balancers"), 0);
-    roll.heard(0, "b2", List.of("balancers"), 0);
+    roll.heard(0, "b1", new Look("p", List.of("balancers"), 0, 0));
+    roll.heard(0, "b2", new Look("p", List.of("balancers"), 0, 0));
     roll.listed(Map.of("s1", new Roll.Entry(Kind.UPSTREAM, List.of("u"))));
     assertEquals(List.of(), roll.look(0, false, ledger.state()), "not while another leads");
     tellAll(roll.look(100, true, ledger.state()));
     assertEquals(3, ledger.state().members().size());
-    assertEquals(List.of("b1", "b2"), roll.notActed(index, ledger.state()));
-    roll.heard(900, "b1", List.of("balancers"), index);
-    assertEquals(List.of("b2"), roll.notActed(index, ledger.state()));
+    assertEquals(List.of("b1", "b2"), roll.notActed(900, index, ledger.state()));
+    roll.heard(900, "b1", new Look("p", List.of("balancers"), index, 0));
+    assertEquals(List.of("b2"), roll.notActed(900, index, ledger.state()));
     tellAll(roll.look(1050, true, ledger.state()));
     assertEquals(false, ledger.state().members().get("b2").unwell());
-    roll.heard(1100, "b1", List.of("balancers"), index);
+    roll.heard(1100, "b1", new Look("p", List.of("balancers"), index, 0));
     tellAll(roll.look(1200, true, ledger.state()));
     assertEquals(true, ledger.state().members().get("b2").unwell());
     assertEquals(Word.LIMIT, tell(new Command.Ask("a", "b1", "op", "", 0, false)).word(), "the one place is the silent one's");
-    assertEquals(List.of(), roll.notActed(1, ledger.state()), "nobody waits for one that is silent");
-    roll.heard(2000, "b2", List.of("balancers"), index);
-    roll.heard(2000, "b1", List.of("balancers"), index);
+    assertEquals(List.of(), roll.notActed(1200, 1, ledger.state()), "nobody waits for one that is silent");
+    roll.heard(2000, "b2", new Look("p", List.of("balancers"), index, 0));
+    roll.heard(2000, "b1", new Look("p", List.of("balancers"), index, 0));
     tellAll(roll.look(2000, true, ledger.state()));
     assertEquals(false, ledger.state().members().get("b2").unwell());
   }
@@ -109,12 +110,12 @@
     Roll roll = new Roll("b1", 1000);
     assertEquals(List.of(), roll.look(500_000, true, ledger.state()));
     assertEquals(List.of(), roll.look(500_900, true, ledger.state()));
-    assertEquals(List.of(new Command.Seen("b1", "b2", Health.SILENT)), roll.look(501_100, true, ledger.state()));
+    assertEquals(List.of(new Command.Seen("b1", "b2", Health.SILENT, index)), roll.look(501_100, true, ledger.state()));
   }
 
   @Test
   void anUpstreamThatTheListHasNoMoreIsStruckUnlessItIsOut() {
-    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1));
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1, 1));
     tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
     tell(new Command.Enrol("s2", Kind.UPSTREAM, List.of()));
     tell(new Command.Ask("a", "s1", "op", "", 0, false));
@@ -124,4 +125,68 @@
     roll.listed(Map.of("s3", new Roll.Entry(Kind.UPSTREAM, List.of())));
     assertEquals(List.of(new Command.Enrol("s3", Kind.UPSTREAM, List.of()), new Command.Strike("s2")), roll.look(0, true, ledger.state()));
   }
+
+  /** An upgrade: two processes of one name are one member, which is there while one is, and has acted once both have. */
+  @Test
+  void twoProcessesOfOneNameAreOneMember() {
+    tell(new Command.Rules(1, Map.of("balancers", new Limit(1, 1, 1)), 1, 10_000, 1, 1));
+    Roll roll = new Roll("b1", 1000);
+    roll.heard(0, "b1", new Look("p", List.of("balancers"), 0, 0));
+    roll.heard(0, "b2", new Look("old", List.of("balancers"), 0, 0));
+    tellAll(roll.look(0, true, ledger.state()));
+    roll.heard(100, "b1", new Look("p", List.of("balancers"), index, 0));
+    roll.heard(100, "b2", new Look("new", List.of("balancers"), index, 0));
+    roll.heard(110, "b2", new Look("old", List.of("balancers"), 0, 0));
+    assertEquals(2, ledger.state().members().size());
+    assertEquals(List.of("b2"), roll.notActed(200, index, ledger.state()), "the successor's word is not its predecessor's");
+    roll.heard(300, "b2", new Look("old", List.of("balancers"), index, 0));
+    assertEquals(List.of(), roll.notActed(300, index, ledger.state()));
+    roll.heard(400, "b2", new Look("old", List.of("balancers"), 0, 0));
+    for (long t = 500; t <= 1500; t += 500) {
+      roll.heard(t, "b1", new Look("p", List.of("balancers"), index, 0));
+      roll.heard(t, "b2", new Look("new", List.of("balancers"), index, 0));
+    }
+    tellAll(roll.look(1500, true, ledger.state()));
+    assertEquals(false, ledger.state().members().get("b2").unwell(), "its predecessor ended, the instance did not");
+    assertEquals(List.of(), roll.notActed(1500, index, ledger.state()), "one that has ended is not waited for");
+  }
+
+  /** Refusals halt grants by the word of most, never by one instance's; the halt comes again while it holds. */
+  @Test
+  void mostInstancesRefusingTooMuchHaltGrants() {
+    tell(new Command.Rules(1, Map.of(), 1, 10_000, 1, 0.3));
+    tell(new Command.Enrol("s1", Kind.UPSTREAM, List.of()));
+    Roll roll = new Roll("b1", 1000);
+    double[][] told = {{0.9, 0, 0, 0}, {0.9, 0.9, 0, 0}, {0.9, 0.9, 0.3, 0}};
+    for (int i = 0; i < told.length; i++) {
+      for (int b = 0; b < 4; b++) {
+        roll.heard(i, "b" + b, new Look("p", List.of(), 0, told[i][b]));
+      }
+      tellAll(roll.look(i, true, ledger.state()));
+      assertEquals(i == 2, ledger.state().halts().containsKey(Ledger.REFUSED), "at step " + i);
+    }
+    assertEquals(Word.HALTED, tell(new Command.Ask("a", "s1", "op", "", 0, false)).word());
+    tell(new Command.Resume(Ledger.REFUSED, "op"));
+    tellAll(roll.look(4, true, ledger.state()));
+    assertTrue(ledger.state().halts().containsKey(Ledger.REFUSED), "it holds still");
+    tell(new Command.Resume(Ledger.REFUSED, "op"));
+    tellAll(roll.look(5000, true, ledger.state()));
+    assertEquals(Map.of(), ledger.state().halts(), "words that are old say nothing");
+  }
+
+  @Test
+  void thePartRefusedIsThatOfTheLastTenSeconds() {
+    Refusals r = new Refusals();
+    assertEquals(0, r.counted(0, 0, 0));
+    assertEquals(0, r.counted(100, 10, 10), "ten requests say nothing");
+    assertEquals(0.5, r.counted(1000, 100, 50));
+    for (long t = 1500; t <= 12_000; t += 500) {
+      r.counted(t, 100 + t / 10, 50);
+    }
+    assertEquals(0, r.counted(12_500, 1500, 50), "what is longer ago is over");
+    for (long t = 13_000; t < 100_000; t += 10) {
+      r.counted(t, 1500 + t, 50 + t);
+    }
+    assertEquals(1, r.counted(100_000, 101_500, 100_050));
+  }
 }
--- a/decision/src/test/java/cloverpulley/outs/LedgerTest.java
+++ b/decision/src/test/java/cloverpulley/outs/LedgerTest.java
@@ -28,7 +28,7 @@
 
   private void seen(String member, Health health, String... observers) {
     for (String o : observers) {
-      tell(new Command.Seen(o, member, health));
+      tell(new Command.Seen(o, member, health, index));
     }
   }
 
@@ -45,7 +45,7 @@
   @BeforeEach
   void fleet() {
     tell(new Command.Rules(1, Map.of("upstreams", new Limit(100, 0.25, 1), "cell:0", new Limit(1, 1, 1), "cell:1", new Limit(2, 1, 1),
-        "balancers", new Limit(1, 1, 1)), 2, 10_000, 1));
+        "balancers", new Limit(1, 1, 1)), 2, 10_000, 1, 1));
     for (int i = 0; i < 8; i++) {
       tell(new Command.Enrol("s" + i, Kind.UPSTREAM, List.of("upstreams", "cell:" + i / 4)));
     }
@@ -106,7 +106,7 @@
   @Test
   void oneThatIsBackCountsAsOutUntilItIsSeenWarm() {
     ask("s0", 0);
-    tell(new Command.Return("s0", "op"));
+    tell(new Command.Return("s0", "op", ledger.state().outs().get("s0").epoch()));
     assertEquals(Phase.RETURNING, phase("s0"));
     assertEquals(Word.LIMIT, ask("s1", 0).word());
     seen("s0", Health.COLD, "b1", "b2");
@@ -121,13 +121,35 @@
   void anOldWordDoesNotEndAReturn() {
     warm("s0");
     ask("s0", 0);
-    tell(new Command.Return("s0", "op"));
-    tell(new Command.Seen("b1", "s0", Health.WARM));
+    tell(new Command.Return("s0", "op", ledger.state().outs().get("s0").epoch()));
+    tell(new Command.Seen("b1", "s0", Health.WARM, index));
     assertEquals(Phase.RETURNING, phase("s0"));
-    tell(new Command.Seen("b2", "s0", Health.WARM));
+    tell(new Command.Seen("b2", "s0", Health.WARM, index));
     assertEquals(null, phase("s0"));
   }
 
+  /** Words that come late, out of a paused process or sent again, end no permit that they don't speak of. */
+  @Test
+  void whatComesLateEndsNoLaterPermit() {
+    long first = ask("s0", 0).epoch();
+    long before = index;
+    Command.Return late = new Command.Return("s0", "op", first);
+    tell(late);
+    warm("s0");
+    long second = ask("s0", 0).epoch();
+    assertEquals(Word.OLD_EPOCH, tell(late).word());
+    assertEquals(Phase.GRANTED, phase("s0"));
+    tell(new Command.Return("s0", "op", second));
+    tell(new Command.Seen("b1", "s0", Health.WARM, before));
+    tell(new Command.Seen("b2", "s0", Health.WARM, before));
+    assertEquals(Phase.RETURNING, phase("s0"), "seen before it went out");
+    tell(new Command.Seen("b1", "s0", Health.WARM, index));
+    assertEquals(Word.OLD_EPOCH, tell(new Command.Seen("b1", "s0", Health.DEAD, before)).word(), "overtaken by a later word");
+    tell(new Command.Seen("b3", "s0", Health.WARM, Long.MAX_VALUE));
+    assertEquals(null, phase("s0"));
+    assertEquals(Word.NOT_OUT, tell(late).word());
+  }
+
   @Test
   void aPermitIsNotGivenBackByTime() {
     ask("s0", 0);
@@ -145,7 +167,7 @@
     assertEquals(Word.WAITING, ask("s2", 60_000).word());
     assertEquals(Word.LIMIT, ask("s3", 0).word());
     assertEquals(Word.WAITING, ask("s3", 1000).word());
-    tell(new Command.Return("s0", "op"));
+    tell(new Command.Return("s0", "op", ledger.state().outs().get("s0").epoch()));
     warm("s0");
     assertEquals(Phase.GRANTED, phase("s1"));
     assertEquals(null, phase("s2"));
@@ -167,7 +189,7 @@
 
   @Test
   void tooManyUnwellHaltByThemselves() {
-    tell(new Command.Rules(2, ledger.state().rules().groups(), 2, 10_000, 0.25));
+    tell(new Command.Rules(2, ledger.state().rules().groups(), 2, 10_000, 0.25, 1));
     for (int i = 0; i < 3; i++) {
       seen("s" + i, Health.DEAD, "b1");
     }
@@ -218,7 +240,7 @@
   @Test
   void anOldPermitSaysNothingOfTheNextOne() {
     long epoch = ask("s0", 0).epoch();
-    tell(new Command.Return("s0", "op"));
+    tell(new Command.Return("s0", "op", ledger.state().outs().get("s0").epoch()));
     warm("s0");
     ask("s0", 0);
     assertEquals(Word.OLD_EPOCH, tell(new Command.Left("s0", epoch)).word());
@@ -247,7 +269,7 @@
   @Test
   void groupsMayChangeAtAnyTime() {
     ask("s0", 0);
-    tell(new Command.Return("s0", "op"));
+    tell(new Command.Return("s0", "op", ledger.state().outs().get("s0").epoch()));
     tell(new Command.Enrol("s0", Kind.UPSTREAM, List.of("upstreams", "cell:1")));
     assertEquals(Word.GRANTED, ask("s1", 0).word());
     warm("s0");
--- a/dist/src/main/java/cloverpulley/cli/BalanceCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/BalanceCommand.java
@@ -91,7 +91,11 @@
     }
 
     @Override
-    public void ended(Exchange x, End end, Reason reason) {}
+    public void ended(Exchange x, End end, Reason reason) {
+      if (follower != null && end != End.GONE) {
+        follower.answered(end == End.REFUSED && reason != Reason.QUOTA); // A share of one's own used up says nothing of the fleet.
+      }
+    }
 
     @Override
     public void listed(ListKind kind, ServerList list, List<Numbered> servers) {
@@ -141,7 +145,8 @@
           if (agree == null) {
             return;
           }
-          Follower f = new Follower(agree, upstreams(wired), TimeUnit.NANOSECONDS.toMillis(operators.settings().contract().warmWithinNanos()));
+          Follower f = new Follower(agree, upstreams(wired), TimeUnit.NANOSECONDS.toMillis(operators.settings().contract().warmWithinNanos()),
+              b.agreeMillis());
           ears.follower = f;
           try {
             f.first().get(b.agreeMillis(), TimeUnit.MILLISECONDS);
--- a/dist/src/main/java/cloverpulley/cli/OutsCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/OutsCommand.java
@@ -7,6 +7,7 @@
 import cloverpulley.outs.Ledger;
 import cloverpulley.outs.Limit;
 import cloverpulley.outs.Phase;
+import cloverpulley.outs.Replacing;
 import cloverpulley.outs.Reply;
 import cloverpulley.outs.State;
 import cloverpulley.outs.Word;
@@ -27,7 +28,7 @@
 @picocli.CommandLine.Command(name = "outs", mixinStandardHelpOptions = true,
     description = "Asks the ledger that the fleet agrees on: who is out, and who may be.",
     footer = {"", "Exit status: 0 yes; 1 no, with the reason in one line; 2 for a wrong command line."},
-    subcommands = {OutsCommand.Init.class, OutsCommand.AskFor.class, OutsCommand.LeftNow.class, OutsCommand.ReturnNow.class, OutsCommand.StrikeOut.class,
+    subcommands = {OutsCommand.Init.class, OutsCommand.AskFor.class, OutsCommand.LeftNow.class, OutsCommand.ReturnNow.class, OutsCommand.StrikeOut.class, OutsCommand.ReplaceVoter.class,
       OutsCommand.Show.class, OutsCommand.Why.class, OutsCommand.HaltAll.class, OutsCommand.ResumeAll.class, OutsCommand.BackAll.class,
       OutsCommand.History.class})
 final class OutsCommand implements Runnable {
@@ -76,9 +77,12 @@
     @Mixin
     private Common common;
 
+    @Option(names = "--join", description = "it takes another's place: the others have their files already")
+    private boolean joins;
+
     @Override
     public Integer call() throws BadFileException, IOException {
-      System.out.println("made " + common.agree().init());
+      System.out.println("made " + common.agree().init(joins));
       return 0;
     }
   }
@@ -157,7 +161,9 @@
   static final class ReturnNow extends OnMember {
     @Override
     public Integer call() throws BadFileException, IOException {
-      return say(id, common.client().command(new Command.Return(id, common.by), TRY_MILLIS));
+      AgreeClient client = common.client();
+      State.Out out = client.whole().outs().get(id);
+      return say(id, client.command(new Command.Return(id, common.by, out == null ? 0 : out.epoch()), TRY_MILLIS));
     }
   }
 
@@ -170,6 +176,28 @@
     }
   }
 
+  @picocli.CommandLine.Command(name = "replace", mixinStandardHelpOptions = true,
+      description = "Puts a new voter in the place of one that is lost. Both names are as the voters' files have them; asked again it goes on.")
+  static final class ReplaceVoter implements Callable<Integer> {
+    @Mixin
+    private Common common;
+
+    @Parameters(index = "0", paramLabel = "OLD", description = "the voter that goes")
+    private String from;
+
+    @Parameters(index = "1", paramLabel = "NEW", description = "the voter that comes")
+    private String to;
+
+    @Override
+    public Integer call() throws BadFileException, IOException {
+      Replacing.Next end = common.client().replace(from, to, TRY_MILLIS,
+          n -> System.out.println(n.voter() + ": " + n.step().name().toLowerCase(java.util.Locale.ROOT)));
+      boolean done = end.step() == Replacing.Step.DONE;
+      System.out.println(done ? to + ": votes in the place of " + from + "; `outs strike " + from + "` once that is gone for good" : from + ": no, " + end.why());
+      return done ? 0 : 1;
+    }
+  }
+
   @picocli.CommandLine.Command(name = "show", mixinStandardHelpOptions = true, description = "Who is out, what is halted, and how full each group is.")
   static final class Show implements Callable<Integer> {
     @Mixin
--- a/dist/src/test/java/cloverpulley/cli/OutsIT.java
+++ b/dist/src/test/java/cloverpulley/cli/OutsIT.java
@@ -10,153 +10,24 @@
 import cloverpulley.outs.Command;
 import cloverpulley.outs.Phase;
 import cloverpulley.outs.Reply;
-import cloverpulley.outs.State;
 import cloverpulley.outs.Word;
-import cloverpulley.standins.StandInUpstream;
 import cloverpulley.standins.StandInUpstream.Answer;
-import cloverpulley.standins.faults.AgreeingFleet;
-import cloverpulley.standins.faults.AgreeingFleet.Plan;
-import cloverpulley.standins.faults.AgreeingFleet.Upstream;
-import cloverpulley.standins.faults.Asking;
 import cloverpulley.standins.faults.Instance;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.Callable;
-import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import org.junit.jupiter.api.io.TempDir;
 
 /**
- * Five balancers as processes of the built jar, three of them voters joined by relays, six upstreams in two dedup groups, and clients at all of
- * them all the time. What is out is counted at the upstreams and by what who asked was told, never by the ledger's word.
+ * Five balancers that agree under faults. What is out is counted at the upstreams and by what who asked was told, never by the ledger's word.
  */
 @Timeout(value = 4, unit = TimeUnit.MINUTES)
-class OutsIT {
-
-  private static final int VOTERS = 3;
-  private static final int ALL = 5;
-  private static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
-
-  @TempDir
-  private Path folder;
-
-  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
-  private final ExecutorService threads = Executors.newCachedThreadPool(task -> {
-    Thread t = new Thread(task);
-    t.setDaemon(true);
-    return t;
-  });
-  private final Map<String, StandInUpstream> upstreams = new ConcurrentHashMap<>();
-  private final Map<String, Long> outSince = new ConcurrentHashMap<>();
-  private final Asking asking = new Asking(5);
-  private AgreeingFleet fleet;
-  private AgreeClient client;
-
-  @BeforeEach
-  void start() throws Exception {
-    List<Upstream> listed = new ArrayList<>();
-    for (int i = 0; i < 6; i++) {
-      StandInUpstream u = new StandInUpstream(group, r -> Answer.ok());
-      upstreams.put("s" + i, u);
-      listed.add(new Upstream("s" + i, u.address(), i / 3));
-    }
-    String groups = "[[agree.group]]\nname = \"upstreams\"\npart = 0.34\nback = 2\n[[agree.group]]\nname = \"cell:0\"\nmost = 1\n"
-        + "[[agree.group]]\nname = \"cell:1\"\nmost = 1\n[[agree.group]]\nname = \"balancers\"\nmost = 1\n";
-    fleet = new AgreeingFleet(folder, List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-        "-XX:TieredStopAtLevel=1", "-Xmx48m", "-jar", System.getProperty("jar")), new Plan(VOTERS, ALL - VOTERS, listed, groups, 300, 50, 1500, true));
-    for (Instance i : fleet.instances()) {
-      i.start();
-    }
-    List<VoterAt> voters = new ArrayList<>();
-    for (int i = 0; i < VOTERS; i++) {
-      voters.add(new VoterAt("b" + i, null, fleet.api(i)));
-    }
-    client = new AgreeClient(voters);
-    for (Instance i : fleet.instances()) {
-      asking.at(i);
-    }
-    await("all are enrolled", () -> whole().members().size() == 6 + ALL && whole().rules().version() == 1
-        && whole().members().values().stream().noneMatch(State.Member::unwell));
-  }
-
-  @AfterEach
-  void stop() throws Exception {
-    asking.close();
-    if (fleet != null) {
-      for (Instance i : fleet.instances()) {
-        if (i.isAlive()) {
-          i.goOn();
-        }
-      }
-      fleet.close();
-    }
-    upstreams.values().forEach(StandInUpstream::close);
-    threads.shutdownNow();
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
-  }
-
-  private State whole() throws IOException {
-    return client.whole();
-  }
-
-  private static void await(String what, Callable<Boolean> holds) throws Exception {
-    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
-    Exception last = null;
-    while (System.nanoTime() < until) {
-      try {
-        if (holds.call()) {
-          return;
-        }
-      } catch (IOException e) {
-        last = e;
-      }
-      TimeUnit.MILLISECONDS.sleep(20);
-    }
-    throw new AssertionError("never: " + what, last);
-  }
-
-  private Reply ask(AgreeClient by, String name, String member, long waitMillis) throws IOException {
-    Reply r = by.command(new Command.Ask(name, member, "it", "test", waitMillis, false), 20_000);
-    if (r.isYes()) {
-      outSince.putIfAbsent(member, System.nanoTime());
-    }
-    return r;
-  }
-
-  private AgreeClient at(int voter) {
-    return new AgreeClient(List.of(new VoterAt("b" + voter, null, fleet.api(voter))));
-  }
-
-  private int leader() throws Exception {
-    await("somebody leads", () -> !client.leader().isEmpty() && whole() != null && client.leader().startsWith("b"));
-    return Integer.parseInt(client.leader().substring(1));
-  }
-
-  /** Nothing new at one that is out later than two seconds after the yes. */
-  private void assertQuiet(String member) {
-    long from = outSince.get(member) + GRACE_NANOS;
-    assertEquals(0, upstreams.get(member).seen().stream().filter(s -> s.atNanos() > from).count(), member + " got work after it was out");
-  }
-
-  private void assertNobodyLost() {
-    assertEquals(0, asking.lost(), "answers other than 200 and refusals");
-    assertTrue(asking.answered() > 100, "there were clients");
-  }
+class OutsIT extends OutsRig {
 
   /** Sixty asks for the three of one dedup group, at once and through all voters, each made twice: one grant, acted on by all. */
   @Test
@@ -183,7 +54,7 @@
     assertQuiet(out);
     assertEquals(0, Main.run("outs", "why", out, "--config", fleet.config(0).toString()));
     assertEquals(1, Main.run("outs", "ask", out, "--why", "again", "--config", fleet.config(1).toString()), "it is out already");
-    client.command(new Command.Return(out, "it"), 5000);
+    bringBack(out);
     await("it is seen warm", () -> !whole().outs().containsKey(out));
     long before = upstreams.get(out).seen().size();
     await("it serves again", () -> upstreams.get(out).seen().size() > before);
@@ -219,7 +90,7 @@
     assertFalse(whole().outs().containsKey("s4"));
     await("it is back", () -> !whole().members().get("b" + paused).unwell());
 
-    client.command(new Command.Return("s3", "it"), 5000);
+    bringBack("s3");
     outSince.remove("s3");
     await("s3 is warm", () -> !whole().outs().containsKey("s3"));
     int cut = leader();
@@ -304,7 +175,7 @@
     assertEquals("balancers", ask(client, "d6", "b3", 0).binding(), "gone and granted is one place");
     fleet.instances().get(4).start();
     asking.at(fleet.instances().get(4));
-    client.command(new Command.Return("b4", "it"), 5000);
+    bringBack("b4");
     await("it is back", () -> !whole().outs().containsKey("b4"));
     assertEquals(Word.GRANTED, ask(client, "d7", "b3", 0).word());
     assertFalse(whole().members().get("b4").unwell());
--- /dev/null
+++ b/dist/src/test/java/cloverpulley/cli/OutsRig.java
@@ -0,0 +1,151 @@
+package cloverpulley.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.agree.AgreeClient;
+import cloverpulley.agree.AgreeConfig.VoterAt;
+import cloverpulley.outs.Command;
+import cloverpulley.outs.Reply;
+import cloverpulley.outs.State;
+import cloverpulley.standins.StandInUpstream;
+import cloverpulley.standins.StandInUpstream.Answer;
+import cloverpulley.standins.faults.AgreeingFleet;
+import cloverpulley.standins.faults.AgreeingFleet.Plan;
+import cloverpulley.standins.faults.AgreeingFleet.Upstream;
+import cloverpulley.standins.faults.Asking;
+import cloverpulley.standins.faults.Instance;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Five balancers as processes of the built jar, three of them voters joined by relays, six upstreams in two dedup groups, clients at all. */
+abstract class OutsRig {
+
+  static final int VOTERS = 3;
+  static final int ALL = 5;
+  static final long GRACE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+  @TempDir
+  Path folder;
+
+  final EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  final ExecutorService threads = Executors.newCachedThreadPool(task -> {
+    Thread t = new Thread(task);
+    t.setDaemon(true);
+    return t;
+  });
+  final Map<String, StandInUpstream> upstreams = new ConcurrentHashMap<>();
+  final Map<String, Long> outSince = new ConcurrentHashMap<>();
+  final Asking asking = new Asking(5);
+  AgreeingFleet fleet;
+  AgreeClient client;
+
+  @BeforeEach
+  void start() throws Exception {
+    List<Upstream> listed = new ArrayList<>();
+    for (int i = 0; i < 6; i++) {
+      StandInUpstream u = new StandInUpstream(group, r -> Answer.ok());
+      upstreams.put("s" + i, u);
+      listed.add(new Upstream("s" + i, u.address(), i / 3));
+    }
+    String groups = "[[agree.group]]\nname = \"upstreams\"\npart = 0.34\nback = 2\n[[agree.group]]\nname = \"cell:0\"\nmost = 1\n"
+        + "[[agree.group]]\nname = \"cell:1\"\nmost = 1\n[[agree.group]]\nname = \"balancers\"\nmost = 1\n";
+    fleet = new AgreeingFleet(folder, List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
+        "-XX:TieredStopAtLevel=1", "-Xmx48m", "-jar", System.getProperty("jar")), new Plan(VOTERS, ALL - VOTERS, listed, groups, 300, 50, 1500, true));
+    for (Instance i : fleet.instances()) {
+      i.start();
+    }
+    List<VoterAt> voters = new ArrayList<>();
+    for (int i = 0; i < VOTERS; i++) {
+      voters.add(new VoterAt("b" + i, null, fleet.api(i)));
+    }
+    client = new AgreeClient(voters);
+    for (Instance i : fleet.instances()) {
+      asking.at(i);
+    }
+    await("all are enrolled", () -> whole().members().size() == 6 + ALL && whole().rules().version() == 1
+        && whole().members().values().stream().noneMatch(State.Member::unwell));
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    asking.close();
+    if (fleet != null) {
+      for (Instance i : fleet.instances()) {
+        if (i.isAlive()) {
+          i.goOn();
+        }
+      }
+      fleet.close();
+    }
+    upstreams.values().forEach(StandInUpstream::close);
+    threads.shutdownNow();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  State whole() throws IOException {
+    return client.whole();
+  }
+
+  static void await(String what, Callable<Boolean> holds) throws Exception {
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+    Exception last = null;
+    while (System.nanoTime() < until) {
+      try {
+        if (holds.call()) {
+          return;
+        }
+      } catch (IOException e) {
+        last = e;
+      }
+      TimeUnit.MILLISECONDS.sleep(20);
+    }
+    throw new AssertionError("never: " + what, last);
+  }
+
+  Reply ask(AgreeClient by, String name, String member, long waitMillis) throws IOException {
+    Reply r = by.command(new Command.Ask(name, member, "it", "test", waitMillis, false), 20_000);
+    if (r.isYes()) {
+      outSince.putIfAbsent(member, System.nanoTime());
+    }
+    return r;
+  }
+
+  void bringBack(String member) throws IOException {
+    assertEquals(Word.DONE, client.command(new Command.Return(member, "it", whole().outs().get(member).epoch()), 20_000).word());
+  }
+
+  AgreeClient at(int voter) {
+    return new AgreeClient(List.of(new VoterAt("b" + voter, null, fleet.api(voter))));
+  }
+
+  int leader() throws Exception {
+    await("somebody leads", () -> !client.leader().isEmpty() && whole() != null && client.leader().startsWith("b"));
+    return Integer.parseInt(client.leader().substring(1));
+  }
+
+  /** Nothing new at one that is out later than two seconds after the yes. */
+  void assertQuiet(String member) {
+    long from = outSince.get(member) + GRACE_NANOS;
+    assertEquals(0, upstreams.get(member).seen().stream().filter(s -> s.atNanos() > from).count(), member + " got work after it was out");
+  }
+
+  void assertNobodyLost() {
+    assertEquals(0, asking.lost(), "answers other than 200 and refusals");
+    assertTrue(asking.answered() > 100, "there were clients");
+  }
+}
--- a/model/src/main/java/cloverpulley/model/outs/SmallWorld.java
+++ b/model/src/main/java/cloverpulley/model/outs/SmallWorld.java
@@ -37,7 +37,7 @@
   private static Ledger world() {
     Ledger l = new Ledger();
     long at = 0;
-    l.apply(++at, 1, new Command.Rules(1, LIMITS, 1, LONG, 1));
+    l.apply(++at, 1, new Command.Rules(1, LIMITS, 1, LONG, 1, 1));
     l.apply(++at, 1, new Command.Enrol("a", Kind.UPSTREAM, List.of("all", "cell")));
     l.apply(++at, 1, new Command.Enrol("b", Kind.UPSTREAM, List.of("all", "cell")));
     l.apply(++at, 1, new Command.Enrol("c", Kind.UPSTREAM, List.of("all")));
@@ -45,14 +45,18 @@
     return l;
   }
 
-  private static List<Command> commands() {
+  /** Every command that may come in a state, those that come late among them. */
+  private static List<Command> commands(State s) {
     List<Command> all = new ArrayList<>();
     for (String m : MEMBERS) {
       all.add(new Command.Ask("now " + m, m, "op", "", 0, false));
-      all.add(new Command.Return(m, "op"));
+      long epoch = s.outs().containsKey(m) ? s.outs().get(m).epoch() : 0;
+      all.add(new Command.Return(m, "op", epoch));
+      all.add(new Command.Return(m, "op", epoch + 1)); // Of another permit.
       for (String o : OBSERVERS) {
-        all.add(new Command.Seen(o, m, Health.WARM));
-        all.add(new Command.Seen(o, m, Health.DEAD));
+        all.add(new Command.Seen(o, m, Health.WARM, s.index()));
+        all.add(new Command.Seen(o, m, Health.WARM, 0));
+        all.add(new Command.Seen(o, m, Health.DEAD, s.index()));
       }
     }
     all.add(new Command.Ask("wait b", "b", "op", "", LONG, false));
@@ -71,7 +75,7 @@
       Map<String, State.Told> words = new TreeMap<>();
       State.Out out = s.outs().get(n);
       // Of a word's place only whether it came after the phase began matters.
-      m.words().forEach((o, t) -> words.put(o, new State.Told(t.health(), 0, out != null && t.index() > out.sinceIndex() ? 2 : 0)));
+      m.words().forEach((o, t) -> words.put(o, new State.Told(t.health(), 0, out != null && t.at() >= out.sinceIndex() ? 2 : 0)));
       members.put(n, new State.Member(m.kind(), m.groups(), m.unwell(), words));
     });
     Map<String, State.Out> outs = new TreeMap<>();
@@ -95,11 +99,10 @@
     State first = plain(world().state());
     seen.add(first);
     open.add(first);
-    List<Command> commands = commands();
     long steps = 0;
     while (!open.isEmpty()) {
       State s = open.poll();
-      for (Command c : commands) {
+      for (Command c : commands(s)) {
         Ledger l = new Ledger();
         l.restore(s);
         Reply r = l.apply(s.index() + 10, s.nowMillis() + 10, c);
--- a/standins/src/main/java/cloverpulley/standins/faults/AgreeingFleet.java
+++ b/standins/src/main/java/cloverpulley/standins/faults/AgreeingFleet.java
@@ -30,10 +30,16 @@
   public record Plan(int voters, int others, List<Upstream> upstreams, String groups, long warmMillis, int pollMillis, int silentMillis,
       boolean relays) {}
 
+  private static final int FIRST_PORT = 12_000;
+  private static final int PORTS = 20_000;
+  private static final java.security.SecureRandom RANDOM = new java.security.SecureRandom();
+
   private final Plan plan;
   private final Path folder;
   private final List<Instance> all = new ArrayList<>();
   private final Map<String, Relay> relays = new HashMap<>();
+  private final List<String> ashdeck;
+  private final List<Integer> voting = new ArrayList<>();
   private final List<Integer> raft;
   private final List<Integer> api;
 
@@ -45,42 +51,87 @@
   public AgreeingFleet(Path folder, List<String> ashdeck, Plan plan) throws IOException, InterruptedException {
     this.folder = folder;
     this.plan = plan;
-    raft = ports(plan.voters());
-    api = ports(plan.voters());
-    for (int i = 0; plan.relays() && i < plan.voters(); i++) {
-      for (int j = 0; j < plan.voters(); j++) {
-        if (i != j) {
+    this.ashdeck = List.copyOf(ashdeck);
+    raft = ports(plan.voters() + plan.others());
+    api = ports(plan.voters() + plan.others());
+    for (int i = 0; i < plan.voters(); i++) {
+      voting.add(i);
+    }
+    join();
+    for (int i = 0; i < plan.voters() + plan.others(); i++) {
+      Files.writeString(config(i), text(i));
+      all.add(new Instance("b" + i, command(i), folder.resolve("b" + i + ".log")));
+    }
+    for (int i : voting) {
+      init(i, false);
+    }
+  }
+
+  private void join() throws IOException {
+    for (int i : voting) {
+      for (int j : voting) {
+        if (plan.relays() && i != j && link(i, j) == null) {
           relays.put(i + ">" + j, new Relay(loopback(raft.get(j))));
         }
       }
     }
-    for (int i = 0; i < plan.voters() + plan.others(); i++) {
-      Path config = config(i);
-      Files.writeString(config, text(i));
-      List<String> command = new ArrayList<>(ashdeck);
-      command.addAll(List.of("balance", "--config", config.toString()));
-      all.add(new Instance("b" + i, command, folder.resolve("b" + i + ".log")));
+  }
+
+  private void init(int i, boolean joins) throws IOException, InterruptedException {
+    List<String> command = new ArrayList<>(ashdeck);
+    command.addAll(List.of("outs", "init", "--config", config(i).toString()));
+    if (joins) {
+      command.add("--join");
     }
-    for (int i = 0; i < plan.voters(); i++) {
-      List<String> command = new ArrayList<>(ashdeck);
-      command.addAll(List.of("outs", "init", "--config", config(i).toString()));
-      int status = new ProcessBuilder(command).inheritIO().redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
-      if (status != 0) {
-        throw new IOException("outs init ended with " + status);
-      }
+    int status = new ProcessBuilder(command).inheritIO().redirectOutput(ProcessBuilder.Redirect.DISCARD).start().waitFor();
+    if (status != 0) {
+      throw new IOException("outs init ended with " + status);
     }
   }
 
+  /** From their next start on all have another voter in the place of this one, whose ledger is made. */
+  public void replaceVoter(int from, int to) throws IOException, InterruptedException {
+    voting.set(voting.indexOf(from), to);
+    join();
+    for (int i = 0; i < all.size(); i++) {
+      Files.writeString(config(i), text(i));
+    }
+    init(to, true);
+  }
+
+  /** One more process of an instance, as in an upgrade; whoever asks for it ends it. */
+  public Instance second(int i) {
+    return new Instance("b" + i, command(i), folder.resolve("b" + i + "-second.log"));
+  }
+
+  /** From its next start on an instance can write no file past so many blocks of 512 octets, as on a disk that is full. */
+  public void limitFiles(int i, int blocks) {
+    List<String> limited = new ArrayList<>(blocks == 0 ? List.of()
+        : List.of("/bin/sh", "-c", "ulimit -f " + blocks + "; exec \"$0\" \"$@\""));
+    limited.addAll(command(i));
+    all.set(i, new Instance("b" + i, limited, folder.resolve("b" + i + ".log")));
+  }
+
+  private List<String> command(int i) {
+    List<String> command = new ArrayList<>(ashdeck);
+    command.addAll(List.of("balance", "--config", config(i).toString()));
+    return command;
+  }
+
+  /** Free ones below those that the system gives to connections: one of those might be taken by a client before its listener is there. */
   private static List<Integer> ports(int n) throws IOException {
-    List<ServerSocket> held = new ArrayList<>();
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < n; i++) {
-      ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      held.add(s);
-      ports.add(s.getLocalPort());
-    }
-    for (ServerSocket s : held) {
-      s.close();
+    for (int tries = 0; ports.size() < n; tries++) {
+      int port = FIRST_PORT + RANDOM.nextInt(PORTS);
+      try (ServerSocket s = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        if (!ports.contains(port)) {
+          ports.add(s.getLocalPort());
+        }
+      } catch (IOException e) {
+        if (tries > 100 * n) {
+          throw e;
+        }
+      }
     }
     return ports;
   }
@@ -104,10 +155,10 @@
     }
     t.append("[agree]\nfleet = \"test\"\nname = \"b").append(i).append("\"\nfolder = \"").append(folder).append("\"\npoll_ms = ")
         .append(plan.pollMillis()).append("\nsilent_ms = ").append(plan.silentMillis()).append("\nwords = 2\n");
-    if (i < plan.voters()) {
+    if (voting.contains(i)) {
       t.append("raft_listen = \"127.0.0.1:").append(raft.get(i)).append("\"\napi_listen = \"127.0.0.1:").append(api.get(i)).append("\"\n");
     }
-    for (int j = 0; j < plan.voters(); j++) {
+    for (int j : voting) {
       Relay relay = relays.get(i + ">" + j);
       t.append("[[agree.voter]]\nname = \"b").append(j).append("\"\nraft = \"127.0.0.1:")
           .append(relay == null ? raft.get(j) : relay.address().getPort()).append("\"\napi = \"127.0.0.1:").append(api.get(j)).append("\"\n");
