--- a/dist/src/test/java/cloverpulley/cli/OutsRig.java
+++ b/dist/src/test/java/cloverpulley/cli/OutsRig.java
@@ -8,6 +8,7 @@
 import cloverpulley.outs.Command;
 import cloverpulley.outs.Reply;
 import cloverpulley.outs.State;
+import cloverpulley.outs.Word;
 import cloverpulley.standins.StandInUpstream;
 import cloverpulley.standins.StandInUpstream.Answer;
 import cloverpulley.standins.faults.AgreeingFleet;
