--- a/agree/src/main/java/cloverpulley/agree/Kept.java
+++ b/agree/src/main/java/cloverpulley/agree/Kept.java
@@ -29,6 +29,11 @@
     more.forEach(e -> entries.put(e.getIndex(), e));
   }
 
+  /** The entries that Raft starts with: older ones may still be here, and are in the snapshot. */
+  List<LogEntry> behindSnapshot() {
+    return new ArrayList<>(entries.tailMap(snapshot(), false).values());
+  }
+
   /** The index of the last snapshot that is whole; 0 for none. */
   long snapshot() {
     RestoredRaftState s = restored();
--- a/agree/src/main/java/cloverpulley/agree/MemoryStore.java
+++ b/agree/src/main/java/cloverpulley/agree/MemoryStore.java
@@ -25,8 +25,8 @@
     unflushed.subList(0, left).forEach(Runnable::run);
     unflushed.clear();
     overlap = new Overlap();
-    overlap.lostUntil(kept.snapshot());
-    overlap.has(new ArrayList<>(kept.entries.values()));
+    overlap.snapshotUntil(kept.snapshot());
+    overlap.has(kept.behindSnapshot());
   }
 
   Overlap overlap() {
@@ -64,6 +64,7 @@
 
   @Override
   public void persistSnapshotChunk(SnapshotChunk c) {
+    overlap.has(c);
     unflushed.add(() -> kept.add(c));
   }
 
--- a/agree/src/main/java/cloverpulley/agree/Overlap.java
+++ b/agree/src/main/java/cloverpulley/agree/Overlap.java
@@ -3,6 +3,8 @@
 import io.microraft.model.log.LogEntry;
 import io.microraft.model.message.AppendEntriesRequest;
 import io.microraft.model.message.RaftMessage;
+import io.microraft.model.log.SnapshotChunk;
+import java.util.BitSet;
 import java.util.List;
 import java.util.TreeMap;
 
@@ -18,6 +20,8 @@
   private final TreeMap<Long, Integer> terms = new TreeMap<>();
   /** Up to here everything is in the snapshot; 0 for none. */
   private long snapshot;
+  private long coming;
+  private final BitSet parts = new BitSet();
 
   void has(List<LogEntry> entries) {
     entries.forEach(e -> terms.put(e.getIndex(), e.getTerm()));
@@ -27,8 +31,23 @@
     terms.tailMap(index, true).clear();
   }
 
-  void lostUntil(long index) {
+  /** A part of a snapshot has come, or was made; it counts once it is whole. */
+  void has(SnapshotChunk c) {
+    if (c.getIndex() != coming) {
+      coming = c.getIndex();
+      parts.clear();
+    }
+    parts.set(c.getSnapshotChunkIndex());
+    if (parts.cardinality() == c.getSnapshotChunkCount()) {
+      snapshotUntil(coming);
+    }
+  }
+
+  void snapshotUntil(long index) {
     snapshot = Math.max(snapshot, index);
+  }
+
+  void lostUntil(long index) {
     terms.headMap(index, true).clear();
   }
 
--- a/agree/src/main/java/cloverpulley/agree/RaftJournal.java
+++ b/agree/src/main/java/cloverpulley/agree/RaftJournal.java
@@ -143,8 +143,8 @@
         throw new IOException(file + " is spoilt at octet " + at + " with sound parts behind: it is not used, replace the voter");
       }
     }
-    overlap.lostUntil(kept.snapshot());
-    overlap.has(new ArrayList<>(kept.entries.values()));
+    overlap.snapshotUntil(kept.snapshot());
+    overlap.has(kept.behindSnapshot());
     restoredLast = kept.last();
     out.truncate(at);
     out.position(at);
@@ -302,6 +302,7 @@
   @Override
   public void persistSnapshotChunk(SnapshotChunk c) throws IOException {
     kept.add(c);
+    overlap.has(c);
     append(CHUNK, o -> Codec.chunk(o, c));
   }
 
