--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -39,8 +39,6 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import io.netty.handler.codec.http.cookie.Cookie;
-import io.netty.handler.codec.http.cookie.ServerCookieDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.math.BigDecimal;
@@ -445,7 +443,7 @@
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         // Of a body that is still coming the end is not known; its client's time counts from there.
         long until = clock.now() + wait - WAY_NANOS + (rest == null ? 0 : MOST_UPLOAD_NANOS);
-        Exchange.Facts facts = new Exchange.Facts(type, tenant, key(headers), TimeUnit.MICROSECONDS.toNanos(hint),
+        Exchange.Facts facts = new Exchange.Facts(type, tenant, SessionKey.of(headers, MOST_NAME), TimeUnit.MICROSECONDS.toNanos(hint),
             "1".equals(headers.get(RETRY)), until, 0, List.of());
         exchange = new HttpExchange(facts, exchanges, request.retain(), wait, this, () -> open.remove(id));
         open.add(id);
@@ -465,19 +463,6 @@
       }
     }
 
-    private String key(HttpHeaders headers) {
-      for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
-        for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
-          if (cookie.name().equals(KEY_COOKIE)) {
-            // Guards the memory: keys are kept, and a long one counts by its hash.
-            String value = cookie.value();
-            return value.length() <= MOST_NAME ? value : Integer.toHexString(value.hashCode());
-          }
-        }
-      }
-      return null;
-    }
-
     private void answer(HttpResponseStatus status, String text) {
       ByteBuf content = Unpooled.copiedBuffer(text + "\n", StandardCharsets.UTF_8);
       answer(status, 0, "text/plain", content);
--- a/processor/src/main/java/cloverpulley/processor/Mapping.java
+++ b/processor/src/main/java/cloverpulley/processor/Mapping.java
@@ -128,8 +128,12 @@
       key = h.get(names.key());
     } else {
       for (String header : h.all("cookie")) {
-        for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
-          key = key == null && cookie.name().equals(names.keyCookie()) ? cookie.value() : key;
+        try {
+          for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
+            key = key == null && cookie.name().equals(names.keyCookie()) ? cookie.value() : key;
+          }
+        } catch (IllegalArgumentException e) {
+          continue; // Guards the verdict: the decoder throws at a name of control characters alone.
         }
       }
     }
--- a/processor/src/test/java/cloverpulley/processor/MappingTest.java
+++ b/processor/src/test/java/cloverpulley/processor/MappingTest.java
@@ -69,6 +69,12 @@
     assertEquals(400, ((Bad) read("x-qos", "safe", "x-request-id", "a".repeat(129))).status());
   }
 
+  @Test
+  void cookiesThatCantBeReadNameNoKey() {
+    assertNull(((Call) read("x-qos", "safe", "cookie", "\u0001=a")).key());
+    assertEquals("b", ((Call) read("x-qos", "safe", "cookie", "\u0001=a", "cookie", "sid=b")).key());
+  }
+
   @Property
   boolean anyHeadersAreReadOrNamed(@ForAll("headers") HeaderMap headers) {
     Mapping.Read read = MAPPING.read(new Headers(headers));
