--- a/agree/src/main/java/cloverpulley/agree/Standstill.java
+++ b/agree/src/main/java/cloverpulley/agree/Standstill.java
@@ -7,8 +7,8 @@
 
 /**
  * Guards the voters from waiting for ever for a leader that is gone. Where a leader is heard of while the library asks for pre-votes, that asking
- * is never taken for ended, and it never asks again: two of three that both stood so elected nobody after the third was killed (once
- * in ten runs of OutsIT). A follower whose leader has been silent for far longer than an election takes is moved to the next term, which Raft
+ * is never taken for ended, and it never asks again: two of three that both stood so elected nobody after the third was killed (two
+ * of five runs of a case of OutsIT beside other work). A follower whose leader has been silent for far longer than an election takes is moved to the next term, which Raft
  * lets anybody do at any time, and forgets both. One thread.
  */
 final class Standstill {
