Requests of clients that left are not sent on; silent lists, short deadlines, late SIGTERM

(2) Discovery.Stream.read took each line's end for an object's; a silent watch (4.5 s) and a successor that hung at connect (2 s, or 4.5 s) did not fit into 6 s; an object could drip for ever; a fetch went on at an address that discovery had left. (3) Server.stop ended after the longest deadline where nobody was connected just then, with deadlines under 300 ms before the last new connections; a request that had its turn after the end of all was sent on; a second SIGTERM threw; one before ready let clients in whom SIGKILL then found. (4) A body that came slowly behind a served request was judged too late and took its answer (408). Refuted: retune's stopMillis (a request with a longer deadline is answered in time).

Change: reading goes on behind early requests (bounded by number and octets, past which the rest is dropped and not left unread); before each sending the socket itself is asked (ClientSocket); ObjectReader finds objects by braces; 2.75 s of silence, 1.2 s to come up, looked at once more after reading; a course of the stop that a test checks for each deadline; SIGTERM before clients are heard ends the process.

--- a/discovery/src/main/java/cloverpulley/discovery/Discovery.java
+++ b/discovery/src/main/java/cloverpulley/discovery/Discovery.java
@@ -24,11 +24,10 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
@@ -41,11 +40,16 @@
 
   private static final String LIST = "/v1/servers";
   /**
-   * After this long without a byte a call has failed. Discovery writes a line every 2 s; what it should have told counts
-   * as told 6 s later, so that a watch that is silently dead has to be noticed, and replaced, before that.
+   * After this long without a byte a watch has failed. Discovery writes a line every 2 s; what it should have told counts as told 6 s
+   * later. Within those a silent watch has to be noticed, a successor that hangs as well, and the one after that answered.
    */
-  private static final long SILENCE_MILLIS = 4500;
-  private static final long SILENCE_CHECK_MILLIS = 250;
+  private static final long SILENCE_MILLIS = 2750;
+  /** A call that waits its turn is answered, or failed, 2 s after it came: its first byte has the time of a watch's. */
+  private static final long TURN_MILLIS = SILENCE_MILLIS;
+  /** An agent on the same machine answers at once, and a connection comes up in no more. Guards the 6 s from a successor that hangs too. */
+  private static final long AT_ONCE_MILLIS = 1200;
+  /** Silence is judged once more after what has come is read: it may have been this process that stood still. */
+  private static final long LOOK_AGAIN_MILLIS = 50;
   /** The longest answer read: a list of thousands of upstreams. */
   private static final int MOST_BYTES = 1 << 20;
 
@@ -54,7 +58,9 @@
   private final BiConsumer<ListKind, ServerList> news;
   private final JsonFactory json = new JsonFactory();
   private InetSocketAddress address;
+  private final long firstMillis;
   private Stream watch;
+  private Stream fetch;
   /** Whether a watch is wanted, also while none stands because the last one failed. */
   private boolean watching;
   private boolean failing;
@@ -62,7 +68,14 @@
   /** {@code revision} is the version of the list held; {@code news} is told of every answer, and of failures. */
   public Discovery(Bootstrap bootstrap, InetSocketAddress address, LongSupplier revision,
       BiConsumer<ListKind, ServerList> news) {
+    this(bootstrap, address, false, revision, news);
+  }
+
+  /** The same; {@code agent} tells whether it is one on this machine, which answers at once, and not a service whose callers wait their turn. */
+  public Discovery(Bootstrap bootstrap, InetSocketAddress address, boolean agent, LongSupplier revision,
+      BiConsumer<ListKind, ServerList> news) {
     this.bootstrap = bootstrap;
+    this.firstMillis = agent ? AT_ONCE_MILLIS : TURN_MILLIS;
     this.address = address;
     this.revision = revision;
     this.news = news;
@@ -73,9 +86,17 @@
     if (!to.equals(address)) {
       address = to;
       watch(watching);
+      if (fetch != null && !fetch.over) {
+        fetch(); // What the old address has still to say of it is old news.
+      }
     }
   }
 
+  /** From a watch's last word until a successor that does not come up is given up as well, without what passes before it is asked for. */
+  static long replacedMillis() {
+    return SILENCE_MILLIS + LOOK_AGAIN_MILLIS + AT_ONCE_MILLIS + LOOK_AGAIN_MILLIS;
+  }
+
   @Override
   public void watch(boolean on) {
     watching = on;
@@ -91,7 +112,11 @@
 
   @Override
   public void fetch() {
-    new Stream(LIST, false).open();
+    if (fetch != null) {
+      fetch.stop();
+    }
+    fetch = new Stream(LIST, false);
+    fetch.open();
   }
 
   /** One call. */
@@ -99,9 +124,8 @@
 
     private final String uri;
     private final boolean lasting;
-    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private final ObjectReader objects = new ObjectReader(MOST_BYTES);
     private Channel channel;
-    private long heardAt = System.nanoTime();
     private Future<?> check;
     private boolean over;
 
@@ -118,10 +142,12 @@
         }
       }).connect(address);
       channel = connect.channel();
-      check = bootstrap.config().group().next().scheduleWithFixedDelay(this::checkSilence, SILENCE_CHECK_MILLIS,
-          SILENCE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+      within(AT_ONCE_MILLIS, "can't connect in time");
       connect.addListener(f -> {
-        if (f.isSuccess()) {
+        if (over) {
+          channel.close(); // It was stopped while it came up.
+        } else if (f.isSuccess()) {
+          within(firstMillis, "no answer");
           HttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
           request.headers().set(HttpHeaderNames.HOST, address.getAddress().getHostAddress() + ":" + address.getPort());
           channel.writeAndFlush(request);
@@ -148,20 +174,25 @@
       }
     }
 
-    /** Guards against a watch that is dead without a word: TCP alone would never tell. */
-    private void checkSilence() {
-      if (System.nanoTime() - heardAt > TimeUnit.MILLISECONDS.toNanos(SILENCE_MILLIS)) {
-        fail("silent");
+    /** Guards against a call that is dead without a word, or never comes to an end: TCP alone would never tell. */
+    private void within(long millis, String otherwise) {
+      if (check != null) {
+        check.cancel(false);
       }
+      ScheduledExecutorService loop = bootstrap.config().group().next();
+      check = loop.schedule(() -> {
+        check = loop.schedule(() -> fail(otherwise), LOOK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+      }, millis, TimeUnit.MILLISECONDS);
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
-      heardAt = System.nanoTime();
       if (message instanceof HttpResponse response && !response.status().equals(HttpResponseStatus.OK)) {
         fail("status " + response.status().code());
       } else if (!message.decoderResult().isSuccess()) {
         fail("malformed answer");
+      } else if (message instanceof HttpResponse) {
+        within(SILENCE_MILLIS, "silent"); // A watch on which nothing has changed says nothing else for 2 s.
       } else if (message instanceof HttpContent content) {
         read(content.content());
         if (message instanceof LastHttpContent) {
@@ -171,33 +202,34 @@
     }
 
     private void read(ByteBuf bytes) {
+      boolean inside = objects.isInside();
       while (!over && bytes.isReadable()) {
-        byte b = bytes.readByte();
-        if (b != '\n' || !lasting) {
-          line.write(b);
-          if (line.size() > MOST_BYTES) {
-            fail("answer too long");
-          }
-        } else {
-          tell();
+        String object;
+        try {
+          object = objects.add(bytes.readByte());
+        } catch (WireException e) {
+          fail(e.getMessage());
+          return;
+        }
+        if (object != null) {
+          inside = false;
+          tell(object);
         }
       }
+      // Within an object its end alone counts as a word: a few bytes now and then would never come to one.
+      if (!over && !(inside && objects.isInside())) {
+        within(SILENCE_MILLIS, "silent");
+      }
     }
 
     private void end() {
-      if (!over && !lasting) {
-        tell();
+      if (!over && !lasting && objects.count() == 1 && !objects.isInside()) {
         stop();
       }
-      fail("watch ended");
+      fail(lasting ? "watch ended" : "no list, or more than one");
     }
 
-    private void tell() {
-      String text = line.toString(StandardCharsets.UTF_8).trim();
-      line.reset();
-      if (text.isEmpty()) {
-        return;
-      }
+    private void tell(String text) {
       ServerList list;
       try {
         list = ListDecoder.list(Fields.parse(json, "list", text));
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -17,6 +17,9 @@
 
   /** Takes an answer that is too long to be held, while it comes. */
   interface Passing {
+    /** Whether there is still a client for it: asked before anything is sent on a connection that had to be made first. */
+    boolean isWanted();
+
     /** It begins with this head; false where it is not wanted, and then nothing of it is told. */
     boolean begins(HttpResponse head);
 
--- /dev/null
+++ b/http/src/main/java/cloverpulley/serve/ClientSocket.java
@@ -0,0 +1,47 @@
+package cloverpulley.serve;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+
+/** A client's connection, which can be asked whether its client is still there, also while it is not read. */
+final class ClientSocket extends NioSocketChannel {
+
+  /** What one look reads at most. */
+  private static final int LOOK_OCTETS = 1024;
+  /** Looks that may find something before the end of a connection that is not read otherwise: bounds what is held beyond its marks. */
+  private static final int MOST_LOOKS = 16;
+
+  ClientSocket(Channel parent, SocketChannel socket) {
+    super(parent, socket);
+  }
+
+  /**
+   * Whether the client has neither ended nor reset the connection, as far as that shows. Guards against the requests of clients that left
+   * while their requests waited: the loop hears of an end only where it reads, and behind what it has not read yet. What is found
+   * comes on as if the loop had read it. Not to be called while a read of this connection is on its way.
+   */
+  boolean isThere() {
+    for (int i = 0; isActive() && i < MOST_LOOKS; i++) {
+      ByteBuf found = alloc().ioBuffer(LOOK_OCTETS);
+      int octets;
+      try {
+        octets = found.writeBytes(javaChannel(), LOOK_OCTETS);
+      } catch (IOException e) {
+        octets = -1;
+      }
+      if (octets <= 0) {
+        found.release();
+        if (octets < 0) {
+          close();
+        }
+        break;
+      }
+      pipeline().fireChannelRead(found);
+      pipeline().fireChannelReadComplete();
+    }
+    return isActive();
+  }
+}
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -79,6 +79,8 @@
   private static final int MOST_NAME = 128;
   /** Requests that may wait behind the one being served on a connection. */
   private static final int MOST_EARLY = 32;
+  /** Octets of bodies that may be held of them and of the one that is served, beyond which one is too many. */
+  private static final long MOST_EARLY_OCTETS = 2 * RequestReader.MOST_KEPT;
   /** More requests than one read can hold: what is too many is for this class to say, in its turn. */
   private static final int MOST_DECODED = 8192;
   private static final long SWEEP_MILLIS = 100;
@@ -108,6 +110,7 @@
   private boolean ready;
   private boolean stopping;
   private boolean closing;
+  private boolean over;
 
   /** {@code bodies} is where clients' bodies find room. */
   Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, RequestReader.Rooms bodies, Counts counts) {
@@ -178,6 +181,11 @@
     clients.closeUnserved();
   }
 
+  /** What still comes is turned away. Guards rule 1: sent on now, nothing would wait for its end. */
+  void takeNoMore() {
+    over = true;
+  }
+
   /** Ends what is left, such as a client that has its answer and still sends. */
   void closeAll() {
     clients.closeAll();
@@ -243,9 +251,10 @@
       reader = new RequestReader(bodies, () -> busy, this::read);
     }
 
-    /** Reads, or doesn't: what waits for its turn, or for an upstream that takes it slowly, is not to grow. */
+    /** Reads, or doesn't: what waits for an upstream that takes it slowly is not to grow. */
     private void read() {
-      boolean reads = !left && early.isEmpty() && reader.wantsMore();
+      // Early requests don't end it: the end of a connection is heard only where it is read, and its requests must not go on after that.
+      boolean reads = !left && reader.wantsMore();
       if (reads != channel.config().isAutoRead()) {
         long now = System.nanoTime();
         readingSince += reads && heldSince != 0 ? now - heldSince : 0; // Its client could do nothing meanwhile.
@@ -289,6 +298,9 @@
 
     /** A body that comes keeps its client, if it comes fast enough. */
     private void progress() {
+      if (clients.is(this, State.SERVED)) {
+        return; // Its time begins with its turn: judged now, it would be answered in place of the request that is served.
+      }
       if (System.nanoTime() - readingSince > Clients.READING_NANOS + reader.came() * BODY_NANOS_PER_BYTE) {
         overdue();
       } else if (clients.is(this, State.READING)) {
@@ -312,11 +324,10 @@
       deaf = !request.decoderResult().isSuccess();
       if (!busy) {
         take(request);
-      } else if (early.size() < MOST_EARLY) {
+      } else if (early.isEmpty() || early.size() < MOST_EARLY && reader.held() <= MOST_EARLY_OCTETS) {
         early.add(request.retain());
-        read();
       } else {
-        // Guards the memory: switching off reading alone does not stop what the decoder has already.
+        // Guards the memory; what is too much is dropped and not left unread, so that the client's end is still heard.
         FullHttpRequest last = early.peekLast();
         last.setDecoderResult(DecoderResult.failure(new TooLongFrameException("too many requests at once")));
         deaf = true;
@@ -434,6 +445,8 @@
       } else if (type.effect() == Effect.KEYED && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
         // Guards a keyed class: without the key no upstream could drop a repeat.
         answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
+      } else if (over) {
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
       } else if (open.contains(id)) {
         // Guards the client whose request it is, and its effect.
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
@@ -507,6 +520,11 @@
       }
     }
 
+    @Override
+    public boolean isAwaited() {
+      return channel instanceof ClientSocket socket ? socket.isThere() : channel.isActive();
+    }
+
     private void deafTo(BodyStream coming) {
       coming.drop();
       coming.listen(() -> { }, this::leave);
@@ -565,14 +583,10 @@
 
   /** How a request that can't be read is answered. */
   private static HttpResponseStatus status(Throwable cause) {
-    if (cause instanceof TooLongHttpContentException) {
-      return HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE;
-    } else if (cause instanceof TooLongHttpLineException) {
-      return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-    } else if (cause instanceof TooLongHttpHeaderException) {
-      return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-    }
-    return HttpResponseStatus.BAD_REQUEST;
+    return cause instanceof TooLongHttpContentException ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+        : cause instanceof TooLongHttpLineException ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+        : cause instanceof TooLongHttpHeaderException ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+        : HttpResponseStatus.BAD_REQUEST;
   }
 
   /** The number, or -1 for anything but digits. */
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -36,6 +36,9 @@
 
   /** Gives the one final answer to the client; a no-op where the client is gone. The content stays the caller's. */
   interface Reply {
+    /** Whether the client is still there, as far as its connection tells now. */
+    boolean isAwaited();
+
     void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
 
     /** Begins the final answer, which is passed on while it comes; {@code length} is -1 where it is not known. */
@@ -87,6 +90,10 @@
 
   @Override
   protected Attempt.Sending start(Attempt attempt, SocketAddress address, long timeoutNanos) {
+    if (!isAwaited()) {
+      front.engine.attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
+      return () -> { };
+    }
     if (rest != null && (rest.isTaken() || sending != null && !sending.isDone())) {
       // Its beginning is gone, or is being sent: a second copy of it can't be.
       front.engine.attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
@@ -100,6 +107,14 @@
     return () -> front.pool.cancel(call);
   }
 
+  /** Looks whether the client still waits. Guards against sending on what nobody waits for; the end is told before the attempt's own. */
+  private boolean isAwaited() {
+    if (!isEnded() && !reply.isAwaited()) {
+      front.engine.clientGone(this);
+    }
+    return !isEnded();
+  }
+
   /** The body has come whole: what waits for an answer waits for so much longer. */
   void bodyEnded(long deadline, long leftNanos) {
     front.engine.bodyEnded(this, deadline);
@@ -118,6 +133,11 @@
       this.attempt = attempt;
     }
 
+    @Override
+    public boolean isWanted() {
+      return isAwaited();
+    }
+
     @Override
     public boolean begins(HttpResponse head) {
       if (!front.engine.answerBegins(attempt)) {
--- a/http/src/main/java/cloverpulley/serve/Listener.java
+++ b/http/src/main/java/cloverpulley/serve/Listener.java
@@ -3,7 +3,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
@@ -22,6 +22,16 @@
   static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
   private static final long LOOK_MILLIS = 1;
 
+  @Override
+  protected int doReadMessages(List<Object> accepted) throws Exception {
+    SocketChannel socket = SocketUtils.accept(javaChannel());
+    if (socket == null) {
+      return 0;
+    }
+    accepted.add(new ClientSocket(this, socket));
+    return 1;
+  }
+
   /**
    * Closes, with nobody left in the queue. A listener that closes resets what waits in its queue, also where another process
    * listens at the address; and one that a selector still knows stays open until the next look at all sockets, with the queue
@@ -49,7 +59,7 @@
     } catch (IOException e) {
       LOG.log(Level.WARNING, "the queue of connections was not emptied", e);
     }
-    last.forEach(c -> pipeline().fireChannelRead(new NioSocketChannel(this, c)));
+    last.forEach(c -> pipeline().fireChannelRead(new ClientSocket(this, c)));
     close();
   }
 }
--- a/http/src/main/java/cloverpulley/serve/Main.java
+++ b/http/src/main/java/cloverpulley/serve/Main.java
@@ -1,16 +1,22 @@
 package cloverpulley.serve;
 
+import cloverpulley.Logic;
 import cloverpulley.engine.Signals;
+import cloverpulley.engine.Witness;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /** Entry point of the real balancer. */
 public final class Main {
 
+  /** Whether clients may have been heard: before that SIGTERM ends the process at once. */
+  private enum Phase { STARTING, LISTENING, ENDED }
+
   private Main() {}
 
   /**
@@ -22,11 +28,20 @@
     CompletableFuture<Server> started = new CompletableFuture<>();
     // A handler, not a shutdown hook: hooks run beside the one that ends logging, and the status would tell of the signal.
     Consumer<String> complaint = Logger.getLogger(Main.class.getName())::warning;
-    Signals.handle("TERM", () -> started.thenAccept(s -> new Thread(s::stop, "stop").start()), complaint);
+    AtomicReference<Phase> phase = new AtomicReference<>(Phase.STARTING);
+    Signals.handle("TERM", () -> {
+      if (phase.compareAndSet(Phase.STARTING, Phase.ENDED)) {
+        complaint.accept("told to end before it served");
+        Runtime.getRuntime().halt(0); // Nobody was heard: it must not take clients in whom SIGKILL then finds.
+      }
+      started.thenAccept(s -> new Thread(s::stop, "stop").start());
+    }, complaint);
     // Without a handler SIGHUP ends the virtual machine. One that comes early is carried out once the balancer serves.
     Signals.handle("HUP", () -> started.thenAccept(s -> s.reload(() -> Config.read(environment))), complaint);
     try {
-      started.complete(Server.start(Config.read(environment)));
+      Config config = Config.read(environment);
+      started.complete(Server.start(config, n -> new Logic(config.settings(), config.seed() + n), null, Witness.NONE,
+          s -> phase.compareAndSet(Phase.STARTING, Phase.LISTENING)));
     } catch (IOException | RuntimeException e) {
       err.println("can't start: " + Config.complaint(e));
       return 1;
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -275,6 +275,11 @@
     context.fireChannelInactive();
   }
 
+  /** Bytes that are kept of bodies on this connection, those of requests that were told included. */
+  long held() {
+    return held;
+  }
+
   /** So many bytes are held no more. */
   void release(long bytes) {
     held -= bytes;
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -35,6 +35,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
@@ -65,6 +66,8 @@
   private static final long AGENT_RETRY_MILLIS = 200;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
   private static final long ACCEPT_MILLIS = 700;
+  /** The same where short deadlines bring SIGKILL early. */
+  private static final long LEAST_ACCEPT_MILLIS = 450;
   /**
    * Clients go on using the connections that they have, and while this balancer is away others may be too: it serves them for
    * this long at most, and has the rest of the time for what is then in hand.
@@ -84,6 +87,7 @@
 
   private final EventLoopGroup group;
   private final EventLoop loop;
+  private final AtomicBoolean stops = new AtomicBoolean();
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -169,6 +173,22 @@
     return server;
   }
 
+  /**
+   * The course of a stop, in milliseconds after SIGTERM: until when new connections are taken, connected clients are served, and what is in
+   * hand has its answer, and when the last connections end.
+   */
+  record Ending(long accepts, long serves, long answered, long over) {
+
+    /** {@code stopMillis} is when SIGKILL has to be reckoned with; a successor takes the new connections at once. */
+    static Ending of(long stopMillis, boolean succeeded) {
+      long serves = Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS);
+      long accepts = succeeded ? 0 : Math.min(ACCEPT_MILLIS, Math.max(LEAST_ACCEPT_MILLIS, serves));
+      long answered = Math.max(stopMillis, accepts);
+      // Guards those who still come from an end that finds nobody connected just then.
+      return new Ending(accepts, Math.max(serves, accepts), answered, answered + LAST_MILLIS);
+    }
+  }
+
   /** How long after SIGTERM all that is in hand gets its answer. Guards against a SIGKILL that short deadlines bring early. */
   static long stopMillis(Settings settings) {
     long longest = settings.classes().stream().mapToLong(RequestClass::deadlineNanos).max().orElse(0);
@@ -195,7 +215,7 @@
     if (lists == null) {
       discovery = new Discovery(
           connections.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, DISCOVERY_CONNECT_MILLIS),
-          config.discovery(), fleet::revision, this::news);
+          config.discovery(), pushed, fleet::revision, this::news);
       source = discovery;
     } else {
       source = lists.open(loop, fleet, this::news);
@@ -375,26 +395,34 @@
    * same address new connections are left to it at once, and clients are sent there with their next answer.
    */
   void stop() {
+    if (!stops.compareAndSet(false, true)) {
+      await(stopped); // Guards against a second SIGTERM that has the end come once more, or sooner.
+      return;
+    }
     boolean succeeded = operations != null && operations.hasSuccessor();
     LOG.info(succeeded ? "stopping, a successor serves" : "stopping");
     if (operations != null) {
       operations.leaving();
     }
     loop.execute(() -> {
+      Ending ending = Ending.of(stopMillis, succeeded);
       if (succeeded) {
         frontend.leaveTo();
         frontend.acceptNoMore();
       } else {
         frontend.stopping();
-        loop.schedule(frontend::acceptNoMore, ACCEPT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(frontend::acceptNoMore, ending.accepts, TimeUnit.MILLISECONDS);
       }
       stopping.countDown();
       loop.schedule(() -> {
         frontend.close();
         finish();
-      }, Math.min(SERVE_MILLIS, stopMillis - LEAST_REST_MILLIS), TimeUnit.MILLISECONDS);
-      loop.schedule(engine::failAll, stopMillis, TimeUnit.MILLISECONDS);
-      loop.schedule(frontend::closeAll, stopMillis + LAST_MILLIS, TimeUnit.MILLISECONDS);
+      }, ending.serves, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> {
+        frontend.takeNoMore();
+        engine.failAll();
+      }, ending.answered, TimeUnit.MILLISECONDS);
+      loop.schedule(frontend::closeAll, ending.over, TimeUnit.MILLISECONDS);
     });
     await(drained);
     shutDown();
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -85,8 +85,7 @@
 
   /**
    * {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load; {@code answers}
-   * is where long answers find room;
-   * {@code counts} is told of connections that are opened and what becomes of them.
+   * is where long answers find room; {@code counts} is told of connections that are opened and what becomes of them.
    */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
       LongPredicate ready, boolean loadReports, Room answers, Counts counts) {
@@ -144,9 +143,10 @@
     connect.addListener(f -> {
       connecting.remove(call);
       // Guards against a request written although it was withdrawn while connecting: such a call is done.
-      if (call.isDone() || !f.isSuccess()) {
+      boolean wanted = !call.isDone() && (call.passing == null || call.passing.isWanted());
+      if (!wanted || !f.isSuccess()) {
         request.release();
-        call.end(Status.CONNECT_FAILED, null);
+        call.end(wanted ? Status.CONNECT_FAILED : Status.NOT_SENT, null);
         connect.channel().close();
       } else {
         connect.channel().pipeline().get(Connection.class).write(call, request);
--- a/http/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/http/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -54,11 +54,17 @@
   }
 
   /** An upstream whose machine says nothing: its queue of connections is full, new ones never come up. */
-  private static final class Silent implements AutoCloseable {
-    private final ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+  static final class Silent implements AutoCloseable {
+    private final ServerSocket listener;
     private final List<Socket> waiting = new ArrayList<>();
 
     Silent() throws IOException {
+      this(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+    }
+
+    /** The same at a listener whose queue is short. */
+    Silent(ServerSocket listener) throws IOException {
+      this.listener = listener;
       while (true) {
         Socket socket = new Socket();
         waiting.add(socket);
@@ -74,6 +80,18 @@
       return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** Takes those that filled the queue out of it; what hung comes up, and is returned. */
+    Socket comesUp() throws IOException {
+      listener.setSoTimeout((int) TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      while (true) {
+        Socket up = listener.accept();
+        if (waiting.stream().noneMatch(w -> w.getLocalPort() == up.getPort())) {
+          return up;
+        }
+        up.close();
+      }
+    }
+
     @Override
     public void close() throws IOException {
       for (Socket socket : waiting) {
--- a/http/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/http/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -11,7 +11,12 @@
 import cloverpulley.Balancer.Watch;
 import cloverpulley.serve.Rig.Script;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -92,6 +97,98 @@
     }
   }
 
+  /** Lists may come indented, and the last object needs no line's end behind it before the connection is reset. */
+  @Test
+  void anIndentedListIsOneObjectWhereverItsLinesEnd() throws Exception {
+    Script module = watching();
+    String indented = Rig.list(42, true, A, Rig.member("s-}\\\"{", "127.0.0.1:2", "draining")).replace(",", ",\n  ").replace("{\"id", "{\n\t\"id");
+    String last = Rig.list(43, false, Rig.member("s-a", "127.0.0.1:1", "gone"));
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(indented));
+      c.write(Integer.toHexString(last.length()) + "\r\n" + last + "\r\n");
+      c.ends();
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FULL 2 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 GONE", word(module.next(ListNews.class)), "told while the watch stands, without a line's end");
+    }
+  }
+
+  /** A watch may drip for ever without an object coming to its end: bytes alone are no sign of life within one. */
+  @Test
+  void anObjectThatNeverEndsIsASilentWatch() throws Exception {
+    Script module = watching();
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(42, true, A)));
+      c.write("1\r\n{\r\n");
+      while (true) {
+        c.write("1\r\n \r\n");
+        TimeUnit.MILLISECONDS.sleep(100); // The drip itself.
+      }
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FULL 1 READY", word(module.next(ListNews.class)));
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+    }
+  }
+
+  /** A watch that fell silent, a successor that hangs at connect, and the one after that, which tells what there is. */
+  @Test
+  void aSuccessorThatHangsAtConnectIsReplacedToo() throws Exception {
+    Script module = new Script((event, out) -> {
+      if (event instanceof ListNews n && (n.kind() == ListKind.CACHED || n.kind() == ListKind.FAILED)) {
+        out.accept(new Watch(true));
+      }
+    });
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Rig rig = new Rig(Rig.config("127.0.0.1:" + listener.getLocalPort(), Rig.list(41, true, A)), module)) {
+      module.next(ListNews.class);
+      try (Socket silent = listener.accept(); AttemptTest.Silent queue = new AttemptTest.Silent(listener)) {
+        assertEquals("FAILED 0", word(module.next(ListNews.class)), "it never said a word");
+        assertEquals("FAILED 0", word(module.next(ListNews.class)), "its successor did not come up");
+        try (Socket third = queue.comesUp()) {
+          third.getOutputStream().write(Discoveries.watch(Rig.list(42, true, A, Rig.member("s-b", "127.0.0.1:2", "ready")))
+              .getBytes(StandardCharsets.US_ASCII));
+          ListNews news = module.next(ListNews.class);
+          while (news.kind() == ListKind.FAILED) {
+            news = module.next(ListNews.class); // One more that hung until the queue was empty.
+          }
+          assertEquals("FULL 2 READY", word(news));
+        }
+      }
+    }
+  }
+
+  /** What the old address has still to say after a move is old news, of a call for the list as of a watch. */
+  @Test
+  void aFetchIsNotAnsweredByTheAddressThatDiscoveryLeft() throws Exception {
+    CountDownLatch moved = new CountDownLatch(1);
+    Script module = new Script((event, out) -> {
+      if (event instanceof ListNews n && n.kind() == ListKind.CACHED) {
+        out.accept(new FetchList());
+      }
+    });
+    String half = StubServer.ok(Rig.list(50, true, A));
+    try (StubServer old = new StubServer(c -> {
+      c.next();
+      c.write(half.substring(0, half.length() / 2));
+      moved.await();
+      c.write(half.substring(half.length() / 2));
+      c.ends();
+    }); StubServer fresh = StubServer.answering(StubServer.ok(Rig.list(60, true, A, Rig.member("s-b", "127.0.0.1:2", "ready"))));
+        Rig rig = rig(old, "on_request", module)) {
+      module.next(ListNews.class);
+      old.requests.take();
+      rig.server.reload(() -> Rig.config(fresh.address(), Rig.list(41, true, A)));
+      fresh.requests.take();
+      moved.countDown();
+      assertEquals("FULL 2 READY", word(module.next(ListNews.class)));
+      assertTrue(old.connections.take().awaitEnd());
+    }
+  }
+
   @Test
   void theListIsFetchedOnce() throws Exception {
     Script module = new Script((event, out) -> {
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -1,14 +1,18 @@
 package cloverpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.Settings;
+import cloverpulley.serve.Server.Ending;
 import cloverpulley.serve.Warmup.Count;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class StartStopTest {
 
@@ -45,4 +49,70 @@
     assertTrue(Server.stopMillis(brief) < 1940 + 700);
     assertTrue(Server.stopMillis(Config.parse(text, Map.of()).settings()) < 3000 + 700);
   }
+
+  /** New connections come for up to 0.4 s: with deadlines under 300 ms the end came before them. */
+  @ParameterizedTest
+  @ValueSource(longs = {20, 100, 260, 700, 1500, 2000, 3000, 9000})
+  void whoeverMayStillComeIsTakenAndAllEndsBeforeSigkill(long deadlineMillis) throws IOException {
+    String text = Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "");
+    Settings settings = Config.parse(text.replace("40000000000", deadlineMillis + "000000").replace("20000000000", "10000000"), Map.of()).settings();
+    Ending ending = Ending.of(Server.stopMillis(settings), false);
+    assertTrue(ending.accepts() > 400 && ending.serves() >= ending.accepts(), ending::toString);
+    assertTrue(ending.answered() >= ending.serves() && ending.over() < Math.min(3000, deadlineMillis) + 700, ending::toString);
+    Ending left = Ending.of(Server.stopMillis(settings), true);
+    assertTrue(left.accepts() == 0 && left.serves() <= left.answered() && left.over() <= ending.over(), left::toString);
+  }
+
+  /** What waited behind a request that is failed at the end of a stop is turned away: sent on then, nothing would wait for its answer. */
+  @Test
+  void whatHasItsTurnAfterTheEndIsNotSentOn() throws Exception {
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.ends();
+    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), new Rig.Script(0));
+        Rig.Client client = rig.client()) {
+      client.write(Rig.get("first", "") + Rig.get("second", ""));
+      assertTrue(upstream.requests.take().contains("first"));
+      rig.server.stop();
+      assertTrue(client.answer().startsWith("HTTP/1.1 500 "), "failed: it may have run");
+      assertTrue(client.answer().startsWith("HTTP/1.1 503 "), "refused: it never ran");
+      assertNull(client.answer());
+      assertEquals(0, upstream.requests.size());
+    }
+  }
+
+  /** A request that was taken with a longer deadline than the settings now say has its answer before the SIGKILL that those bring. */
+  @Test
+  void aRequestOfALongerDeadlineIsAnsweredWithinTheNewOnes() throws Exception {
+    String text = Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "");
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.ends();
+    })) {
+      String longer = text.replace("\"members\":[]", "\"members\":[" + Rig.member("s-1", upstream.address(), "ready") + "]");
+      Config shorter = Config.parse(longer.replace("40000000000", "300000000").replace("20000000000", "100000000"), Map.of());
+      try (Rig rig = new Rig(Config.parse(longer, Map.of()), new Rig.Script(0)); Rig.Client client = rig.client()) {
+        client.write(Rig.get("t", ""));
+        upstream.requests.take();
+        rig.server.reload(() -> shorter);
+        rig.server.tell(e -> { }).get();
+        Thread stop = new Thread(rig.server::stop);
+        stop.start();
+        assertTrue(client.answer().startsWith("HTTP/1.1 500 "), "its own deadline of 40 s is not waited for");
+        stop.join();
+      }
+    }
+  }
+
+  @Test
+  void toldToEndTwiceItEndsOnce() throws Exception {
+    try (Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true)), new Rig.Script(0))) {
+      Thread first = new Thread(rig.server::stop);
+      first.start();
+      rig.server.awaitStopping();
+      rig.server.stop();
+      rig.server.stop();
+      first.join();
+    }
+  }
 }
