A look before a sending judges no held body's time; SIGTERM before clients in a test

Each piece that the look before a sending found of a body that was held counted as a pause of its client (Frontend.progress, overdue), sixteen of them ended it. Change: no time is judged while a connection is held. LeftTest.aHeldBodyIsSentOnWhateverTheLookFinds was seen failing without it. JarIT: SIGTERM while the configuration is still being read.

--- a/balancer/src/test/java/cloverpulley/JarIT.java
+++ b/balancer/src/test/java/cloverpulley/JarIT.java
@@ -5,6 +5,7 @@
 
 import java.io.BufferedReader;
 import java.io.File;
+import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.Socket;
@@ -107,6 +108,24 @@
     }
   }
 
+  /** Before, it went on to take clients in, whom the SIGKILL that follows then found: the file that it reads comes to no end here. */
+  @Test
+  void sigtermBeforeClientsAreHeardEndsItAtOnce() throws IOException, InterruptedException {
+    assertEquals(0, new ProcessBuilder("mkfifo", file("config").getPath()).start().waitFor());
+    ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-jar",
+        System.getProperty("jar"), "serve").redirectError(file("err"));
+    builder.environment().put("ROUTER_CONFIG", file("config").getPath());
+    Process process = builder.start();
+    try (FileOutputStream opened = new FileOutputStream(file("config"))) { // Once it is read.
+      process.destroy();
+      assertTrue(process.waitFor(1, TimeUnit.MINUTES), text("err"));
+      assertEquals(0, process.exitValue(), text("err"));
+      assertTrue(text("err").contains("told to end before it served"), text("err"));
+    } finally {
+      process.destroyForcibly();
+    }
+  }
+
   /** Before, the virtual machine left SIGHUP ignored without a word, and new settings were never taken. */
   @ParameterizedTest
   @ValueSource(booleans = {true, false})
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -298,8 +298,8 @@
 
     /** A body that comes keeps its client, if it comes fast enough. */
     private void progress() {
-      if (clients.is(this, State.SERVED)) {
-        return; // Its time begins with its turn: judged now, it would be answered in place of the request that is served.
+      if (clients.is(this, State.SERVED) || heldSince != 0) {
+        return; // Its time begins with its turn, or runs on once it is read: judged now, it would be answered in place of the one that is served.
       }
       if (System.nanoTime() - readingSince > Clients.READING_NANOS + reader.came() * BODY_NANOS_PER_BYTE) {
         overdue();
--- a/http/src/test/java/cloverpulley/serve/LeftTest.java
+++ b/http/src/test/java/cloverpulley/serve/LeftTest.java
@@ -197,6 +197,43 @@
     }
   }
 
+  /** A body that is held has no time running: what the look before a sending finds of it is not judged as coming too late. */
+  @Test
+  void aHeldBodyIsSentOnWhateverTheLookFinds() throws Exception {
+    Script[] module = new Script[1];
+    String[] held = new String[1];
+    CountDownLatch waited = new CountDownLatch(1);
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        held[0] = r.id();
+        out.accept(new SetTimer("look", 0));
+      } else if (event instanceof TimerFired && waited.getCount() > 0) {
+        out.accept(new SetTimer("look", System.nanoTime()));
+      } else if (event instanceof TimerFired) {
+        out.accept(new Send(held[0], module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
+      }
+    });
+    int length = 400_000;
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream, ""), module[0]);
+        Client client = rig.client()) {
+      client.write("POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t\r\nX-Qos: keyed\r\nIdempotency-Key: k\r\nContent-Length: " + length
+          + "\r\n\r\n" + "x".repeat(90_000));
+      module[0].next(Request.class);
+      for (int i = 0; i < 2; i++) {
+        try (Client clock = rig.client()) {
+          clock.write("GET /api HT");
+          assertTrue(clock.answer().startsWith("HTTP/1.1 408 "), "a client's time is over, and then what so many bytes may take");
+        }
+      }
+      waited.countDown();
+      client.write("x".repeat(length - 90_000));
+      String answer = client.answer();
+      assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 "), answer);
+    }
+  }
+
   /** A second request whose body comes slowly behind one that is served is not judged before its turn, nor answered in the first one's place. */
   @Test
   void aSlowBodyBehindAServedRequestDoesNotTakeItsAnswer() throws Exception {
