A repeat leaves within its window however late its connection comes up; a start waits for its list

Repeats.mayGoTo looked at the window at the decision, but the repeat left when its connection was up, up to connect-timeout (0.2 s) later. Ruled out: attempts taken for not run (the write's own promise tells), the cell (it is the upstream's own at both).

Change: a Send says by when its last byte has to have left (Repeats.until); the engine, the pool's timer and the look when a connection is up hold it, NOT_SENT otherwise. A keyed request past its window, which can be sent nowhere, is ended at once and no longer held until near its deadline (Repeats.areOver). By reading, with a test: where lists are pushed the agent's list counts as told from a process's first moment, but clients were heard before it came: the start waits for it, 0.5 s at most. A call that began to connect between news of a drain and its withdrawals is not written.

--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -194,8 +194,17 @@
   sealed interface Action permits Send, Cancel, Refuse, Fail, SetTimer, Watch, FetchList, Probe, CloseIdle, TellPeer,
       Bequeath, Log {}
 
-  /** Start an attempt; a request's attempts count 0, 1, 2 ... in sending order. Time-out 0: until the deadline. */
-  record Send(String id, long upstream, long timeoutNanos) implements Action {}
+  /**
+   * Start an attempt; a request's attempts count 0, 1, 2 ... in sending order. Time-out 0: until the deadline. Its last byte is to leave before
+   * the clock reading {@code leavesByNanos}, or it is to end as NOT_SENT; 0: whenever it can.
+   */
+  record Send(String id, long upstream, long timeoutNanos, long leavesByNanos) implements Action {
+
+    /** An attempt that may leave whenever it can. */
+    public Send(String id, long upstream, long timeoutNanos) {
+      this(id, upstream, timeoutNanos, 0);
+    }
+  }
 
   /** Stop waiting for an attempt; whether the upstream stops is up to it. */
   record Cancel(String id, int attempt) implements Action {}
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -387,7 +387,7 @@
   private boolean advance(Open r) {
     boolean first = r.attempts.isEmpty();
     boolean over = r.once || r.attempts.size() >= r.maxAttempts || !retries.allows(r)
-        || r.type.effect() == Effect.UNSAFE && r.mayHaveRun() || now >= r.deadline - 2 * sweep
+        || Repeats.areOver(r, now, settings.tickNanos()) || now >= r.deadline - 2 * sweep
         || answerDue(r)
         || !r.request.earlier().isEmpty() && Arrays.stream(owners).noneMatch(u -> mayGoTo(r, u));
     Upstream u = over ? null : place(r);
@@ -405,6 +405,8 @@
   }
 
   private void send(Open r, Upstream u) {
+    // Guards the window of repeats from a connection that comes up late.
+    long leavesBy = Repeats.until(r, settings.tickNanos());
     r.attempts.add(new Attempt(u, now));
     r.out++;
     u.heardAt = u.inFlight == 0 ? now : u.heardAt;
@@ -413,7 +415,7 @@
     u.cold.tokens -= warmth(u) < 1 ? 1 : 0;
     readyLoad += r.load;
     fleet.add(now, Metric.ADMITTED, 1);
-    out.accept(new Send(r.request.id(), u.id, r.deadline - now));
+    out.accept(new Send(r.request.id(), u.id, r.deadline - now, leavesBy));
   }
 
   /** A second copy past a silent upstream, where class and settings allow it and the fleet is healthy. */
--- a/decision/src/main/java/cloverpulley/Repeats.java
+++ b/decision/src/main/java/cloverpulley/Repeats.java
@@ -8,6 +8,23 @@
 
   private Repeats() {}
 
+  /** When the window of a keyed request's repeats ends, counted from its first attempt that may have run; 0 for
+   * none. Cut by a tick, against a balancer that carries the sending out a moment later. */
+  static long until(Open r, long tickNanos) {
+    for (Attempt a : r.attempts) {
+      if (a.mayHaveRun && r.type.effect() == Effect.KEYED) {
+        return a.sentAt + r.type.dedupWindowNanos() - tickNanos;
+      }
+    }
+    return 0;
+  }
+
+  /** Whether a request may be sent nowhere any more. */
+  static boolean areOver(Open r, long now, long tickNanos) {
+    long until = until(r, tickNanos);
+    return until != 0 && now >= until || r.type.effect() == Effect.UNSAFE && r.mayHaveRun();
+  }
+
   /** Whether a further attempt may go to an upstream, of which so many are ready. */
   static boolean mayGoTo(Open r, Upstream u, int ready, long now, long tickNanos) {
     for (Attempt a : r.attempts) {
@@ -20,14 +37,12 @@
           case ZONE -> a.upstream.listed.zone().equals(u.listed.zone());
           case CELL -> a.upstream.listed.cell() == u.listed.cell();
         };
-        // The window is cut by a tick, against a balancer that carries the sending out a moment later.
-        if (r.type.effect() == Effect.UNSAFE || !sameGroup
-            || now - a.sentAt >= r.type.dedupWindowNanos() - tickNanos) {
+        if (!sameGroup) {
           return false;
         }
       }
     }
-    return true;
+    return !areOver(r, now, tickNanos);
   }
 
   static boolean mayRefuse(Open r) {
--- a/decision/src/test/java/cloverpulley/FourRulesTest.java
+++ b/decision/src/test/java/cloverpulley/FourRulesTest.java
@@ -77,6 +77,21 @@
     assertEquals(-1, Driver.sentTo(d.end("r", FIRST, Status.ERROR, 1999 * Driver.MS)));
   }
 
+  /** The window ends before the deadline: a repeat has to leave within it, and past it the request is ended at once and not held. */
+  @Test
+  void aRepeatLeavesWithinTheWindowAndPastItTheRequestEnds() {
+    Driver d = new Driver(Driver.settings(false, List.of(), new Balancer.RequestClass("c", Effect.KEYED, DedupScope.CELL, 500 * Driver.MS,
+        400 * Driver.MS, 0, 2000 * Driver.MS, 1, 0, false))).upstreams(3);
+    long began = d.now;
+    Send first = (Send) d.request("r", "c", "k").get(0);
+    assertEquals(0, first.leavesByNanos(), "nothing may have run yet");
+    d.pass(100 * Driver.MS);
+    Send second = (Send) d.end("r", first.upstream(), Status.RESET, 100 * Driver.MS).get(0);
+    assertEquals(began + 499 * Driver.MS, second.leavesByNanos(), "from the first that may have run, cut by a tick");
+    d.pass(500 * Driver.MS - (d.now - began));
+    assertTrue(Driver.has(d.end("r", second.upstream(), Status.NOT_SENT, 400 * Driver.MS), Fail.class), "nothing can come of it any more");
+  }
+
   @Test
   void everyRequestIsAnsweredWhenNoUpstreamIsLeft() {
     Driver d = new Driver(Driver.safe());
--- a/engine/src/main/java/cloverpulley/engine/Attempt.java
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -7,6 +7,7 @@
   private final int number;
   private final long upstream;
   private final long sentAt;
+  private final long leavesBy;
   /** When the request had come whole, where that was after its sending began; else 0. */
   long wholeAt;
   /** How long its answer took to begin, where it is passed on while it comes; else -1. */
@@ -19,7 +20,8 @@
     void cancel();
   }
 
-  Attempt(Exchange exchange, int number, long upstream, long sentAt) {
+  Attempt(Exchange exchange, int number, long upstream, long sentAt, long leavesBy) {
+    this.leavesBy = leavesBy;
     this.exchange = exchange;
     this.number = number;
     this.upstream = upstream;
@@ -40,6 +42,11 @@
     return upstream;
   }
 
+  /** Clock reading by which its last byte has to have left, or it is not to be sent; 0 for whenever it can. */
+  public long leavesBy() {
+    return leavesBy;
+  }
+
   /** Clock reading, in nanoseconds, at which the module had it sent. */
   public long sentAt() {
     return sentAt;
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -5,7 +5,9 @@
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 
 /** One request on its way to an upstream; it ends exactly once. */
 final class Call {
@@ -35,16 +37,21 @@
   final BodyStream rest;
   /** How long the upstream may take nothing of such a body. */
   final long stallNanos;
+  /** Within this time its last byte has to leave, or it is called off; 0 for whenever it can. */
+  final long leavesNanos;
+  private final long madeAt = System.nanoTime();
   /** Reads the answer on, as far as there is room. */
   Runnable reading = () -> { };
   /** The connection it is on, from when one is opened or reused until the call ends. */
   Channel channel;
   Future<?> timeout;
+  private Future<?> leaves;
   /** Its last byte has left: from here on it may have run. */
   boolean written;
   private boolean done;
 
-  Call(long upstream, Ended ended, Passing passing, BodyStream rest, long stallNanos) {
+  Call(long upstream, Ended ended, Passing passing, BodyStream rest, long stallNanos, long leavesNanos) {
+    this.leavesNanos = leavesNanos;
     this.stallNanos = stallNanos;
     this.upstream = upstream;
     this.ended = ended;
@@ -59,6 +66,22 @@
     }
   }
 
+  /** Has it called off where its last byte has not left in time. Guards the window of repeats: a connection may come up late, a long body leave slowly. */
+  void leavesInTime(EventExecutor loop, Runnable callOff) {
+    if (leavesNanos > 0) {
+      leaves = loop.schedule(() -> {
+        if (!written) {
+          callOff.run();
+        }
+      }, leavesNanos, TimeUnit.NANOSECONDS);
+    }
+  }
+
+  /** Whether there is still time for its last byte to leave. */
+  boolean mayLeave() {
+    return leavesNanos == 0 || System.nanoTime() - madeAt < leavesNanos;
+  }
+
   boolean isDone() {
     return done;
   }
@@ -71,6 +94,9 @@
       if (timeout != null) {
         timeout.cancel(false);
       }
+      if (leaves != null) {
+        leaves.cancel(false);
+      }
       if (rest != null) {
         rest.attach(null);
       }
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -100,7 +100,8 @@
       return () -> { };
     }
     Answer answer = new Answer(attempt);
-    Call call = new Call(attempt.upstream(), answer::ended, answer, rest, waitNanos);
+    long leaves = attempt.leavesBy() > 0 ? attempt.leavesBy() - attempt.sentAt() : 0;
+    Call call = new Call(attempt.upstream(), answer::ended, answer, rest, waitNanos, leaves);
     answer.call = call;
     sending = call;
     front.pool.start(call, address, forward(rest == null ? timeoutNanos : Math.min(timeoutNanos, waitNanos)), timeoutNanos);
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -64,6 +64,8 @@
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
   /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
   private static final long AGENT_RETRY_MILLIS = 200;
+  /** An agent answers at once: it is waited for so long, one more try included, and then the list that is known has to do. */
+  private static final long FIRST_LIST_MILLIS = 500;
   /** After SIGTERM new connections go on coming for up to 0.4 s; they are taken for longer. */
   private static final long ACCEPT_MILLIS = 700;
   /** The same where short deadlines bring SIGKILL early. */
@@ -88,6 +90,8 @@
   private final EventLoopGroup group;
   private final EventLoop loop;
   private final AtomicBoolean stops = new AtomicBoolean();
+  /** Discovery has said what there is. */
+  private final CountDownLatch listed = new CountDownLatch(1);
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -151,6 +155,7 @@
       if (config.peerListen() != null && config.settings().limits().peers()) {
         server.peers.listen(server.group, config.peerListen(), server.operations != null, server.engine).syncUninterruptibly();
       }
+      server.awaitList();
       wired.accept(server);
       ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
           .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
@@ -239,9 +244,24 @@
     }
   }
 
+  /**
+   * Where lists are pushed, what the agent has counts as told from the first moment of this process, and that was a start ago. Guards what has
+   * drained since the known list was written from clients that come before the first one has arrived.
+   */
+  private void awaitList() {
+    try {
+      if (lists == null && pushed && !listed.await(FIRST_LIST_MILLIS, TimeUnit.MILLISECONDS)) {
+        LOG.warning("the agent says nothing: serving by the list that was known");
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private void news(ListKind kind, ServerList list) {
     if (kind != ListKind.FAILED || !pushed) {
       engine.news(kind, list);
+      listed.countDown();
     } else {
       loop.schedule(() -> discovery.watch(true), AGENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
     }
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -118,6 +118,7 @@
   /** Starts a call; it takes over the request. The time-out covers connecting. */
   void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     call.timeout = timeout(call, timeoutNanos);
+    call.leavesInTime(bootstrap.config().group().next(), () -> abandon(call, Status.NOT_SENT, Status.NOT_SENT));
     Connection reused = reuse(call.upstream, address);
     if (reused != null) {
       reused.write(call, request);
@@ -142,8 +143,8 @@
     call.channel.closeFuture().addListener(f -> sockets.closed());
     connect.addListener(f -> {
       connecting.remove(call);
-      // Guards against a request written although it was withdrawn while connecting: such a call is done.
-      boolean wanted = !call.isDone() && (call.passing == null || call.passing.isWanted());
+      // Guards against a request written although it was withdrawn while connecting, or began to connect between news of a drain and its withdrawals.
+      boolean wanted = !call.isDone() && call.mayLeave() && (call.passing == null || ready.test(call.upstream) && call.passing.isWanted());
       if (!wanted || !f.isSuccess()) {
         request.release();
         call.end(wanted ? Status.CONNECT_FAILED : Status.NOT_SENT, null);
@@ -163,8 +164,7 @@
   }
 
   private Future<?> timeout(Call call, long nanos) {
-    return bootstrap.config().group().next().schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), nanos,
-        TimeUnit.NANOSECONDS);
+    return bootstrap.config().group().next().schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), nanos, TimeUnit.NANOSECONDS);
   }
 
   /** Stops waiting for a call. */
@@ -190,7 +190,7 @@
   @Override
   public boolean probe(long upstream, SocketAddress address, Probed done) {
     Call call = new Call(upstream, (status, answer) -> done.ended(status, loadReports && answer != null
-        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()), null, null, 0);
+        ? LoadReport.of(answer.headers().get(LoadReport.HEADER)) : Map.of()), null, null, 0, 0);
     FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, Frontend.HEALTH);
     request.headers().set(HttpHeaderNames.HOST, "upstream");
     start(call, address, request, PROBE_NANOS);
--- a/http/src/test/java/cloverpulley/serve/Rig.java
+++ b/http/src/test/java/cloverpulley/serve/Rig.java
@@ -42,6 +42,8 @@
 
     final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     final List<Long> upstreams = new ArrayList<>();
+    /** The clock reading of the event that is handled. */
+    long now;
     private final Step step;
 
     Script(Step step) {
@@ -65,6 +67,7 @@
         news.entries().stream().map(Listed::upstream).filter(u -> !upstreams.contains(u)).forEach(upstreams::add);
       }
       events.add(event);
+      now = nowNanos;
       step.on(event, out);
     }
 
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.Settings;
+import cloverpulley.engine.Witness;
 import cloverpulley.serve.Server.Ending;
 import cloverpulley.serve.Warmup.Count;
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -115,4 +118,36 @@
       first.join();
     }
   }
+
+  /** What the agent has counts as told from the first moment of a process: the list known at its start may name one that has drained since. */
+  @Test
+  void whereListsArePushedClientsAreHeardOnceTheFirstHasCome() throws Exception {
+    try (StubServer agent = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(2, true, Rig.member("s-1", "127.0.0.1:1", "draining"))));
+      c.ends();
+    })) {
+      Rig.Script module = new Rig.Script(0);
+      List<String> before = new ArrayList<>();
+      Server server = Server.start(Rig.config(agent.address(), Rig.list(1, true, Rig.member("s-1", "127.0.0.1:1", "ready")), "pushed", 200, 1024, ""),
+          n -> module, null, Witness.NONE, s -> s.tell(engine -> before.add("serves " + engine.canServe())).join());
+      try {
+        assertEquals(List.of("serves false"), before, "the only one drains, and that is known before clients are heard");
+      } finally {
+        server.shutDown();
+      }
+    }
+  }
+
+  /** An agent that says nothing, or is not there, holds no start. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void anAgentThatSaysNothingHoldsNoStart(boolean there) throws Exception {
+    try (StubServer agent = new StubServer(c -> c.ends())) {
+      Config config = Rig.config(there ? agent.address() : "127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", "127.0.0.1:1", "ready")), "pushed", 200, 1024, "");
+      try (Rig rig = new Rig(config, new Rig.Script(0)); Rig.Client client = rig.client()) {
+        assertTrue(client.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n").startsWith("HTTP/1.1 200 "), "by the list that was known");
+      }
+    }
+  }
 }
