A request that has begun when a stop closes connections is answered; crossings forced in tests

Cause, by reading: 2.2 s after SIGTERM (0.45 s where deadlines are short) Clients.closeUnserved closed every connection that was owed nothing, those among them on which a part of a request had come; the rest of it, on its way or in the socket, met a reset, and what the machine had accepted counts as taken. Change: only connections that rest or never said anything are closed; what has begun comes in whole and is answered, or its time (2.5 s) or the stop's end (SIGKILL less 0.15 s) ends it.

--- a/http/src/main/java/cloverpulley/serve/Clients.java
+++ b/http/src/main/java/cloverpulley/serve/Clients.java
@@ -20,6 +20,9 @@
     void overdue();
 
     void close();
+
+    /** A part of a request has come. */
+    boolean hasBegun();
   }
 
   /** A client is owed an error or a close 3 s after it connected if nothing whole has come by then; it may take 2 s for a head, and
@@ -131,10 +134,13 @@
     }
   }
 
-  /** Closes all that are owed nothing. */
+  /**
+   * Closes all that are owed nothing and have begun no request. Guards a request whose last bytes are on their way while this is decided: what
+   * has begun comes in whole and is answered, or its time ends.
+   */
   void closeUnserved() {
-    while (shed()) {
-      // One at a time: each takes itself out.
+    for (State state : List.of(State.READING, State.IDLE)) {
+      List.copyOf(since.get(state).keySet()).stream().filter(c -> !c.hasBegun()).forEach(Client::close);
     }
   }
 }
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -142,8 +142,7 @@
       }
     }).bind(address);
     listener = bound.channel();
-    bound.channel().eventLoop().scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS,
-        TimeUnit.MILLISECONDS);
+    bound.channel().eventLoop().scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     return bound;
   }
 
@@ -175,7 +174,7 @@
     return ready && !stopping && engine.canServe();
   }
 
-  /** From here on every answer closes its connection; those that are owed nothing are closed. */
+  /** From here on every answer closes its connection; those that are owed nothing are closed, but where a request has begun to come. */
   void close() {
     closing = true;
     clients.closeUnserved();
@@ -392,6 +391,11 @@
       }
     }
 
+    @Override
+    public boolean hasBegun() {
+      return begun;
+    }
+
     @Override
     public void close() {
       clients.remove(this);
@@ -485,15 +489,13 @@
     @Override
     public void answer(HttpResponseStatus status, long retryAfterNanos, CharSequence type, ByteBuf content) {
       exchange = null;
-      FullHttpResponse response =
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retainedDuplicate());
+      FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content.retainedDuplicate());
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
       if (type != null) {
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
       }
       if (retryAfterNanos > 0) {
-        response.headers().set(HttpHeaderNames.RETRY_AFTER,
-            BigDecimal.valueOf((long) Math.ceil(retryAfterNanos / 1e6), 3).toPlainString());
+        response.headers().set(HttpHeaderNames.RETRY_AFTER, BigDecimal.valueOf((long) Math.ceil(retryAfterNanos / 1e6), 3).toPlainString());
       }
       boolean keep = keeps();
       HttpUtil.setKeepAlive(response, keep);
--- a/http/src/test/java/cloverpulley/serve/ClientsTest.java
+++ b/http/src/test/java/cloverpulley/serve/ClientsTest.java
@@ -28,6 +28,11 @@
     public void close() {
       closed++;
     }
+
+    @Override
+    public boolean hasBegun() {
+      return false;
+    }
   }
 
   /** Time goes on for so long, with a sweep each 100 ms. */
--- a/http/src/test/java/cloverpulley/serve/DiscoveryTest.java
+++ b/http/src/test/java/cloverpulley/serve/DiscoveryTest.java
@@ -115,6 +115,23 @@
     }
   }
 
+  /** A drain in the last bytes before the connection is reset, without a line's end, is told, and then that the watch has failed. */
+  @Test
+  void aDrainInTheLastBytesBeforeAResetIsTold() throws Exception {
+    Script module = watching();
+    String last = Rig.list(43, false, Rig.member("s-a", "127.0.0.1:1", "draining"));
+    try (StubServer discovery = new StubServer(c -> {
+      c.next();
+      c.write(Discoveries.watch(Rig.list(42, true, A)) + Integer.toHexString(last.length()) + "\r\n" + last);
+      c.reset();
+    }); Rig rig = rig(discovery, "on_request", module)) {
+      module.next(ListNews.class);
+      assertEquals("FULL 1 READY", word(module.next(ListNews.class)));
+      assertEquals("DELTA 1 DRAINING", word(module.next(ListNews.class)));
+      assertEquals("FAILED 0", word(module.next(ListNews.class)));
+    }
+  }
+
   /** A watch may drip for ever without an object coming to its end: bytes alone are no sign of life within one. */
   @Test
   void anObjectThatNeverEndsIsASilentWatch() throws Exception {
--- a/http/src/test/java/cloverpulley/serve/LeftTest.java
+++ b/http/src/test/java/cloverpulley/serve/LeftTest.java
@@ -11,6 +11,7 @@
 import cloverpulley.Balancer.Send;
 import cloverpulley.Balancer.SetTimer;
 import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Reason;
 import cloverpulley.serve.Rig.Client;
@@ -172,6 +173,42 @@
     }
   }
 
+  /** During a stop as before it: it is held while the process is told to end, its client goes, and then it would be sent. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void whatIsHeldDuringAStopIsNotSent(boolean reset) throws Exception {
+    Script[] module = new Script[1];
+    String[] held = new String[1];
+    CountDownLatch left = new CountDownLatch(1);
+    CountDownLatch looks = new CountDownLatch(1);
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        held[0] = r.id();
+      } else if (event instanceof TakenOut) {
+        looks.countDown();
+        await(left); // The loop stands still: it hears of no end.
+        out.accept(new Send(held[0], module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream, ""), module[0])) {
+      Client client = rig.client();
+      client.write(Rig.get("t", ""));
+      module[0].next(Request.class);
+      Thread stop = new Thread(rig.server::stop);
+      stop.start();
+      rig.server.awaitStopping();
+      rig.server.tell(engine -> engine.takeOut("s-none", 0));
+      assertTrue(looks.await(Rig.LIMIT_S, TimeUnit.SECONDS));
+      leave(client, reset);
+      left.countDown();
+      assertEquals(Status.NOT_SENT, module[0].next(Outcome.class).status());
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertNull(upstream.connections.poll());
+    }
+  }
+
   /** A connection that comes up after its client has gone carries nothing, also where attempts may not be called off. */
   @Test
   void aConnectionThatComesUpLateCarriesNothing() throws Exception {
--- a/http/src/test/java/cloverpulley/serve/ServeTest.java
+++ b/http/src/test/java/cloverpulley/serve/ServeTest.java
@@ -214,6 +214,42 @@
     }
   }
 
+  /** Half of a request has come when those that are owed nothing are closed, and the other half is on its way. */
+  @Test
+  void aRequestThatHasBegunWhenConnectionsAreClosedIsStillAnswered() throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream)); Client idle = rig.client();
+        Client silent = rig.client(); Client slow = rig.client()) {
+      assertTrue(idle.ask(Rig.get("t1", "")).startsWith("HTTP/1.1 200 "));
+      String request = Rig.get("t2", "");
+      Thread stop = new Thread(rig.server::stop);
+      stop.start();
+      rig.server.awaitStopping();
+      slow.write(request.substring(0, 30));
+      assertNull(idle.answer(), "closed: it rested");
+      assertNull(silent.answer(), "closed: it never said anything");
+      slow.write(request.substring(30));
+      String answer = slow.answer();
+      assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 ") && answer.toLowerCase(java.util.Locale.ROOT).contains("connection: close"), answer);
+      assertNull(slow.answer());
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertTrue(!stop.isAlive(), "ends once no client is left");
+    }
+  }
+
+  /** A client that never ends its request does not hold the end. */
+  @Test
+  void halfARequestDoesNotHoldTheStop() throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream)); Client half = rig.client()) {
+      half.write("GET /api HTTP/1.1\r\nX-Tr");
+      Thread stop = new Thread(rig.server::stop);
+      stop.start();
+      String answer = half.answer();
+      assertTrue(answer == null || answer.startsWith("HTTP/1.1 408 "), answer);
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertTrue(!stop.isAlive());
+    }
+  }
+
   @Test
   void stoppingTakesWhatStillComesAndAnswersIt() throws Exception {
     try (StubServer upstream = new StubServer(c -> {
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -12,6 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -119,6 +120,34 @@
     }
   }
 
+  /** SIGHUP during a stop: what is in hand is answered by the course that SIGTERM began, whatever the new settings say, and the process ends. */
+  @ParameterizedTest
+  @ValueSource(strings = {"40000000000", "20000000001"})
+  void aReloadDuringAStopChangesNothingOfItsCourse(String deadline) throws Exception {
+    String text = Rig.text("127.0.0.1:1", Rig.list(1, true), "on_request", 200, 1024, "");
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      done.await();
+      c.write(StubServer.ok("x"));
+      c.ends();
+    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), new Rig.Script(0));
+        Rig.Client client = rig.client()) {
+      client.write(Rig.get("t", ""));
+      upstream.requests.take();
+      Thread stop = new Thread(rig.server::stop);
+      stop.start();
+      rig.server.awaitStopping();
+      rig.server.reload(() -> Config.parse(text.replace("40000000000", deadline).replace("\"max-attempts\":6", "\"max-attempts\":5"), Map.of()));
+      rig.server.tell(engine -> { }).join();
+      done.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      assertNull(client.answer());
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertTrue(!stop.isAlive());
+    }
+  }
+
   /** What the agent has counts as told from the first moment of a process: the list known at its start may name one that has drained since. */
   @Test
   void whereListsArePushedClientsAreHeardOnceTheFirstHasCome() throws Exception {
--- a/http/src/test/java/cloverpulley/serve/StubServer.java
+++ b/http/src/test/java/cloverpulley/serve/StubServer.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.net.StandardSocketOptions;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -153,6 +154,12 @@
       socket.getOutputStream().flush();
     }
 
+    /** Ends the connection by a reset. */
+    void reset() throws IOException {
+      socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+      socket.close();
+    }
+
     /** Waits until the script is through: its last read found the end, or it closed. */
     boolean awaitEnd() throws InterruptedException {
       return over.await(Rig.LIMIT_S, TimeUnit.SECONDS);
--- a/http/src/test/java/cloverpulley/serve/WindowTest.java
+++ b/http/src/test/java/cloverpulley/serve/WindowTest.java
@@ -95,6 +95,26 @@
     }
   }
 
+  /** The loop stood still from the decision until the client's time was over: what would be of no more use is not sent. */
+  @Test
+  void whatHasNoTimeLeftIsNotSent() throws Exception {
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        over(r.deadlineNanos() - module[0].now);
+        out.accept(new Send(r.id(), module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id(), Reason.DEADLINE));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream.address()), module[0]); Client client = rig.client()) {
+      String answer = client.ask(Rig.post("t", "Idempotency-Key: k\r\nX-Expires-In-Ms: 50\r\n", "body"));
+      assertTrue(answer.startsWith("HTTP/1.1 504 "), answer);
+      assertEquals(Status.NOT_SENT, module[0].next(Outcome.class).status());
+      assertNull(upstream.connections.poll(), "not even a connection");
+    }
+  }
+
   /** What has left in time is waited for as long as any other. */
   @Test
   void whatHasLeftInTimeIsAnswered() throws Exception {
