A process that joins the shared folder is never taken for a dead one; SIGTERM to both in a test

Cause, by reading, then seen: Meeting.join made its file and locked it afterwards. A process that looked in between (every 100 ms) held its lock for that moment, so that the joining one had no folder at all and heard of no bans, or took it for a dead process's and removed it, so that its predecessor never saw a successor. Change: the file gets its name once it is locked and filled. Result: SharedFolderTest.whoJoinsWhileAnotherLooksIsSeen failed without at its 35th of 3,000 joinings, green with. OperationsTest: SIGTERM to both processes with requests in hand, and a successor that does not serve or is dead: green, also before.

--- a/handover/src/main/java/cloverpulley/handover/Meeting.java
+++ b/handover/src/main/java/cloverpulley/handover/Meeting.java
@@ -54,13 +54,17 @@
   public static Meeting join(Path folder, long unixMillis, long number) throws IOException {
     Files.createDirectories(folder);
     Path mine = folder.resolve(String.format("%s%019d-%019d", PREFIX, unixMillis, number));
-    FileChannel channel = FileChannel.open(mine, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ, StandardOpenOption.WRITE);
+    // Under another name until it is locked and says what it is about: whoever looked in between would take it for that of a dead process and remove
+    // it, or hold its lock for that moment.
+    Path made = folder.resolve("joins-" + mine.getFileName());
+    FileChannel channel = FileChannel.open(made, StandardOpenOption.CREATE_NEW, StandardOpenOption.READ, StandardOpenOption.WRITE);
     try {
       if (channel.tryLock() == null) {
-        throw new IOException("no lock on " + mine);
+        throw new IOException("no lock on " + made);
       }
       Meeting meeting = new Meeting(folder, mine, channel);
       meeting.tell(Stage.STARTING, 0);
+      Files.move(made, mine, StandardCopyOption.ATOMIC_MOVE);
       return meeting;
     } catch (IOException | OverlappingFileLockException e) {
       channel.close();
--- a/handover/src/test/java/cloverpulley/handover/SharedFolderTest.java
+++ b/handover/src/test/java/cloverpulley/handover/SharedFolderTest.java
@@ -7,11 +7,14 @@
 import cloverpulley.handover.Meeting.Other;
 import cloverpulley.handover.Meeting.Stage;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -39,6 +42,34 @@
     }
   }
 
+  /** A process joins while another looks, again and again: it is never taken for a dead one, nor kept from its lock. */
+  @Test
+  void whoJoinsWhileAnotherLooksIsSeen() throws Exception {
+    try (Meeting first = Meeting.join(folder, 1000, 7)) {
+      AtomicBoolean over = new AtomicBoolean();
+      CompletableFuture<Void> looks = CompletableFuture.runAsync(() -> {
+        try (Meeting looking = Meeting.join(folder, 1000, 8)) {
+          while (!over.get()) {
+            looking.others();
+          }
+        } catch (IOException e) {
+          throw new UncheckedIOException(e);
+        }
+      });
+      try {
+        for (int i = 0; i < 3000; i++) {
+          int number = i;
+          try (Meeting joins = Meeting.join(folder, 2000, number)) {
+            assertTrue(first.others().stream().anyMatch(o -> o.name().endsWith(String.format("%019d", number))), "the " + i + "th was removed");
+          }
+        }
+      } finally {
+        over.set(true);
+      }
+      looks.get();
+    }
+  }
+
   /** A killed process leaves its file, on which nobody holds a lock; a file may also be cut, or be somebody else's. */
   @Test
   void theDeadAreNotTakenForAlive() throws IOException {
--- a/http/src/test/java/cloverpulley/serve/OperationsTest.java
+++ b/http/src/test/java/cloverpulley/serve/OperationsTest.java
@@ -9,6 +9,7 @@
 import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Reason;
+import cloverpulley.handover.Meeting;
 import cloverpulley.serve.Rig.Client;
 import cloverpulley.serve.Rig.Script;
 import java.io.BufferedInputStream;
@@ -31,6 +32,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The operators' door, upstreams that they take out, and two processes of one balancer. */
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
@@ -226,6 +228,68 @@
     }
   }
 
+  /** SIGTERM to both at once, with requests in hand at both: each has its answer, and both end. */
+  @Test
+  void toldToEndBothAnswerWhatTheyHold() throws Exception {
+    String address;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      address = "127.0.0.1:" + free.getLocalPort();
+    }
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      while (c.next() != null) {
+        done.await();
+        c.write(StubServer.ok("x"));
+      }
+    })) {
+      Script first = new Script(0);
+      Script second = new Script(0);
+      String member = Rig.member("s-a", upstream.address(), "ready");
+      try (Rig old = new Rig(config(address, member), first); Rig fresh = new Rig(config(address, member), second)) {
+        List<Client> clients = new ArrayList<>();
+        for (int i = 0; i < 32; i++) { // The system deals connections to both.
+          clients.add(fresh.client().write(Rig.get("r" + i, "")));
+          upstream.requests.take();
+        }
+        Thread one = new Thread(old.server::stop);
+        Thread other = new Thread(fresh.server::stop);
+        one.start();
+        other.start();
+        old.server.awaitStopping();
+        fresh.server.awaitStopping();
+        done.countDown();
+        for (Client c : clients) {
+          String answer = c.answer();
+          assertTrue(answer != null && answer.startsWith("HTTP/1.1 200 "), () -> "answered with " + answer);
+        }
+        one.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+        other.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+        assertTrue(!one.isAlive() && !other.isAlive());
+      }
+    }
+  }
+
+  /** A successor that has not said yes, or died before it did, is left nothing: who still comes to the first is served there. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aSuccessorThatDoesNotServeIsNotLeftTo(boolean dead) throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig old = new Rig(config("127.0.0.1:0", Rig.member("s-a", upstream.address(), "ready")))) {
+      Meeting successor = Meeting.join(folder.resolve("ashdeck"), System.currentTimeMillis() + 1000, 1);
+      if (dead) {
+        successor.close();
+      }
+      Thread stop = new Thread(old.server::stop);
+      stop.start();
+      old.server.awaitStopping();
+      try (Client late = old.client()) {
+        assertTrue(late.ask(Rig.get("late", "")).startsWith("HTTP/1.1 200 "));
+      }
+      stop.join(TimeUnit.SECONDS.toMillis(Rig.LIMIT_S));
+      assertTrue(!stop.isAlive());
+      successor.close();
+    }
+  }
+
   private static void await(CountDownLatch latch) {
     try {
       latch.await();
