Where lists are pushed a watch that stood or was silent is opened anew without a pause

Need, by reading: what the agent has counts as told whether or not a watch is open, and where the grace on drains is short (0.25 s at one customer's) the fixed pause of 0.2 s after each failed watch took most of it; it matters after a reset or a silence, as discovery that was down returns. Change: watches are opened 0.2 s apart at least, so that one which failed at once is not hammered, and one that stood or was silent for longer has its successor at once (Server.retryNanos). Result: StartStopTest.aWatchOfPushedListsIsOpenedAnewWithoutAPauseWhereItStood; DiscoveryTest, ReloadTest green.

--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -62,7 +62,7 @@
   static final int MOST_READ = 16 * 1024;
   private static final int READS_A_TURN = 2;
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
-  /** Where lists are pushed nobody asks for them but this program: it comes back to its agent after this. */
+  /** Where lists are pushed nobody asks for them but this program: it comes to its agent so far apart at least, and at once where it last came before that. */
   private static final long AGENT_RETRY_MILLIS = 200;
   /** An agent answers at once: it is waited for so long, one more try included, and then the list that is known has to do. */
   private static final long FIRST_LIST_MILLIS = 500;
@@ -106,6 +106,8 @@
   private Peers peers;
   private Channel listener;
   private boolean pushed;
+  /** When the watch of pushed lists was opened last. */
+  private long watchedAt;
   private long stopMillis;
   /** Null where there is no door. */
   private Operations operations;
@@ -240,7 +242,7 @@
           + legacy.list().revision());
     }
     if (pushed) {
-      discovery.watch(true);
+      watch();
     }
   }
 
@@ -263,10 +265,23 @@
       engine.news(kind, list);
       listed.countDown();
     } else {
-      loop.schedule(() -> discovery.watch(true), AGENT_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+      loop.schedule(this::watch, retryNanos(System.nanoTime() - watchedAt), TimeUnit.NANOSECONDS);
     }
   }
 
+  private void watch() {
+    watchedAt = System.nanoTime();
+    discovery.watch(true);
+  }
+
+  /**
+   * How long a watch of pushed lists that has failed is not opened anew, where it was opened so long ago: guards the agent and this process from a
+   * watch that fails at once, and what the agent has to say meanwhile, which counts as told, from a pause where it stood or was silent for longer.
+   */
+  static long retryNanos(long openedAgo) {
+    return Math.max(0, TimeUnit.MILLISECONDS.toNanos(AGENT_RETRY_MILLIS) - openedAgo);
+  }
+
   /** Where a configuration comes from. */
   interface Source {
     Config read() throws IOException;
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -168,6 +168,16 @@
     }
   }
 
+  /** A watch that fails at once is opened anew after a pause; one that stood for longer, or was silent, without. */
+  @Test
+  void aWatchOfPushedListsIsOpenedAnewWithoutAPauseWhereItStood() {
+    long pause = Server.retryNanos(0);
+    assertTrue(pause > 0);
+    assertEquals(pause / 2, Server.retryNanos(pause - pause / 2));
+    assertEquals(0, Server.retryNanos(pause));
+    assertEquals(0, Server.retryNanos(TimeUnit.SECONDS.toNanos(3)));
+  }
+
   /** An agent that says nothing, or is not there, holds no start. */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
