A request's time counts from when it was whole, also while it waits behind another

Cause, by reading: Frontend.serve counted a request's time from its turn, so that one that had waited behind an earlier one of its connection past its client's time was sent on. Change: WholeRequest keeps when it was whole, what is left of its time is what the module is told. Result: ServeTest.aRequestThatWaitedBehindAnotherForAllItsTimeIsNotSentOn seen failing without (200 from the upstream). The new term is forced in an upgrade's old process too (LeftTest.whatIsHeldDuringAStopIsNotSent).

--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -456,7 +456,7 @@
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
-        long wait = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
+        long wait = WholeRequest.left(request, Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS))));
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         // Of a body that is still coming the end is not known; its client's time counts from there.
         long until = clock.now() + wait - WAY_NANOS + (rest == null ? 0 : MOST_UPLOAD_NANOS);
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -165,8 +164,7 @@
         rest = null;
         done.end();
       } else {
-        FullHttpRequest whole = new DefaultFullHttpRequest(head.protocolVersion(), head.method(), head.uri(), body, head.headers(),
-            EmptyHttpHeaders.INSTANCE);
+        FullHttpRequest whole = new WholeRequest(head, body);
         head = null;
         body = null;
         emit(context, whole);
--- a/http/src/test/java/cloverpulley/serve/LeftTest.java
+++ b/http/src/test/java/cloverpulley/serve/LeftTest.java
@@ -14,14 +14,18 @@
 import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Balancer.TimerFired;
 import cloverpulley.Reason;
+import cloverpulley.handover.Meeting;
 import cloverpulley.serve.Rig.Client;
 import cloverpulley.serve.Rig.Script;
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -59,12 +63,7 @@
   void whatWaitsBehindAnEarlierRequestIsNotSent(int early, boolean reset) throws Exception {
     CountDownLatch done = new CountDownLatch(1);
     Script module = new Script(0);
-    try (StubServer upstream = new StubServer(c -> {
-      while (c.next() != null) {
-        done.await();
-        c.write(StubServer.ok("x"));
-      }
-    }); Rig rig = new Rig(to(upstream, ""), module)) {
+    try (StubServer upstream = StubServer.holding(done); Rig rig = new Rig(to(upstream, ""), module)) {
       Client client = rig.client();
       client.write(Rig.get("first", ""));
       assertTrue(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS).contains("first"));
@@ -173,10 +172,10 @@
     }
   }
 
-  /** During a stop as before it: it is held while the process is told to end, its client goes, and then it would be sent. */
+  /** During a stop as before it, also in an upgrade's old process: it is held while the process is told to end, its client goes, and then it would be sent. */
   @ParameterizedTest
-  @ValueSource(booleans = {false, true})
-  void whatIsHeldDuringAStopIsNotSent(boolean reset) throws Exception {
+  @CsvSource({"false, false", "true, false", "false, true", "true, true"})
+  void whatIsHeldDuringAStopIsNotSent(boolean reset, boolean succeeded, @TempDir Path folder) throws Exception {
     Script[] module = new Script[1];
     String[] held = new String[1];
     CountDownLatch left = new CountDownLatch(1);
@@ -192,7 +191,11 @@
         out.accept(new Fail(o.id(), Reason.NO_ROOM));
       }
     });
-    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream, ""), module[0])) {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(Config.parse(Rig.text("127.0.0.1:1", Rig.list(1, true,
+        Rig.member("s-1", upstream.address(), "ready")), "on_request", 200, 1024, "\"management\":\"127.0.0.1:0\","), Map.of("TMPDIR", folder.toString())), module[0])) {
+      if (succeeded) {
+        Meeting.join(folder.resolve("ashdeck"), System.currentTimeMillis() + 1000, 1).tell(Meeting.Stage.SERVING, 1);
+      }
       Client client = rig.client();
       client.write(Rig.get("t", ""));
       module[0].next(Request.class);
@@ -275,12 +278,7 @@
   @Test
   void aSlowBodyBehindAServedRequestDoesNotTakeItsAnswer() throws Exception {
     CountDownLatch done = new CountDownLatch(1);
-    try (StubServer upstream = new StubServer(c -> {
-      while (c.next() != null) {
-        done.await();
-        c.write(StubServer.ok("x"));
-      }
-    }); Rig rig = new Rig(to(upstream, "")); Client client = rig.client(); Client clock = rig.client()) {
+    try (StubServer upstream = StubServer.holding(done); Rig rig = new Rig(to(upstream, "")); Client client = rig.client(); Client clock = rig.client()) {
       client.write(Rig.get("first", ""));
       assertTrue(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS).contains("first"));
       clock.write("GET /api HT");
--- a/http/src/test/java/cloverpulley/serve/OperationsTest.java
+++ b/http/src/test/java/cloverpulley/serve/OperationsTest.java
@@ -236,12 +236,7 @@
       address = "127.0.0.1:" + free.getLocalPort();
     }
     CountDownLatch done = new CountDownLatch(1);
-    try (StubServer upstream = new StubServer(c -> {
-      while (c.next() != null) {
-        done.await();
-        c.write(StubServer.ok("x"));
-      }
-    })) {
+    try (StubServer upstream = StubServer.holding(done)) {
       Script first = new Script(0);
       Script second = new Script(0);
       String member = Rig.member("s-a", upstream.address(), "ready");
--- a/http/src/test/java/cloverpulley/serve/ServeTest.java
+++ b/http/src/test/java/cloverpulley/serve/ServeTest.java
@@ -21,6 +21,7 @@
 import java.net.InetAddress;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -168,6 +169,24 @@
     }
   }
 
+  /** Its time counts from when it was whole: over while it waited behind another, it is not sent on at its turn. */
+  @Test
+  void aRequestThatWaitedBehindAnotherForAllItsTimeIsNotSentOn() throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    Script module = new Script(0);
+    try (StubServer upstream = StubServer.holding(done); Rig rig = new Rig(one(upstream), module); Client client = rig.client(); Client clock = rig.client()) {
+      client.write(Rig.get("first", "") + Rig.get("second", "X-Expires-In-Ms: 100\r\n"));
+      assertTrue(upstream.requests.take().contains("first"));
+      clock.write("GET /api HT");
+      assertTrue(clock.answer().startsWith("HTTP/1.1 408 "), "the 2.5 s that a client may take for a request are over");
+      done.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+      assertEquals(0, upstream.requests.size(), "nothing more came to the upstream");
+    }
+  }
+
   @Test
   void requestsThatComeEarlyAreAnsweredInTurn() throws Exception {
     try (StubServer upstream = new StubServer(c -> {
--- a/http/src/test/java/cloverpulley/serve/StubServer.java
+++ b/http/src/test/java/cloverpulley/serve/StubServer.java
@@ -75,6 +75,16 @@
     });
   }
 
+  /** Answers no request before the latch is open. */
+  static StubServer holding(CountDownLatch open) throws IOException {
+    return new StubServer(c -> {
+      while (c.next() != null) {
+        open.await();
+        c.write(ok("x"));
+      }
+    });
+  }
+
   static String ok(String body) {
     return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
   }
