--- a/http/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/http/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -16,6 +16,7 @@
 import cloverpulley.Balancer.Request;
 import cloverpulley.Balancer.Send;
 import cloverpulley.Balancer.Status;
+import cloverpulley.Balancer.TakenOut;
 import cloverpulley.Balancer.Watch;
 import cloverpulley.Balancer.ListKind;
 import cloverpulley.Balancer.ListNews;
@@ -274,6 +275,29 @@
     }
   }
 
+  /** The fleet knows that the upstream is out, and the module, which has not been told yet, begins a sending: what was connecting had been withdrawn before. */
+  @Test
+  void aSendThatBeginsBetweenAnOutAndItsNewsIsNotWritten() throws Exception {
+    String[] held = new String[1];
+    Script module = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        held[0] = r.id();
+      } else if (event instanceof TakenOut) {
+        out.accept(new Send(held[0], Discoveries.number("s-1"), 0));
+      } else if (event instanceof Outcome o && !o.finished()) {
+        out.accept(new Fail(o.id(), Reason.NO_ROOM));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(one(upstream.address()), module); Client client = rig.client()) {
+      client.write(Rig.get("t", ""));
+      module.next(Request.class);
+      rig.server.tell(engine -> engine.takeOut("s-1", 0));
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      assertTrue(client.answer().startsWith("HTTP/1.1 502 "));
+      assertTrue(upstream.requests.isEmpty(), "nothing came on its connection");
+    }
+  }
+
   @Test
   void aSendStillConnectingIsNotWrittenOnceItsClientIsGone() throws Exception {
     Script module = cancelling();
