Why there is no listener is told, where there is not even a socket

What failed below is not known (descriptors of the machine are far from their limit); with this change it would tell. Change: Listener.bind. Result: StartStopTest.whyThereIsNoListenerIsTold (does not compile without; the old line threw just that).

--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -131,7 +131,7 @@
   }
 
   ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
-    ChannelFuture bound = bootstrap.clone().childHandler(new ChannelInitializer<Channel>() {
+    ChannelFuture bound = Listener.bind(bootstrap.clone().childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
         Connection connection = new Connection(channel);
@@ -140,9 +140,8 @@
             connection.reader, connection);
         accepted(channel);
       }
-    }).bind(address);
+    }), address, loop -> loop.scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS));
     listener = bound.channel();
-    bound.channel().eventLoop().scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
     return bound;
   }
 
--- a/http/src/main/java/cloverpulley/serve/Listener.java
+++ b/http/src/main/java/cloverpulley/serve/Listener.java
@@ -1,15 +1,20 @@
 package cloverpulley.serve;
 
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.internal.SocketUtils;
 import java.io.IOException;
+import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -22,6 +27,20 @@
   static final ChannelOption<Boolean> REUSE_PORT = NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT);
   private static final long LOOK_MILLIS = 1;
 
+  /**
+   * Listens, and then runs {@code bound} with its loop. The future tells of all that goes wrong. Guards the start's one line: where there is not even a
+   * socket the channel has no loop, and to ask it for one would hide why.
+   */
+  static ChannelFuture bind(ServerBootstrap bootstrap, SocketAddress address, Consumer<EventLoop> bound) {
+    ChannelFuture future = bootstrap.bind(address);
+    future.addListener(f -> {
+      if (f.isSuccess()) {
+        bound.accept(future.channel().eventLoop());
+      }
+    });
+    return future;
+  }
+
   @Override
   protected int doReadMessages(List<Object> accepted) throws Exception {
     SocketChannel socket = SocketUtils.accept(javaChannel());
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -2,13 +2,22 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.Balancer.Settings;
 import cloverpulley.engine.Witness;
 import cloverpulley.serve.Server.Ending;
 import cloverpulley.serve.Warmup.Count;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -120,6 +129,24 @@
     }
   }
 
+  /** There is not even a socket to listen on, as where descriptors have run out: the start tells that, and nothing else. */
+  @Test
+  void whyThereIsNoListenerIsTold() {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    try {
+      ServerBootstrap bootstrap = new ServerBootstrap().group(group).childHandler(new ChannelInboundHandlerAdapter()).channelFactory(() -> {
+        throw new ChannelException("no descriptor is left");
+      });
+      ChannelFuture bound = Listener.bind(bootstrap, new InetSocketAddress("127.0.0.1", 0), loop -> {
+        throw new AssertionError("not bound");
+      });
+      String told = assertThrows(RuntimeException.class, bound::syncUninterruptibly).toString();
+      assertTrue(told.contains("no descriptor is left"), told);
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
   /** SIGHUP during a stop: what is in hand is answered by the course that SIGTERM began, whatever the new settings say, and the process ends. */
   @ParameterizedTest
   @ValueSource(strings = {"40000000000", "20000000001"})
