A watch without even a socket has failed, and is opened anew: the list was quiet for ever

Cause, found while looking for what hid the listener's failure: where no socket can be made Netty gives a channel without a loop. Discovery.Stream.open told of that on another thread, and stop() threw at closing that channel: no FAILED ever came, so that neither the module nor, where lists are pushed, the server opened another watch. Change: such a call fails on the loop. Result: NoSocketTest.aWatchWithoutASocketHasFailedAndCanBeOpenedAnew seen failing without.

--- a/discovery/src/main/java/cloverpulley/discovery/Discovery.java
+++ b/discovery/src/main/java/cloverpulley/discovery/Discovery.java
@@ -141,6 +141,11 @@
           made.pipeline().addLast(new HttpClientCodec(), Stream.this);
         }
       }).connect(address);
+      if (connect.isDone() && !connect.isSuccess()) {
+        // Guards the list from a call without even a socket: it would be told of on another thread, and its channel can't be closed.
+        bootstrap.config().group().next().execute(() -> fail("can't connect: " + connect.cause()));
+        return;
+      }
       channel = connect.channel();
       within(AT_ONCE_MILLIS, "can't connect in time");
       connect.addListener(f -> {
@@ -159,8 +164,10 @@
 
     void stop() {
       over = true;
-      check.cancel(false);
-      channel.close();
+      if (channel != null) {
+        check.cancel(false);
+        channel.close();
+      }
     }
 
     private void fail(String why) {
