--- a/http/src/test/java/cloverpulley/serve/RunLineTest.java
+++ b/http/src/test/java/cloverpulley/serve/RunLineTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -79,6 +80,20 @@
     assertTrue(started.lines().contains("-XX:MaxDirectMemorySize=" + direct + "m"), started::toString);
   }
 
+  /** A balancer has one core at most: the virtual machine starts no further compiler threads while it serves, however many the machine has. */
+  @Test
+  void oneThreadCompiles() throws Exception {
+    List<String> flags = start("{\"limits\":{\"memory_mb\":192}}").lines().stream().filter(l -> l.startsWith("-XX:") && !l.contains("SharedArchiveFile")).toList();
+    List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    command.addAll(flags);
+    command.addAll(List.of("-XX:+PrintFlagsFinal", "-version"));
+    File printed = folder.resolve("flags").toFile();
+    assertEquals(0, new ProcessBuilder(command).redirectOutput(printed).redirectError(folder.resolve("version").toFile()).start().waitFor(),
+        () -> "not taken: " + command);
+    String all = Files.readString(printed.toPath());
+    assertTrue(Pattern.compile("CICompilerCount +:?= 1 ").matcher(all).find(), all);
+  }
+
   /** The process that was started is the virtual machine, and neither a subshell nor a pipe nor a job came before it. */
   @Test
   void itStartsNothingElse() throws Exception {
