--- a/handover/src/main/java/cloverpulley/handover/Meeting.java
+++ b/handover/src/main/java/cloverpulley/handover/Meeting.java
@@ -68,6 +68,7 @@
       return meeting;
     } catch (IOException | OverlappingFileLockException e) {
       channel.close();
+      Files.deleteIfExists(made);
       throw new IOException(e);
     }
   }
--- a/http/src/test/java/cloverpulley/serve/OperationsTest.java
+++ b/http/src/test/java/cloverpulley/serve/OperationsTest.java
@@ -49,6 +49,13 @@
         Map.of("TMPDIR", folder.toString()));
   }
 
+  /** An address at which two processes may listen. */
+  private static String free() throws IOException {
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + free.getLocalPort();
+    }
+  }
+
   private static Socket caller(Server server) throws IOException {
     Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.door().getPort());
     socket.setSoTimeout(Rig.LIMIT_S * 1000);
@@ -139,10 +146,7 @@
   /** What one process is told binds both, and the one that starts later. */
   @Test
   void bothProcessesKeepWhatEitherWasTold() throws Exception {
-    String address;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + free.getLocalPort();
-    }
+    String address = free();
     Script first = new Script((event, out) -> { });
     Script second = new Script((event, out) -> { });
     String[] members = {Rig.member("s-a", "127.0.0.1:1", "ready"), Rig.member("s-b", "127.0.0.1:2", "ready")};
@@ -171,10 +175,7 @@
    */
   @Test
   void aSuccessorTakesOverWithoutALostRequest() throws Exception {
-    String address;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + free.getLocalPort();
-    }
+    String address = free();
     CountDownLatch held = new CountDownLatch(1);
     CountDownLatch go = new CountDownLatch(1);
     Script module = new Script((event, out) -> {
@@ -231,10 +232,7 @@
   /** SIGTERM to both at once, with requests in hand at both: each has its answer, and both end. */
   @Test
   void toldToEndBothAnswerWhatTheyHold() throws Exception {
-    String address;
-    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      address = "127.0.0.1:" + free.getLocalPort();
-    }
+    String address = free();
     CountDownLatch done = new CountDownLatch(1);
     try (StubServer upstream = StubServer.holding(done)) {
       Script first = new Script(0);
