--- a/standins/src/main/java/cloverpulley/standins/StandInUpstream.java
+++ b/standins/src/main/java/cloverpulley/standins/StandInUpstream.java
@@ -129,6 +129,10 @@
   private final class Handler extends SimpleChannelInboundHandler<FullHttpRequest> {
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+      if (!request.decoderResult().isSuccess()) {
+        context.close(); // Part of one, whose connection has ended: it was never begun.
+        return;
+      }
       seen.add(new Seen(id(request), request.headers().get("idempotency-key"), request.headers().get("x-qos"),
           System.nanoTime()));
       Answer answer = behaviour.apply(request);
