The time told to a server is what is left when its request is written, a stalled loop's wait included

Ruled out: the client's own clock (the harness measures both ends).

Change: Call words the time left when its connection is up; StallDetector tells how long the loop has not looked at its sockets, which is taken off.

Result: two tests in WindowTest seen failing (told 19,978 and 19,979 ms of 19,700), now pass.

--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -3,6 +3,7 @@
 import cloverpulley.Balancer.Status;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.EventExecutor;
@@ -40,6 +41,8 @@
   /** Within this time its last byte has to leave, or it is called off; 0 for whenever it can. */
   final long leavesNanos;
   private final long madeAt = System.nanoTime();
+  /** When it is given up, on the clock of {@link System#nanoTime}. */
+  private long givenUpAt = Long.MAX_VALUE;
   /** Reads the answer on, as far as there is room. */
   Runnable reading = () -> { };
   /** The connection it is on, from when one is opened or reused until the call ends. */
@@ -59,6 +62,20 @@
     this.rest = rest;
   }
 
+  /** It is given up so many nanoseconds from now. */
+  void givenUpIn(long nanos) {
+    givenUpAt = System.nanoTime() + nanos;
+  }
+
+  /** Tells the upstream what is left of its time: to come up took its connection a part of it. */
+  void tellTimeLeft(FullHttpRequest request) {
+    String told = request.headers().get(Frontend.EXPIRES);
+    if (told != null) {
+      long left = TimeUnit.NANOSECONDS.toMillis(givenUpAt - System.nanoTime());
+      request.headers().set(Frontend.EXPIRES, Math.max(1, Math.min(Long.parseLong(told), left)));
+    }
+  }
+
   /** More of the answer can be taken. */
   void goOn() {
     if (channel != null) {
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -102,6 +102,7 @@
   private Map<String, RequestClass> classes;
   private Set<String> tenants;
   private final Clients clients = new Clients();
+  private final StallDetector stalls = new StallDetector();
   private final Counts counts;
   private final RequestReader.Rooms bodies;
   /** The clients' ids of the requests in hand, and of those of which an attempt is still out. */
@@ -140,7 +141,10 @@
             connection.reader, connection);
         accepted(channel);
       }
-    }), address, loop -> loop.scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS));
+    }), address, loop -> {
+      stalls.watch(loop);
+      loop.scheduleWithFixedDelay(clients::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+    });
     listener = bound.channel();
     return bound;
   }
@@ -455,7 +459,8 @@
         answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
       } else {
         // No client waits for longer than its class's deadline, and nothing is kept for longer.
-        long wait = WholeRequest.left(request, Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS))));
+        long whole = Math.min(type.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expires, MOST_MILLIS)));
+        long wait = Math.max(0, WholeRequest.left(request, whole) - stalls.stalledNanos());
         long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
         // Of a body that is still coming the end is not known; its client's time counts from there.
         long until = clock.now() + wait - WAY_NANOS + (rest == null ? 0 : MOST_UPLOAD_NANOS);
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -150,6 +150,7 @@
         call.end(wanted ? Status.CONNECT_FAILED : Status.NOT_SENT, null);
         connect.channel().close();
       } else {
+        call.tellTimeLeft(request);
         connect.channel().pipeline().get(Connection.class).write(call, request);
       }
     });
@@ -164,6 +165,7 @@
   }
 
   private Future<?> timeout(Call call, long nanos) {
+    call.givenUpIn(nanos);
     return bootstrap.config().group().next().schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), nanos, TimeUnit.NANOSECONDS);
   }
 
--- a/http/src/test/java/cloverpulley/serve/WindowTest.java
+++ b/http/src/test/java/cloverpulley/serve/WindowTest.java
@@ -24,6 +24,8 @@
 class WindowTest {
 
   private static final long SOON = TimeUnit.MILLISECONDS.toNanos(1);
+  /** For how long the loop stands still where that has to show in a time told. */
+  private static final long STALL_MILLIS = 300;
   private static final long LATER = TimeUnit.SECONDS.toNanos(1);
 
   private static Config to(String upstream) throws IOException {
@@ -75,6 +77,62 @@
     }
   }
 
+  private static long told(String request) {
+    return Long.parseLong(request.replaceAll("(?is).*x-expires-in-ms: *([0-9]+).*", "$1"));
+  }
+
+  @Test
+  void theTimeToldIsWhatIsLeftOnceTheConnectionIsUp() throws Exception {
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), module[0].upstreams.get(0), 0));
+        over(TimeUnit.MILLISECONDS.toNanos(STALL_MILLIS));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream.address()), module[0]); Client client = rig.client()) {
+      client.ask(Rig.get("t", "X-Expires-In-Ms: 20000\r\n"));
+      long told = told(upstream.requests.take());
+      assertTrue(told <= 20_000 - STALL_MILLIS, told + " ms");
+    }
+  }
+
+  @Test
+  void aRequestThatLayInItsSocketWhileTheLoopStoodStillHasSoMuchLessTime() throws Exception {
+    CountDownLatch stands = new CountDownLatch(1);
+    CountDownLatch written = new CountDownLatch(1);
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r) {
+        out.accept(new Send(r.id(), module[0].upstreams.get(0), 0));
+        if (stands.getCount() > 0) {
+          stands.countDown();
+          awaitUninterruptibly(written);
+          over(TimeUnit.MILLISECONDS.toNanos(STALL_MILLIS));
+        }
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(to(upstream.address()), module[0]);
+        Client first = rig.client(); Client second = rig.client()) {
+      first.write(Rig.get("first", ""));
+      stands.await();
+      second.write(Rig.get("second", "X-Expires-In-Ms: 20000\r\n"));
+      written.countDown();
+      second.answer();
+      String request = upstream.requests.take();
+      long told = told(request.contains("second") ? request : upstream.requests.take());
+      assertTrue(told <= 20_000 - STALL_MILLIS + 20, told + " ms");
+    }
+  }
+
+  private static void awaitUninterruptibly(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** The loop stood still between the decision and the sending. */
   @Test
   void whatIsCarriedOutTooLateIsNotSent() throws Exception {
--- a/standins/src/main/java/cloverpulley/standins/soak/Soak.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/Soak.java
@@ -185,7 +185,7 @@
       case 3 -> {
         say("n" + node.number + " SIGKILL, a new start");
         node.alive().forEach(SoakProcess::kill);
-        notices.forget(node.number);
+        notices.forget(node.number, System.nanoTime());
         sleep(1000);
         restart(node, r);
       }
@@ -207,6 +207,9 @@
 
   private void restart(SoakNode node, SplittableRandom r) throws IOException, InterruptedException {
     node.emptyFolder();
+    if (node.alive().isEmpty()) {
+      notices.forget(node.number, System.nanoTime());
+    }
     SoakProcess process = node.start();
     say("n" + node.number + " started p" + process.number + " beside " + (node.alive().size() - 1));
     forgetWithoutPredecessor(node, process);
@@ -220,7 +223,7 @@
   private void forgetWithoutPredecessor(SoakNode node, SoakProcess fresh) {
     sleep(TELL_MILLIS);
     if (node.alive().stream().noneMatch(p -> p != fresh)) {
-      notices.forget(node.number);
+      notices.forget(node.number, fresh.startedNanos);
     }
   }
 
@@ -299,7 +302,7 @@
     for (SoakProcess p : all) {
       overdue(node, p);
     }
-    notices.forget(node.number);
+    notices.forget(node.number, System.nanoTime());
     restart(node, r);
   }
 
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakNotices.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakNotices.java
@@ -42,9 +42,13 @@
   }
 
   private static void end(List<Span> spans) {
+    end(spans, System.nanoTime());
+  }
+
+  private static void end(List<Span> spans, long nanos) {
     Span open = open(spans);
     if (open != null) {
-      open.toNanos = System.nanoTime();
+      open.toNanos = nanos;
     }
   }
 
@@ -72,11 +76,11 @@
     return open(offline.get(new Promise(node, server))) != null;
   }
 
-  /** No process is left that knew what was promised. */
-  synchronized void forget(int node) {
+  /** No process is left from then on that knew what was promised. */
+  synchronized void forget(int node, long nanos) {
     offline.forEach((promise, spans) -> {
       if (promise.node == node) {
-        end(spans);
+        end(spans, nanos);
       }
     });
   }
