Ledger, quotas and the held list go by real time and owe what could not be written

Quotas dated what is owed by the wall clock while running: after a step of an hour a compaction dropped all debts. The list held over a restart was not written again after a failed write until it next changed (HeldListTest on the text before: timed out). Ruled out: RaftJournal (a voter whose file fails stops taking part by design, a torn tail is cut), HTTP spans (monotonic throughout).

Change: LedgerClock stamps by the monotonic clock from the start on, never behind the ledger; QuotaKeeper's time is that of its start plus the monotonic clock; HeldList tries again and makes its folder.

--- a/agree/src/main/java/cloverpulley/agree/LedgerMachine.java
+++ b/agree/src/main/java/cloverpulley/agree/LedgerMachine.java
@@ -56,6 +56,11 @@
     return looked;
   }
 
+  /** The ledger's time: the latest stamp that it holds. */
+  synchronized long nowMillis() {
+    return ledger.nowMillis();
+  }
+
   synchronized long index() {
     return ledger.index();
   }
--- a/agree/src/main/java/cloverpulley/agree/Voter.java
+++ b/agree/src/main/java/cloverpulley/agree/Voter.java
@@ -63,6 +63,8 @@
     return made;
   });
 
+  private final LedgerClock clock = new LedgerClock(System::nanoTime, System.currentTimeMillis());
+
   private Voter(AgreeConfig config) throws IOException {
     this.config = config;
     roll = new Roll(config.name(), config.silentMillis());
@@ -161,7 +163,7 @@
 
   /** Puts a command in the one order; fails where this one does not lead, and where nobody knows whether it came through. */
   public CompletableFuture<Reply> command(Command c) {
-    CompletableFuture<Ordered<Reply>> ordered = node.replicate(new Stamped(System.currentTimeMillis(), c));
+    CompletableFuture<Ordered<Reply>> ordered = node.replicate(new Stamped(clock.stamp(machine.nowMillis()), c));
     return ordered.thenApply(Ordered::getResult);
   }
 
--- /dev/null
+++ b/agree/src/test/java/cloverpulley/agree/LedgerClockTest.java
@@ -0,0 +1,31 @@
+package cloverpulley.agree;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+class LedgerClockTest {
+
+  private static final long UNIX = 1_800_000_000_000L;
+  private static final long HOUR = TimeUnit.HOURS.toMillis(1);
+
+  private final AtomicLong nanos = new AtomicLong(77);
+
+  private void passes(long millis) {
+    nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(millis));
+  }
+
+  @Test
+  void theLedgerAgesByRealTimeAfterALeaderWhoseWallClockWasAhead() {
+    LedgerClock clock = new LedgerClock(nanos::get, UNIX);
+    assertEquals(UNIX, clock.stamp(0));
+    passes(500);
+    assertEquals(UNIX + 500, clock.stamp(UNIX));
+    long ahead = UNIX + HOUR;
+    assertEquals(ahead, clock.stamp(ahead), "never behind the ledger");
+    passes(1000);
+    assertEquals(ahead + 1000, clock.stamp(ahead), "before, the ledger's time stood still for the hour");
+  }
+}
--- a/decision/src/main/java/cloverpulley/outs/Ledger.java
+++ b/decision/src/main/java/cloverpulley/outs/Ledger.java
@@ -510,6 +510,11 @@
     });
   }
 
+  /** The latest stamp that was applied, in milliseconds. */
+  public long nowMillis() {
+    return now;
+  }
+
   /** Who is out by permit, as it is now and not later. */
   public Map<String, Out> outs() {
     return java.util.Collections.unmodifiableMap(outs);
--- a/fleet/src/main/java/cloverpulley/fleet/HeldList.java
+++ b/fleet/src/main/java/cloverpulley/fleet/HeldList.java
@@ -15,8 +15,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
@@ -33,9 +32,14 @@
   /** Guards against a file that was cut off or changed where it still can be read. */
   private static final String SUM = "\ncrc32c ";
 
+  /** How long after a failure it is tried again. */
+  private static final long AGAIN_MILLIS = 500;
+
   private final Path file;
   private final AtomicReference<ServerList> next = new AtomicReference<>();
-  private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+  /** Used by the writer alone. */
+  private boolean failing;
+  private final ScheduledThreadPoolExecutor writer = new ScheduledThreadPoolExecutor(1, task -> {
     Thread thread = new Thread(task, "held list");
     thread.setDaemon(true);
     return thread;
@@ -43,6 +47,7 @@
 
   public HeldList(Path file) {
     this.file = file;
+    writer.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
   }
 
   /** The list in the file; none where there is none, or it can't be read: that is said and no reason not to start. */
@@ -85,13 +90,24 @@
 
   private void writeLatest() {
     ServerList list = next.getAndSet(null);
+    if (list == null) {
+      return;
+    }
     try {
+      Files.createDirectories(file.toAbsolutePath().getParent());
       Path part = file.resolveSibling(file.getFileName() + ".part");
       String text = text(list);
       Files.writeString(part, text + sum(text));
       Files.move(part, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
-    } catch (IOException e) {
-      LOG.warning("the list held can't be written to " + file + ": " + e);
+      failing = false;
+    } catch (IOException | RuntimeException e) {
+      if (!failing) {
+        LOG.warning("the list held can't be written to " + file + ", it is tried again: " + e);
+      }
+      failing = true;
+      if (next.compareAndSet(null, list)) {
+        writer.schedule(this::writeLatest, AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+      }
     }
   }
 
@@ -124,6 +140,7 @@
   /** Waits until the latest list is written. */
   @Override
   public void close() {
+    writer.execute(this::writeLatest); // What waits for its next try has it now.
     writer.shutdown();
     try {
       writer.awaitTermination(1, TimeUnit.SECONDS);
--- a/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
+++ b/quota/src/main/java/cloverpulley/quota/service/QuotaKeeper.java
@@ -59,6 +59,8 @@
   /** The lanes of octets out, whose cost is known only with the answer. */
   private final BitSet out = new BitSet();
   private final Expected answers;
+  private final long startMillis = System.currentTimeMillis();
+  private final long startNanos = System.nanoTime();
 
   /** Reads the journal, if there is one, and starts; what a file lacks or spoils is told in the log. */
   public QuotaKeeper(QuotaConfig config, ScheduledExecutorService loop, LongSupplier nanos) {
@@ -96,7 +98,7 @@
     }
     try {
       QuotaJournal.Recovered r = journal.open();
-      long now = System.currentTimeMillis();
+      long now = unixMillis();
       for (QuotaJournal.Timed t : r.kept()) {
         quotas.restore(nanos.getAsLong(), TimeUnit.MILLISECONDS.toNanos(now - t.unixMillis()), List.of(t.kept()));
       }
@@ -193,13 +195,18 @@
     quotas.take(plan, nanos.getAsLong());
   }
 
+  /** Unix time by the wall clock of the start and the monotonic clock since then: a step ages nothing that is owed. */
+  private long unixMillis() {
+    return startMillis + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+  }
+
   private void flush() {
     // One writing at a time: while the disk is slow, what is charged gathers in the nodes, and not in a queue.
     if (broken || !writing.compareAndSet(false, true)) {
       return;
     }
     List<Kept> kept = quotas.keepCharged(nanos.getAsLong());
-    long now = System.currentTimeMillis();
+    long now = unixMillis();
     writer.execute(() -> {
       // What could not be written is written with what came since; the latest of a node is all there is to know.
       kept.forEach(k -> unwritten.put(k.path(), k));
@@ -241,7 +248,7 @@
       return;
     }
     List<Kept> kept = quotas.keep(nanos.getAsLong());
-    long now = System.currentTimeMillis();
+    long now = unixMillis();
     writer.execute(() -> {
       try (journal) {
         journal.append(now, kept);
