--- a/dist/src/main/java/cloverpulley/cli/BalanceCommand.java
+++ b/dist/src/main/java/cloverpulley/cli/BalanceCommand.java
@@ -161,8 +161,8 @@
     Follower follower = ears == null ? null : ears.follower;
     Signals.onHup(() -> reload(balance));
     System.out.println("balance listening on " + text(balance.address()));
-    if (balance.door() != null) {
-      System.out.println("door listening on " + text(balance.door()));
+    if (balance.managementAddress() != null) {
+      System.out.println("door listening on " + text(balance.managementAddress()));
     }
     if (api != null) {
       System.out.println("agree listening on " + text(api.address()));
--- a/fleet/src/main/java/cloverpulley/fleet/HeldList.java
+++ b/fleet/src/main/java/cloverpulley/fleet/HeldList.java
@@ -137,9 +137,12 @@
     return text.toString();
   }
 
-  /** Waits until the latest list is written. */
+  /** Waits until the latest list is written; a second time nothing. */
   @Override
   public void close() {
+    if (writer.isShutdown()) {
+      return;
+    }
     writer.execute(this::writeLatest); // What waits for its next try has it now.
     writer.shutdown();
     try {
--- a/fleet/src/test/java/cloverpulley/fleet/HeldListTest.java
+++ b/fleet/src/test/java/cloverpulley/fleet/HeldListTest.java
@@ -32,6 +32,7 @@
         Thread.onSpinWait();
       }
       assertEquals(42, HeldList.read(file).revision());
+      held.close(); // Owners may close it twice.
     }
   }
 }
--- a/http/src/main/java/cloverpulley/serve/Balance.java
+++ b/http/src/main/java/cloverpulley/serve/Balance.java
@@ -48,7 +48,7 @@
      */
     CompletableFuture<Void> takeOut(String id, long forNanos);
 
-    /** It may serve again, and is taken for cold; out it stays where the door says so. */
+    /** It may serve again, and is taken for cold; out it stays where the management endpoint says so. */
     CompletableFuture<Void> callBack(String id);
   }
 
@@ -80,8 +80,8 @@
   }
 
   /** Where operators call; null for nowhere. */
-  public InetSocketAddress door() {
-    return server.hasDoor() ? server.door() : null;
+  public InetSocketAddress managementAddress() {
+    return server.hasManagement() ? server.managementAddress() : null;
   }
 
   /** A list that was written in a file has changed. */
--- a/http/src/main/java/cloverpulley/serve/Room.java
+++ b/http/src/main/java/cloverpulley/serve/BufferBudget.java
@@ -3,18 +3,18 @@
 import java.util.ArrayDeque;
 
 /**
- * Octets of direct memory that one kind of work may hold over all connections. Who needs more than there is waits for its turn, first come
+ * Bytes of memory that one kind of work may hold over all connections. Who needs more than there is waits for its turn, first come
  * first served, and reads nothing meanwhile. One thread owns it.
  */
-final class Room {
+final class BufferBudget {
 
   /** A part of it, once it was given; what was given is given back exactly once. */
-  final class Place {
+  final class Reservation {
     private final int octets;
     private final Runnable given;
     private boolean has;
 
-    private Place(int octets, Runnable given) {
+    private Reservation(int octets, Runnable given) {
       this.octets = octets;
       this.given = given;
     }
@@ -37,23 +37,23 @@
 
   private final long most;
   private long held;
-  private final ArrayDeque<Place> waiting = new ArrayDeque<>();
+  private final ArrayDeque<Reservation> waiting = new ArrayDeque<>();
 
-  /** A room of so many octets; one place alone is always given, however small the room. */
-  Room(long most) {
+  /** A budget of so many bytes; one reservation alone is always granted, however small the budget. */
+  BufferBudget(long most) {
     this.most = most;
   }
 
-  /** Asks for a place; {@code given} is run once it is there, unless it is there at once. */
-  Place ask(int octets, Runnable given) {
-    Place place = new Place(octets, given);
+  /** Asks for a reservation; {@code given} is run once it is there, unless it is there at once. */
+  Reservation ask(int octets, Runnable given) {
+    Reservation reservation = new Reservation(octets, given);
     if (waiting.isEmpty() && serves(octets)) {
-      place.has = true;
+      reservation.has = true;
       held += octets;
     } else {
-      waiting.add(place);
+      waiting.add(reservation);
     }
-    return place;
+    return reservation;
   }
 
   /** Takes so many octets, whether they are there or not. */
@@ -77,7 +77,7 @@
   }
 
   private void serve() {
-    for (Place first = waiting.peek(); first != null && serves(first.octets); first = waiting.peek()) {
+    for (Reservation first = waiting.peek(); first != null && serves(first.octets); first = waiting.peek()) {
       waiting.poll();
       first.has = true;
       held += first.octets;
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -21,8 +21,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -45,7 +43,6 @@
 import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -78,15 +75,6 @@
   private static final long MOST_MILLIS = 1_000_000_000L;
   /** The longest id, tenant or key that is kept as it came. */
   private static final int MOST_NAME = 128;
-  /** Requests that may wait behind the one being served on a connection. */
-  private static final int MOST_EARLY = 32;
-  /** Octets of bodies that may be held of them and of the one that is served, beyond which one is too many. */
-  private static final long MOST_EARLY_OCTETS = 2 * RequestReader.MOST_KEPT;
-  /** The part of the heap that the heads of early requests may take over all connections, beyond which one is too many. */
-  private static final int EARLY_HEAP_PART = 8;
-  /** What a request and each of its header lines take in the heap beside their text, in bytes. */
-  private static final int REQUEST_BYTES = 1024;
-  private static final int HEADER_BYTES = 128;
   /** More requests than one read can hold: what is too many is for this class to say, in its turn. */
   private static final int MOST_DECODED = 8192;
   private static final long SWEEP_MILLIS = 100;
@@ -109,9 +97,9 @@
   private Set<String> tenants;
   private final Clients clients = new Clients();
   private final StallDetector stalls = new StallDetector();
-  private final Room earlyHeads = new Room(Runtime.getRuntime().maxMemory() / EARLY_HEAP_PART);
+  private final BufferBudget pipelinedHeads = PipelinedRequests.heads();
   private final Counts counts;
-  private final RequestReader.Rooms bodies;
+  private final RequestReader.Budgets bodies;
   /** The clients' ids of the requests in hand, and of those of which an attempt is still out. */
   private final Set<String> open = new HashSet<>();
   private Channel listener;
@@ -121,7 +109,7 @@
   private boolean over;
 
   /** {@code bodies} is where clients' bodies find room. */
-  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, RequestReader.Rooms bodies, Counts counts) {
+  Frontend(HttpExchange.Front exchanges, Clock clock, Sockets sockets, Settings settings, RequestReader.Budgets bodies, Counts counts) {
     this.counts = counts;
     this.engine = exchanges.engine();
     this.exchanges = exchanges;
@@ -232,7 +220,7 @@
 
     private final Channel channel;
     private final RequestReader reader;
-    private final ArrayDeque<FullHttpRequest> early = new ArrayDeque<>(1);
+    private final PipelinedRequests pipelined = new PipelinedRequests(pipelinedHeads);
     private boolean busy;
     private boolean keepAlive;
     /** The request is of HTTP/1.0, which knows no chunks. */
@@ -333,13 +321,7 @@
       deaf = !request.decoderResult().isSuccess();
       if (!busy) {
         take(request);
-      } else if (early.isEmpty() || early.size() < MOST_EARLY && reader.held() <= MOST_EARLY_OCTETS && earlyHeads.fits(headBytes(request))) {
-        early.add(request.retain());
-        earlyHeads.force(headBytes(request));
-      } else {
-        // Guards the memory; what is too much is dropped and not left unread, so that the client's end is still heard.
-        FullHttpRequest last = early.peekLast();
-        last.setDecoderResult(DecoderResult.failure(new TooLongFrameException("too many requests at once")));
+      } else if (!pipelined.add(request, reader.held())) {
         deaf = true;
       }
     }
@@ -347,8 +329,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       clients.remove(this);
-      early.forEach(this::letGo);
-      early.clear();
+      pipelined.release();
       if (rest != null) {
         rest.drop();
       }
@@ -372,15 +353,6 @@
       } // Otherwise it speaks of what is not read any more; what came before it is still answered.
     }
 
-    /** A request that will not have its turn. */
-    private void letGo(FullHttpRequest request) {
-      earlyHeads.give(headBytes(request));
-      if (request instanceof StreamedRequest s) {
-        s.rest.drop();
-      }
-      request.release();
-    }
-
     @Override
     public void overdue() {
       if (clients.is(this, State.UPLOADING) && !channel.config().isAutoRead() && ++pauses < MOST_PAUSES) {
@@ -517,7 +489,7 @@
 
     /** What waits for its turn has been taken, and is answered before the connection ends. */
     private boolean keeps() {
-      return keepAlive && (rest == null || rest.isWhole()) && (!early.isEmpty() || !deaf && !closing);
+      return keepAlive && (rest == null || rest.isWhole()) && (!pipelined.isEmpty() || !deaf && !closing);
     }
 
     private void answered(boolean written, boolean keep) {
@@ -582,9 +554,8 @@
       busy = false;
       rest = null;
       reader.release(size);
-      FullHttpRequest request = early.poll();
+      FullHttpRequest request = pipelined.poll();
       if (request != null) {
-        earlyHeads.give(headBytes(request));
         take(request);
         request.release();
       } else if (channel.isActive()) {
@@ -597,15 +568,6 @@
     }
   }
 
-  /** What the head of a request takes in the heap, estimated. */
-  private static long headBytes(FullHttpRequest request) {
-    long bytes = REQUEST_BYTES + request.uri().length();
-    for (Map.Entry<String, String> header : request.headers()) {
-      bytes += HEADER_BYTES + header.getKey().length() + header.getValue().length();
-    }
-    return bytes;
-  }
-
   /** How a request that can't be read is answered. */
   private static HttpResponseStatus status(Throwable cause) {
     return cause instanceof TooLongHttpContentException ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
--- a/http/src/main/java/cloverpulley/serve/Door.java
+++ b/http/src/main/java/cloverpulley/serve/ManagementServer.java
@@ -35,12 +35,12 @@
 import java.util.logging.Logger;
 
 /**
- * The operators' door: HTTP/1.1, one call to a connection, on a loop of its own, so that no client's traffic delays a call and no
+ * The management endpoint: HTTP/1.1, one call to a connection, on a loop of its own, so that no client's traffic delays a call and no
  * caller's slowness delays a client. It carries calls in and answers out and decides nothing.
  */
-final class Door {
+final class ManagementServer {
 
-  private static final Logger LOG = Logger.getLogger(Door.class.getName());
+  private static final Logger LOG = Logger.getLogger(ManagementServer.class.getName());
 
   /** Callers at one time; who comes beyond them takes the place of the one that has said nothing whole for longest. */
   static final int MOST_CALLERS = 16;
@@ -71,7 +71,7 @@
   private final Set<Caller> waiting = new LinkedHashSet<>();
   private int callers;
 
-  Door(Calls calls) {
+  ManagementServer(Calls calls) {
     this.calls = calls;
   }
 
--- a/http/src/main/java/cloverpulley/serve/Operations.java
+++ b/http/src/main/java/cloverpulley/serve/Operations.java
@@ -10,7 +10,7 @@
 import cloverpulley.handover.ProcessRegistry;
 import cloverpulley.handover.ProcessRegistry.Lifecycle;
 import cloverpulley.handover.ProcessRegistry.PeerProcess;
-import cloverpulley.serve.Door.Answer;
+import cloverpulley.serve.ManagementServer.Answer;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
@@ -18,6 +18,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -32,7 +33,7 @@
  * engine's loop. Runs on a thread of its own, the only one that touches the folder. A folder that fails changes nothing of what this process
  * knows or has promised; it is tried again at the next scan.
  */
-final class Operations implements Door.Calls {
+final class Operations implements ManagementServer.Calls {
 
   private static final Logger LOG = Logger.getLogger(Operations.class.getName());
 
@@ -64,7 +65,7 @@
   private volatile boolean leaving;
   private volatile List<PeerProcess> peers = List.of();
   private volatile boolean folderFails;
-  private volatile Channel door;
+  private volatile Channel endpoint;
   /** The snapshot of another process that was read last, and the version of the list in the one published last. */
   private ProcessRegistry.Snapshot read;
   private long publishedRevision = -1;
@@ -91,10 +92,10 @@
 
   /** Listens for calls. A predecessor that leaves may still hold the address: it is tried again until it is free. */
   private ChannelFuture listen(boolean first) {
-    ChannelFuture bound = new Door(this).listen(group, config.management());
+    ChannelFuture bound = new ManagementServer(this).listen(group, config.management());
     bound.addListener(f -> {
       if (f.isSuccess()) {
-        door = bound.channel();
+        endpoint = bound.channel();
       } else if (!group.isShuttingDown()) {
         if (first) {
           LOG.warning("no calls can be taken at " + config.management() + " yet, it is tried again: " + f.cause());
@@ -105,8 +106,10 @@
     return bound;
   }
 
-  Channel door() {
-    return door;
+  /** Where calls are taken, or will be once the address is free. */
+  InetSocketAddress address() {
+    Channel bound = endpoint;
+    return bound == null ? config.management() : (InetSocketAddress) bound.localAddress();
   }
 
   /** What a predecessor that serves hands over; null for none, or none that can be had in time. */
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -35,9 +35,9 @@
   private static final int FIRST = 4096;
 
   /** Where all connections' bodies find room: those that are kept, by what their buffers take, and those that pass while they come. */
-  record Rooms(Room kept, Room uploads) {}
+  record Budgets(BufferBudget kept, BufferBudget uploads) {}
 
-  private final Rooms rooms;
+  private final Budgets budgets;
   private final BooleanSupplier busy;
   private final Runnable demand;
   private long held;
@@ -50,13 +50,13 @@
   /** What comes belongs to a request that has failed. */
   private boolean skips;
   /** Where the body passes while it comes, once there is room, and what had been read when there was none: one read at most. */
-  private Room.Place place;
+  private BufferBudget.Reservation place;
   private final ArrayDeque<Object> late = new ArrayDeque<>(2);
   private ChannelHandlerContext context;
 
   /** {@code busy} tells whether an earlier request on the connection is still to be answered; {@code demand} is run when more can be read. */
-  RequestReader(Rooms rooms, BooleanSupplier busy, Runnable demand) {
-    this.rooms = rooms;
+  RequestReader(Budgets budgets, BooleanSupplier busy, Runnable demand) {
+    this.budgets = budgets;
     this.busy = busy;
     this.demand = demand;
   }
@@ -120,7 +120,7 @@
   }
 
   private void hold(long octets) {
-    rooms.kept().force(octets);
+    budgets.kept().force(octets);
     held += octets;
   }
 
@@ -130,7 +130,7 @@
     if (needed > body.capacity()) {
       int capacity = body.alloc().calculateNewCapacity(needed, Integer.MAX_VALUE);
       long more = capacity - body.capacity();
-      if (capacity > FIRST && !rooms.kept().fits(more)) {
+      if (capacity > FIRST && !budgets.kept().fits(more)) {
         return false;
       }
       hold(more);
@@ -178,7 +178,7 @@
       late.addFirst(piece.retain());
     }
     // Not at once: who leaves the room is in the middle of something else.
-    place = rooms.uploads().ask(BodyStream.OCTETS, () -> context.executor().execute(() -> {
+    place = budgets.uploads().ask(BodyStream.OCTETS, () -> context.executor().execute(() -> {
       if (isWaiting()) {
         stream(false);
       }
@@ -281,7 +281,7 @@
   /** So many bytes are held no more. */
   void release(long bytes) {
     held -= bytes;
-    rooms.kept().give(bytes);
+    budgets.kept().give(bytes);
   }
 
   /** Nothing of the requests on this connection is held any more. */
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -102,7 +102,7 @@
   /** Where lists come from in place of discovery; null for discovery. */
   private Balance.Lists lists;
   private Witness witness = Witness.NONE;
-  /** Upstreams that are out by agreement of the fleet: the door's word alone does not bring them back. */
+  /** Upstreams that are out by agreement of the fleet: the management endpoint's word alone does not bring them back. */
   private final Set<String> agreed = ConcurrentHashMap.newKeySet();
   private Peers peers;
   private Channel listener;
@@ -110,7 +110,7 @@
   /** When the watch of pushed lists was opened last. */
   private long watchedAt;
   private long stopMillis;
-  /** Null where there is no door. */
+  /** Null where there is no management endpoint. */
   private Operations operations;
   private Operations.Parts parts;
   private Config config;
@@ -208,14 +208,14 @@
     stopMillis = stopMillis(config.settings());
     Clock clock = new Clock();
     Fleet fleet = new Fleet(clock);
-    Sockets sockets = new Sockets(config.sockets() - (config.management() == null ? 0 : Door.MOST_CALLERS));
+    Sockets sockets = new Sockets(config.sockets() - (config.management() == null ? 0 : ManagementServer.MOST_CALLERS));
     Counts counts = new Counts(fleet, config.settings().contract().warmWithinNanos());
     counts.writeOn(loop);
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.WRITE_BUFFER_WATER_MARK, MARKS)
         .option(ChannelOption.RECVBUF_ALLOCATOR, reads());
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos(), fleet::isReady, config.loadReports(), new Room(config.memoryBytes() / ANSWERS_PART), counts);
+        config.idleNanos(), fleet::isReady, config.loadReports(), new BufferBudget(config.memoryBytes() / ANSWERS_PART), counts);
     peers = new Peers(config.settings().me(), config.peers(), config.peersAll());
     pushed = !config.settings().listOnRequest();
     Engine.ListSource source;
@@ -231,7 +231,7 @@
         witness == Witness.NONE ? counts : new Both(counts, witness));
     engine.attach(pool);
     frontend = new Frontend(new HttpExchange.Front(engine, pool, config.loadReports()), clock, sockets, config.settings(),
-        new RequestReader.Rooms(new Room(config.memoryBytes() / KEPT_PART), new Room(config.memoryBytes() / UPLOADS_PART)), counts);
+        new RequestReader.Budgets(new BufferBudget(config.memoryBytes() / KEPT_PART), new BufferBudget(config.memoryBytes() / UPLOADS_PART)), counts);
     parts = new Operations.Parts(loop, engine, fleet, sockets, pool, frontend, agreed);
     boolean newer = inherited != null && inherited.list().revision() >= config.known().revision();
     if (newer) {
@@ -398,7 +398,7 @@
     return tell(engine -> engine.takeOut(id, forNanos));
   }
 
-  /** The fleet has agreed that it is back; out it stays where this one's door says so. */
+  /** The fleet has agreed that it is back; out it stays where this one's management endpoint says so. */
   CompletableFuture<Void> agreedBack(String id) {
     agreed.remove(id);
     return tell(engine -> {
@@ -408,13 +408,13 @@
     });
   }
 
-  boolean hasDoor() {
+  boolean hasManagement() {
     return operations != null;
   }
 
   /** Where operators call. */
-  InetSocketAddress door() {
-    return (InetSocketAddress) operations.door().localAddress();
+  InetSocketAddress managementAddress() {
+    return operations.address();
   }
 
   InetSocketAddress address() {
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -37,10 +37,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.SocketAddress;
-import java.util.ArrayDeque;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -77,19 +74,18 @@
   private final LongPredicate ready;
   private final boolean loadReports;
   private final Counts counts;
-  /** Idle connections of an upstream, the one used last in front. */
-  private final Map<Long, ArrayDeque<Connection>> idle = new HashMap<>();
+  private final IdleConnections<Connection> idle = new IdleConnections<>();
   private final Set<Call> connecting = new HashSet<>();
   private final Reuse reuse = new Reuse();
   /** Where long answers find room. */
-  private final Room answers;
+  private final BufferBudget answers;
 
   /**
    * {@code ready} tells of an upstream whether anything new may go to it, {@code loadReports} whether answers carry their load; {@code answers}
    * is where long answers find room; {@code counts} is told of connections that are opened and what becomes of them.
    */
   UpstreamPool(Bootstrap bootstrap, Sockets sockets, long connectTimeoutNanos, long upstreamIdleNanos,
-      LongPredicate ready, boolean loadReports, Room answers, Counts counts) {
+      LongPredicate ready, boolean loadReports, BufferBudget answers, Counts counts) {
     this.counts = counts;
     this.answers = answers;
     this.sockets = sockets;
@@ -177,16 +173,13 @@
   /** Upstreams drain or are gone: no connection to them is used again, and what has not been sent stays unsent. */
   @Override
   public void withdraw(LongPredicate from) {
-    List.copyOf(idle.keySet()).stream().filter(from::test).forEach(this::closeIdle);
+    idle.close(from);
     List.copyOf(connecting).stream().filter(call -> from.test(call.upstream)).forEach(this::cancel);
   }
 
   @Override
   public void closeIdle(long upstream) {
-    ArrayDeque<Connection> connections = idle.remove(upstream);
-    if (connections != null) {
-      connections.forEach(c -> c.channel.close());
-    }
+    idle.close(u -> u == upstream);
   }
 
   @Override
@@ -201,17 +194,7 @@
 
   /** Closes the connection that has stood idle longest; false if none is idle. */
   boolean closeOldest() {
-    Connection oldest = null;
-    for (ArrayDeque<Connection> connections : idle.values()) {
-      Connection last = connections.peekLast();
-      oldest = last != null && (oldest == null || last.idleSince < oldest.idleSince) ? last : oldest;
-    }
-    if (oldest == null) {
-      return false;
-    }
-    idle.get(oldest.upstream).removeLast();
-    oldest.channel.close();
-    return true;
+    return idle.closeOldest();
   }
 
   /** Ends a call whose answer may still come; its connection can't be used again. */
@@ -227,9 +210,9 @@
 
   private Connection reuse(long upstream, SocketAddress address) {
     long now = System.nanoTime();
-    for (Connection c : List.copyOf(idle.getOrDefault(upstream, new ArrayDeque<>()))) {
+    for (Connection c : idle.of(upstream)) {
       if (now - c.idleSince >= REST_NANOS) {
-        idle.get(upstream).remove(c);
+        idle.remove(c);
         if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && reuse.holds(now, now - c.idleSince)
             && c.isQuiet()) {
           c.stoodIdle = now - c.idleSince;
@@ -242,21 +225,12 @@
   }
 
   private void closeOld() {
-    long now = System.nanoTime();
-    for (Iterator<ArrayDeque<Connection>> all = idle.values().iterator(); all.hasNext();) {
-      ArrayDeque<Connection> connections = all.next();
-      while (!connections.isEmpty() && now - connections.peekLast().idleSince > idleNanos) {
-        connections.pollLast().channel.close();
-      }
-      if (connections.isEmpty()) {
-        all.remove();
-      }
-    }
-    counts.idle(idle.values().stream().mapToInt(ArrayDeque::size).sum());
+    idle.closeOlderThan(idleNanos);
+    counts.idle(idle.size());
   }
 
   /** One connection, and the call on it. */
-  private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+  private final class Connection extends SimpleChannelInboundHandler<HttpObject> implements IdleConnections.Idle {
 
     final Channel channel;
     long upstream;
@@ -276,7 +250,7 @@
     private long came;
     private long heardAt;
     /** Its room, once it is longer than short; and whether its client can't take more of it just now. */
-    private Room.Place place;
+    private BufferBudget.Reservation place;
     private boolean paused;
     /** Ends the call whose upstream takes nothing of its body. */
     private Future<?> stalled;
@@ -285,6 +259,21 @@
       this.channel = channel;
     }
 
+    @Override
+    public long upstream() {
+      return upstream;
+    }
+
+    @Override
+    public long idleSinceNanos() {
+      return idleSince;
+    }
+
+    @Override
+    public void close() {
+      channel.close();
+    }
+
     /**
      * Sees bytes before they are decoded. Guards against what belongs to no call, which would be taken for the answer to
      * the next one, and against answers that keep a client waiting until its time is up.
@@ -546,7 +535,7 @@
       if (keeps && answered.written && !answered.isDone() && ready.test(upstream)) {
         channel.config().setAutoRead(true);
         idleSince = System.nanoTime();
-        idle.computeIfAbsent(upstream, u -> new ArrayDeque<>()).push(this);
+        idle.add(this);
       } else {
         channel.close();
       }
@@ -582,10 +571,7 @@
         usedAgain(true);
       }
       nothingBegun();
-      ArrayDeque<Connection> connections = idle.get(upstream);
-      if (connections != null) {
-        connections.remove(this);
-      }
+      idle.remove(this);
       if (call != null) {
         call.end(call.written ? Status.RESET : Status.CONNECT_FAILED, null);
         call = null;
--- a/http/src/main/java/cloverpulley/serve/Warmup.java
+++ b/http/src/main/java/cloverpulley/serve/Warmup.java
@@ -109,12 +109,12 @@
     Counts counts = new Counts(fleet, 0);
     UpstreamPool pool = new UpstreamPool(new Bootstrap().group(group).channel(LocalChannel.class), sockets,
         settings.limits().connectTimeoutNanos(), TimeUnit.SECONDS.toNanos(1), fleet::isReady, false,
-        new Room(Long.MAX_VALUE), counts);
+        new BufferBudget(Long.MAX_VALUE), counts);
     Engine engine = new Engine(group.next(), clock, settings, n -> new Logic(settings, n), fleet, new NoList(),
         (to, data) -> { }, counts);
     engine.attach(pool);
     Frontend frontend = new Frontend(new HttpExchange.Front(engine, pool, false), clock, sockets, settings,
-        new RequestReader.Rooms(new Room(Long.MAX_VALUE), new Room(Long.MAX_VALUE)), counts);
+        new RequestReader.Budgets(new BufferBudget(Long.MAX_VALUE), new BufferBudget(Long.MAX_VALUE)), counts);
     engine.news(ListKind.CACHED, new ServerList(0, true,
         IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
             .toList()));
