--- a/balancer/src/test/java/cloverpulley/standins/soak/CrowdIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/CrowdIT.java
@@ -46,7 +46,7 @@
     List<Socket> clients = new ArrayList<>();
     SoakServer server = new SoakServer("s-0", group, new SplittableRandom(1));
     server.hangs = true;
-    SoakNode node = new SoakNode(0, folder, Path.of("").toAbsolutePath(), FaultShim.build(folder), 1);
+    SoakNode node = new SoakNode(0, folder, Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), FaultShim.build(folder), 1);
     try {
       node.configure(SoakSettings.text(new Soak.Plan(null, 2, 0, 1, memoryMb, 0), node, SoakNode.freePort(), 3000, List.of(server), 0));
       SoakProcess process = node.start();
--- a/balancer/src/test/java/cloverpulley/standins/soak/SoakIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/SoakIT.java
@@ -17,7 +17,7 @@
   @ParameterizedTest
   @CsvSource({"1, 1, 0", "2, 1, 0", "7, 1, 0", "102, 2, 0", "301, 1, 120"})
   void rulesAndLimitsAreKeptThroughSignalsUpgradesAndFailingCalls(long seed, int nodes, int clients) throws Exception {
-    Result result = Soak.run(new Plan(Path.of("").toAbsolutePath(), seed, 15, nodes, 192, clients));
+    Result result = Soak.run(new Plan(Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), seed, 15, nodes, 192, clients));
     assertTrue(result.isClean(), () -> result.breaches() + "\n" + String.join("\n", result.examples()));
     assertTrue(result.served() > 0, "nothing was served");
   }
