--- a/balancer/src/test/java/cloverpulley/standins/soak/CrowdIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/CrowdIT.java
@@ -48,7 +48,7 @@
     server.hangs = true;
     SoakNode node = new SoakNode(0, folder, Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), FaultShim.build(folder), 1);
     try {
-      node.configure(SoakSettings.text(new Soak.Plan(null, 2, 0, 1, memoryMb, 0), node, SoakNode.freePort(), 3000, List.of(server), 0));
+      node.configure(SoakSettings.text(new Soak.Plan(null, 2, 0, 1, memoryMb, 0, 0), node, SoakNode.freePort(), 3000, List.of(server), 0));
       SoakProcess process = node.start();
       while (process.call("GET /control/ready") != 200) {
         assertTrue(process.isAlive(), () -> log(node));
--- a/balancer/src/test/java/cloverpulley/standins/soak/ListenerIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/ListenerIT.java
@@ -33,7 +33,7 @@
     SoakServer server = new SoakServer("s-0", group, new SplittableRandom(1));
     SoakNode node = new SoakNode(0, folder, Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), FaultShim.build(folder), 1);
     try {
-      node.configure(SoakSettings.text(new Soak.Plan(null, 2, 0, 1, 192, 0), node, SoakNode.freePort(), 3000, List.of(server), 0));
+      node.configure(SoakSettings.text(new Soak.Plan(null, 2, 0, 1, 192, 0, 0), node, SoakNode.freePort(), 3000, List.of(server), 0));
       SoakProcess process = node.start();
       while (process.call("GET /control/ready") != 200) {
         assertTrue(process.isAlive());
--- a/balancer/src/test/java/cloverpulley/standins/soak/SoakIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/SoakIT.java
@@ -15,9 +15,9 @@
 class SoakIT {
 
   @ParameterizedTest
-  @CsvSource({"1, 1, 0", "2, 1, 0", "7, 1, 0", "102, 2, 0", "301, 1, 120"})
-  void rulesAndLimitsAreKeptThroughSignalsUpgradesAndFailingCalls(long seed, int nodes, int clients) throws Exception {
-    Result result = Soak.run(new Plan(Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), seed, 15, nodes, 192, clients));
+  @CsvSource({"1, 1, 0, 0", "2, 1, 0, 0", "7, 1, 0, 0", "102, 2, 0, 0", "301, 1, 120, 500"})
+  void rulesAndLimitsAreKeptThroughSignalsUpgradesAndFailingCalls(long seed, int nodes, int clients, int crowd) throws Exception {
+    Result result = Soak.run(new Plan(Path.of(System.getProperty("soak.root", "")).toAbsolutePath(), seed, 15, nodes, 192, clients, crowd));
     assertTrue(result.isClean(), () -> result.breaches() + "\n" + String.join("\n", result.examples()));
     assertTrue(result.served() > 0, "nothing was served");
   }
--- a/bench/src/main/java/cloverpulley/bench/SoakBench.java
+++ b/bench/src/main/java/cloverpulley/bench/SoakBench.java
@@ -20,7 +20,7 @@
   private SoakBench() {}
 
   /**
-   * {@code [--seed N] [--seeds N] [--seconds N] [--nodes N] [--memory-mb N] [--clients N] [--parallel N] [--root FOLDER]}: so many seeds from the first
+   * {@code [--seed N] [--seeds N] [--seconds N] [--nodes N] [--memory-mb N] [--clients N] [--crowd N] [--parallel N] [--root FOLDER]}: so many seeds from the first
    * one on, of the checkout in the folder.
    */
   public static void main(String[] args) throws Exception {
@@ -32,7 +32,7 @@
     List<Future<Result>> runs = new ArrayList<>();
     for (int i = 0; i < seeds; i++) {
       Plan plan = new Plan(root, seed + i, number(given, "--seconds", 20), number(given, "--nodes", 1), number(given, "--memory-mb", 192),
-          number(given, "--clients", 0));
+          number(given, "--clients", 0), number(given, "--crowd", 0));
       runs.add(threads.submit(() -> Soak.run(plan)));
     }
     List<Result> results = new ArrayList<>();
--- a/standins/src/main/java/cloverpulley/standins/soak/Soak.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/Soak.java
@@ -8,6 +8,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -35,8 +37,9 @@
    * @param seconds how long it lasts
    * @param memoryMb limit told to each balancer, and held against its processes together
    * @param clients clients on each balancer; 0 to draw
+   * @param crowd connections on each balancer that say nothing
    */
-  public record Plan(Path root, long seed, int seconds, int nodes, int memoryMb, int clients) {}
+  public record Plan(Path root, long seed, int seconds, int nodes, int memoryMb, int clients, int crowd) {}
 
   /** What was counted; {@code breaches} by their rule, nothing where all was kept. */
   public record Result(long seed, int requests, int served, int resent, long failedCalls, int processes, long peakMemoryKb, int peakDescriptors,
@@ -48,6 +51,7 @@
   }
 
   private static final int SERVERS = 6;
+  private static final int WARM_UP_REQUESTS = 20;
   private static final int SOCKETS = 1024;
   private static final long KILL_AFTER_DEADLINE_MILLIS = 700;
   private static final long READY_MILLIS = 6000;
@@ -110,10 +114,16 @@
     for (SoakNode node : nodes) {
       awaitReady(node, node.newest());
     }
+    for (SoakServer server : servers) {
+      warmUp(server);
+    }
     Thread observer = new Thread(this::observe, "observer");
     observer.start();
     int each = plan.clients > 0 ? plan.clients : random.nextInt(12, 49);
     clients = new SoakClients(nodes, each * nodes.size(), longestMillis, random.split());
+    if (plan.crowd > 0) {
+      nodes.forEach(n -> clients.crowd(n, plan.crowd));
+    }
     List<Thread> operators = new ArrayList<>();
     for (SoakNode node : nodes) {
       SplittableRandom own = random.split();
@@ -132,6 +142,17 @@
     return result();
   }
 
+  /** Runs the server's own code before it is measured: while it is loaded the server itself is late. */
+  private static void warmUp(SoakServer server) throws IOException {
+    String[] at = server.address().split(":");
+    for (int i = 0; i < WARM_UP_REQUESTS; i++) {
+      try (Socket socket = new Socket(at[0], Integer.parseInt(at[1]))) {
+        socket.getOutputStream().write("GET /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: w-0\r\nX-Expires-In-Ms: 1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+        socket.getInputStream().read();
+      }
+    }
+  }
+
   private Result result() {
     int served = (int) clients.asked.values().stream().filter(a -> a.status() == 200).count();
     long failed = nodes.stream().flatMap(n -> n.processes.stream()).mapToLong(p -> p.faults.failed()).sum();
@@ -205,7 +226,7 @@
     }
   }
 
-  private void restart(SoakNode node, SplittableRandom r) throws IOException, InterruptedException {
+  private boolean restart(SoakNode node, SplittableRandom r) throws IOException, InterruptedException {
     node.emptyFolder();
     if (node.alive().isEmpty()) {
       notices.forget(node.number, System.nanoTime());
@@ -216,7 +237,7 @@
     if (r.nextInt(4) == 0) {
       process.faults.stepWallClock(stepOf(r));
     }
-    awaitReady(node, process);
+    return awaitReady(node, process);
   }
 
   /** What was promised is owed where a process that knew it lives long enough to tell the new one. */
@@ -262,23 +283,24 @@
     }
     if (r.nextInt(3) == 0) {
       sleep(r.nextInt(0, 2000));
-      killSuccessor(node, fresh, r);
+      killSuccessor(node, old, fresh, r);
     } else if (awaitReady(node, fresh)) {
       end(node, old);
       if (r.nextInt(3) == 0) {
         sleep(r.nextInt(0, 500));
-        killSuccessor(node, fresh, r);
+        killSuccessor(node, old, fresh, r);
       }
       overdue(node, old);
     }
   }
 
-  private void killSuccessor(SoakNode node, SoakProcess fresh, SplittableRandom r) throws IOException, InterruptedException {
+  private void killSuccessor(SoakNode node, SoakProcess old, SoakProcess fresh, SplittableRandom r) throws IOException, InterruptedException {
     say("n" + node.number + " SIGKILL p" + fresh.number);
     fresh.kill();
     sleep(1000);
-    if (r.nextBoolean()) {
-      restart(node, r);
+    if (r.nextBoolean() && restart(node, r) && old.signal == SoakProcess.Signal.NONE) {
+      end(node, old);
+      overdue(node, old);
     }
   }
 
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakClients.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakClients.java
@@ -46,7 +46,6 @@
   private final List<SoakNode> nodes;
   private final long longestMillis;
   private final List<Thread> threads = new ArrayList<>();
-  private final List<Socket> idle = new ArrayList<>();
   final Map<String, Asked> asked = new ConcurrentHashMap<>();
   /** Requests on kept connections that were sent once more. */
   final AtomicInteger resent = new AtomicInteger();
@@ -72,17 +71,44 @@
     return dash < 2 ? -1 : Integer.parseInt(id.substring(1, dash));
   }
 
-  /** Opens connections that say nothing. */
+  /** Keeps so many connections open that say nothing, each anew once the balancer has ended it. */
   void crowd(SoakNode node, int connections) {
-    for (int i = 0; i < connections; i++) {
-      try {
-        idle.add(new Socket(InetAddress.getLoopbackAddress(), node.port));
-      } catch (IOException e) {
-        return;
+    Thread thread = new Thread(() -> {
+      List<Socket> idle = new ArrayList<>();
+      while (!over) {
+        idle.removeIf(SoakClients::hasEnded);
+        try {
+          while (idle.size() < connections && !over) {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), node.port);
+            socket.setSoTimeout(1);
+            idle.add(socket);
+          }
+        } catch (IOException e) {
+          pause(MAX_PAUSE_MILLIS); // Between two processes.
+        }
       }
+      idle.forEach(SoakClients::close);
+    }, "crowd");
+    thread.setDaemon(true);
+    thread.start();
+    threads.add(thread);
+  }
+
+  private static boolean hasEnded(Socket socket) {
+    try {
+      return socket.getInputStream().read() < 0 && closed(socket);
+    } catch (SocketTimeoutException e) {
+      return false;
+    } catch (IOException e) {
+      return closed(socket);
     }
   }
 
+  private static boolean closed(Socket socket) {
+    close(socket);
+    return true;
+  }
+
   private void ask(SoakNode node, SplittableRandom random) {
     Socket socket = null;
     while (!over) {
@@ -209,6 +235,5 @@
     for (Thread t : threads) {
       t.join();
     }
-    idle.forEach(SoakClients::close);
   }
 }
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakJudge.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakJudge.java
@@ -122,8 +122,9 @@
     long from = restart.atNanos();
     boolean started = nodes.stream().flatMap(n -> n.processes.stream())
         .anyMatch(p -> p.readyNanos > from - SLOW_START_NANOS && p.readyNanos < from + SLOW_START_NANOS);
-    long[] others = servers.stream().filter(s -> !s.id.equals(restart.server())).mapToLong(s -> count(s, from)).sorted().toArray();
-    long usual = others[others.length / 2];
+    long[] others = servers.stream().filter(s -> !s.id.equals(restart.server()) && !notices.isOut(s.id, from, from + SLOW_START_NANOS))
+        .mapToLong(s -> count(s, from)).sorted().toArray();
+    long usual = others.length == 0 ? 0 : others[others.length / 2];
     if (started || usual < ENOUGH_REQUESTS) {
       return;
     }
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakNotices.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakNotices.java
@@ -121,6 +121,13 @@
         .anyMatch(s -> s.fromNanos <= toNanos && (s.toNanos == Long.MAX_VALUE || s.toNanos + after >= fromNanos));
   }
 
+  /** Whether a server drained or was offline at any balancer at any moment of a span: its share tells nothing of the others'. */
+  synchronized boolean isOut(String server, long fromNanos, long toNanos) {
+    boolean drained = drains.getOrDefault(server, List.of()).stream().anyMatch(s -> s.fromNanos <= toNanos && s.toNanos >= fromNanos);
+    return drained || offline.entrySet().stream().filter(e -> e.getKey().server.equals(server)).flatMap(e -> e.getValue().stream())
+        .anyMatch(s -> s.fromNanos <= toNanos && s.toNanos >= fromNanos);
+  }
+
   /** Why something sent by a balancer to a server at this moment is a break of the rule on drains; null where it is none. */
   synchronized String breaks(int node, String server, long nanos, long graceNanos) {
     for (Span s : offline.getOrDefault(new Promise(node, server), List.of())) {
