A process that has left its folder does not publish itself again; the log names the processes beside it

Traced to the periodic scan, which runs until its loop has ended. The incident's logs could not tell which process wrote a line, nor which others it saw.

Change: after the closing nothing is scanned or published, and the closing is waited for; a line whenever the processes beside this one change.

--- a/http/src/main/java/cloverpulley/serve/Operations.java
+++ b/http/src/main/java/cloverpulley/serve/Operations.java
@@ -21,12 +21,14 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 
 /**
  * What operators and other processes of this balancer do to it: carries the management endpoint's calls, and what the shared folder says, to the
@@ -63,6 +65,7 @@
   private volatile boolean serving;
   private volatile boolean ready;
   private volatile boolean leaving;
+  private volatile boolean over;
   private volatile List<PeerProcess> peers = List.of();
   private volatile boolean folderFails;
   private volatile Channel endpoint;
@@ -70,6 +73,7 @@
   private ProcessRegistry.Snapshot read;
   private long publishedRevision = -1;
   private boolean failureLogged;
+  private String peersLogged = "";
   private int processes = 1;
 
   /** What there is of a balancer once it is wired. */
@@ -119,7 +123,7 @@
         HandoverSnapshot snapshot = own.submit(this::fromPredecessor).get();
         long waited = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - joinedNanos);
         boolean expected = hasPredecessor() || folderFails;
-        if (snapshot != null || !expected && waited >= PREDECESSOR_MILLIS) {
+        if (snapshot != null || registry == null || !expected && waited >= PREDECESSOR_MILLIS) {
           return snapshot;
         }
         if (waited >= SNAPSHOT_MILLIS) {
@@ -178,26 +182,32 @@
     if (group.isShuttingDown()) {
       return;
     }
-    own.execute(() -> {
-      try {
-        if (registry != null) {
-          registry.close();
-        }
-      } catch (IOException e) {
-        LOG.fine("the shared folder at the end: " + e);
-      }
-    });
+    over = true;
+    own.submit(this::leaveFolder).awaitUninterruptibly(ANSWER_MILLIS);
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
   // ---- On its own thread ---------------------------------------------------------------------------------
 
+  private void leaveFolder() {
+    try {
+      if (registry != null) {
+        registry.close();
+      }
+    } catch (IOException e) {
+      LOG.fine("the shared folder at the end: " + e);
+    }
+  }
+
   private interface FolderAccess {
     void run() throws IOException;
   }
 
   /** Exchanges with the other processes, and has the engine's loop take up what they say. Never throws: it would be the last one. */
   private void scan() {
+    if (over) {
+      return; // One that has left does not publish itself again.
+    }
     folderFails = false;
     exchangeOffline();
     guarded(this::exchangeWithPeers);
@@ -236,6 +246,7 @@
     }
     Lifecycle lifecycle = leaving ? Lifecycle.LEAVING : serving ? Lifecycle.SERVING : Lifecycle.STARTING;
     peers = registry.refresh(lifecycle, p == null ? 0 : p.sockets().held());
+    logChanges(peers);
     if (p == null) {
       return;
     }
@@ -254,6 +265,16 @@
     }
   }
 
+  /** Tells which other processes there are of this balancer and what they do, whenever that changes. */
+  private void logChanges(List<PeerProcess> seen) {
+    String text = seen.stream().map(p -> p.name().substring(p.name().lastIndexOf('-') + 1).replaceFirst("^0+", "") + ' '
+        + (p.startedLater() ? "successor " : "predecessor ") + p.lifecycle().name().toLowerCase(Locale.ROOT)).sorted().collect(Collectors.joining(", "));
+    if (!text.equals(peersLogged)) {
+      LOG.info("processes beside this one (" + ProcessHandle.current().pid() + "): " + (text.isEmpty() ? "none" : text));
+      peersLogged = text;
+    }
+  }
+
   /** What another process has published since the last scan; null for nothing new, or nothing that can be used. */
   private HandoverSnapshot fromPeer(List<PeerProcess> seen) throws IOException {
     for (PeerProcess peer : seen) {
@@ -290,6 +311,9 @@
   }
 
   private void publish(HandoverSnapshot snapshot) {
+    if (over) {
+      return;
+    }
     guarded(() -> {
       registry.publishSnapshot(snapshot.bytes(monotonicMillis()));
       publishedRevision = snapshot.list().revision();
