--- a/balancer/src/test/java/cloverpulley/UploadsIT.java
+++ b/balancer/src/test/java/cloverpulley/UploadsIT.java
@@ -120,6 +120,9 @@
         while (true) {
           StringBuilder line = new StringBuilder();
           for (int b = in.read(); b != '\n'; b = in.read()) {
+            if (b < 0) {
+              throw new IOException("cut");
+            }
             line.append((char) b);
           }
           int n = Integer.parseInt(line.toString().trim(), 16);
