--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+MAIN=Stall
+. "$(dirname "$0")/../case.sh"
