review: case 2, an indented list of 3,200 upstreams is never taken (rule drain)

A quarter of 3,200 upstreams drain; discovery writes the whole list indented, 1.37 MB, which the balancer turns away for ever.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+MAIN=BigList
+. "$(dirname "$0")/../case.sh"
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -179,7 +179,7 @@
   void noteLog(String name) throws IOException {
     List<String> lines = Files.readAllLines(temp.resolve(name + ".log"));
     note("the log of " + name + " (" + lines.size() + " lines, the last 30):");
-    lines.subList(Math.max(0, lines.size() - 30), lines.size()).forEach(l -> note("    " + l));
+    lines.subList(Math.max(0, lines.size() - 30), lines.size()).forEach(l -> note("    " + (l.length() > 160 ? l.substring(0, 160) + " ..." : l)));
   }
 
   // ---- HTTP ----------------------------------------------------------------------------------------------------
