--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+MAIN=Held
+. "$(dirname "$0")/../case.sh"
