--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=Held
+MAIN=Left
 . "$(dirname "$0")/../case.sh"
