--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=Informational
+MAIN=SecondCopy
 . "$(dirname "$0")/../case.sh"
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=Left
+MAIN=Stall
 . "$(dirname "$0")/../case.sh"
