--- a/review/src/SecondCopy.java
+++ b/review/src/SecondCopy.java
@@ -10,7 +10,7 @@
 final class SecondCopy {
 
   private static final int CLIENTS = 24;
-  private static final int RATE = 320;
+  private static final int RATE = 280;
   private static final long RUN_MS = 80_000;
   /** One of so many answers comes twice. */
   private static final int EVERY = 4;
