review: a case that cannot start ends with 2; case 1 records each request

Cause: Java ends with 1 where it cannot start, which run.sh passed on as a broken rule; seen when a class was missing. Case 1 kept totals and wrong answers only; it now writes for each request when it was sent, what was answered and where it ran.

--- a/review/case.sh
+++ b/review/case.sh
@@ -14,4 +14,4 @@
 wait "$pid"
 status=$?
 rm -rf "$REVIEW_TEMP"
-case $status in 0|1) exit $status;; *) exit 2;; esac
+case $status in 0) exit 0;; 10) exit 1;; *) exit 2;; esac # Java itself ends with 1 where it cannot start.
--- a/review/src/Rig.java
+++ b/review/src/Rig.java
@@ -32,6 +32,9 @@
   /** Whether the disruption takes place; TROUBLE=0 runs the same without it. */
   static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
+  /** The process's status for a broken rule, which case.sh turns into 1: a Java machine that can't start ends with 1 by itself. */
+  private static final int BROKEN = 10;
+
   private static final long START = System.nanoTime();
 
   final Path temp;
@@ -60,7 +63,7 @@
     System.out.println(verdict);
     close();
     System.out.flush();
-    Runtime.getRuntime().halt(status);
+    Runtime.getRuntime().halt(status == 1 ? BROKEN : status);
   }
 
   @Override
--- a/review/src/SecondCopy.java
+++ b/review/src/SecondCopy.java
@@ -26,7 +26,10 @@
     AtomicInteger left = new AtomicInteger();
     Random seeds = new Random(51);
     ThreadLocal<Random> random = ThreadLocal.withInitial(() -> new Random(seeds.nextLong()));
+    Map<String, String> ran = Rig.concurrent();
+    Map<String, String> answered = Rig.concurrent();
     Rig.Handler handler = r -> {
+      ran.merge(r.id(), r.upstream + " at " + r.atMs, (x, y) -> x + ", " + y);
       Random g = random.get();
       Rig.sleep(8 + g.nextInt(20));
       String body = "quote for " + r.id();
@@ -41,6 +44,7 @@
         if (r.socket.getInputStream().available() == 0) {
           r.write(answer);
           copies.incrementAndGet();
+          ran.merge(r.id(), "answer written again at " + Rig.ms(), (x, y) -> x + ", " + y);
         } else {
           left.incrementAndGet();
         }
@@ -68,6 +72,8 @@
         Rig.Client c = null;
         for (int n = 0; Rig.ms() < end; n++) {
           String id = String.format("9b1f03aa%02x%06x", number, n);
+          long sent = Rig.ms();
+          String outcome = "no answer";
           try {
             if (c == null) {
               c = new Rig.Client(port);
@@ -76,6 +82,7 @@
             c.send(Rig.request("GET", id, "rate-lookup", 2000, "Cookie: sid=" + Integer.toHexString(g.nextInt(800)) + "\r\n", null));
             Rig.Answer a = c.answer();
             String body = new String(a.body);
+            outcome = a.status + " " + body;
             if (a.status != 200) {
               other.incrementAndGet();
             } else if (body.equals("quote for " + id)) {
@@ -88,6 +95,7 @@
             other.incrementAndGet();
             c = null;
           }
+          answered.put(id, "sent at " + sent + ", " + outcome + " at " + Rig.ms());
           Rig.sleep((long) (-Math.log(1 - g.nextDouble()) * Math.max(1, 1000.0 * CLIENTS / RATE - 22)));
         }
       }));
@@ -96,6 +104,10 @@
       t.join();
     }
     rig.noteLog("n0");
+    rig.note("each request: when it was sent, what was answered, where it ran (ms)");
+    for (Map.Entry<String, String> e : new java.util.TreeMap<>(answered).entrySet()) {
+      rig.note(e.getKey() + " " + e.getValue() + "; ran at " + ran.get(e.getKey()));
+    }
     String figures = right + " requests served with their own answer, " + foreign + " with the answer of another request, " + other + " answered otherwise; "
         + copies + " answers were written a second time, " + LEAST_US / 1000 + " to " + MOST_US / 1000 + " ms late, " + left + " were not, as a request had come";
     if (right.get() == 0) {
