--- /dev/null
+++ b/review/src/EarlyHints.java
@@ -0,0 +1,12 @@
+/** Servers send a 103 ahead of their answer, in the same write. */
+final class EarlyHints {
+
+  private EarlyHints() {}
+
+  public static void main(String[] args) throws Exception {
+    Lab.run(lab -> LongAnswers.holds(lab, out -> {
+      byte[] hint = lab.trouble ? "HTTP/1.1 103 Early Hints\r\nLink: </quote.css>; rel=preload\r\n\r\n".getBytes() : new byte[0];
+      out.write(Lab.join(hint, LongAnswers.head(), new byte[LongAnswers.BYTES]));
+    }));
+  }
+}
