--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+MAIN=SlowReaders
+. "$(dirname "$0")/../case.sh"
