--- a/review/src/HeldHeads.java
+++ b/review/src/HeldHeads.java
@@ -27,6 +27,7 @@
 
   private static boolean holds(Lab lab) throws Exception {
     Lab.Service service = (request, out) -> {
+      lab.say(request.server().id + " runs " + request.id());
       Thread.sleep(20);
       out.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok".getBytes());
     };
@@ -47,6 +48,7 @@
           String id = client + "-" + i;
           int status = 0;
           try (Socket socket = lab.connect()) {
+            lab.say(id + " is sent");
             socket.getOutputStream().write(Lab.requestHead("GET", id, "lookup", 2000, 0));
             InputStream in = socket.getInputStream();
             status = Lab.status(Lab.readHead(in));
@@ -73,6 +75,7 @@
           Socket socket = lab.connect();
           bad.add(socket);
           socket.getOutputStream().write(bytes);
+          lab.say("bad client " + i + " has sent " + bytes.length + " bytes of a head");
         }
       } catch (IOException e) {
         lab.say("a bad client: " + e.getMessage());
--- a/review/src/LongAnswers.java
+++ b/review/src/LongAnswers.java
@@ -53,6 +53,7 @@
       String id = "c" + i;
       lab.thread(id, () -> {
         try (Socket socket = lab.connect()) {
+          lab.say(id + " is sent");
           socket.getOutputStream().write(Lab.requestHead("POST", id, "book", 3000, 0));
           InputStream in = new BufferedInputStream(socket.getInputStream());
           String head = Lab.readHead(in);
--- a/review/src/SurplusBehind.java
+++ b/review/src/SurplusBehind.java
@@ -65,6 +65,7 @@
           for (int i = 0; i < REQUESTS; i++) {
             socket = socket == null ? lab.connect() : socket;
             String id = client + "-" + i;
+            lab.say(id + " is sent");
             socket.getOutputStream().write(Lab.requestHead("POST", id, "book", 3000, 0));
             InputStream in = socket.getInputStream();
             String head = Lab.readHead(in);
