review: case 1, an id in hand is not known across an upgrade (duplicate)

Cause: the ids of requests in progress are kept by each process alone. During an upgrade a bad client that sends the id of an open request to the new process has it forwarded, while the old process still holds the first attempt.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=SurplusBehind
+MAIN=UpgradeId
 . "$(dirname "$0")/../case.sh"
