review: case 2, long answers hang for good after clients have left (lost)

Cause: where attempts may not be called off, the answer to a client that has left is taken for one to a slow reader: its connection is not read any more, and its share of the memory for long answers is never given back. Change: the case, its claim and its driver.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=HeldHeads
+MAIN=LeftAnswers
 . "$(dirname "$0")/../case.sh"
