--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=LeftAnswers
+MAIN=HeldHeads
 . "$(dirname "$0")/../case.sh"
