--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-MAIN=SlowGivers
+MAIN=LeftAnswers
 . "$(dirname "$0")/../case.sh"
--- a/review/src/LeftAnswers.java
+++ b/review/src/LeftAnswers.java
@@ -63,10 +63,13 @@
     }
     Rig.Discovery discovery = rig.new Discovery(41, members, 0);
     int listen = Rig.freePort();
-    // deploy/sites/parcel-hub: cancel = false, second_copies = false, max_attempts = 2, no keys' zone "almaty-dc1".
+    // As in deploy/sites/parcel-hub: cancel = false, second_copies = false, max_attempts = 2 and the other figures.
     String settings = Rig.settings(Rig.category("route-build", "idempotent", "cell", 0, 1500, 5000))
         .replace("\"cancel\":true", "\"cancel\":false").replace("\"second-copies\":true", "\"second-copies\":false")
-        .replace("\"max-attempts\":6", "\"max-attempts\":2").replace("almaty-dc1", "north");
+        .replace("\"max-attempts\":6", "\"max-attempts\":2").replace("almaty-dc1", "north").replace("\"weight-kind\":\"rough\"", "\"weight-kind\":\"none\"")
+        .replace("\"conn-idle-ns\":5000000000", "\"conn-idle-ns\":7000000000").replace("\"connect-timeout-ns\":200000000", "\"connect-timeout-ns\":300000000")
+        .replace("\"drain-grace-ns\":2000000000", "\"drain-grace-ns\":1200000000").replace("\"fall-multiple\":3.0", "\"fall-multiple\":2.5")
+        .replace("\"overload-for-ns\":3000000000", "\"overload-for-ns\":2500000000").replace("\"max-retry-after-ns\":2000000000", "\"max-retry-after-ns\":1500000000");
     Process balancer = rig.balancer("n0", Rig.config(listen, discovery.port(), "{\"revision\":1,\"complete\":true,\"members\":[]}", settings),
         listen, Map.of());
     while (discovery.calls.get() == 0) {
