Headers are bounded by the heap they take, from the first line on, over all connections

Change: HeaderMemory counts each line as the decoder adds it, per connection and against an eighth of the heap for all; past that the message fails with 431. An exchange that has ended keeps no request.

--- a/http/src/main/java/cloverpulley/serve/BodyStream.java
+++ b/http/src/main/java/cloverpulley/serve/BodyStream.java
@@ -24,7 +24,7 @@
   private static final int MAX_QUEUED_BYTES = 32 * 1024;
   /** The maximum direct memory that one stream may hold: the queue, the read that exceeds its limit, and bytes pending at the upstream's socket. */
   static final int MAX_HELD_BYTES = MAX_QUEUED_BYTES + 3 * Server.MAX_READ;
-  /** Smaller parts are coalesced while queued; otherwise each would occupy a buffer of its own. */
+  /** Smaller parts are coalesced while queued; otherwise each would occupy a buffer and a write of its own. */
   private static final int COALESCE_BYTES = Server.MAX_READ / 2;
 
   private final ArrayDeque<ByteBuf> queue = new ArrayDeque<>();
@@ -54,14 +54,14 @@
     }
   }
 
-  /** Adds a received part and takes ownership of it. */
+  /** Adds a received part and takes ownership of it. A short part is passed on at the next {@link #flush}, together with those after it. */
   void add(ByteBuf content) {
     if (discarded) {
       content.release();
       return;
     }
     queuedBytes += content.readableBytes();
-    if (content.readableBytes() >= COALESCE_BYTES || queue.isEmpty() && sink != null && sink.isWritable()) {
+    if (content.readableBytes() >= COALESCE_BYTES || queue.isEmpty()) {
       tail = null;
       queue.add(content);
     } else {
@@ -72,7 +72,9 @@
       tail.writeBytes(content);
       content.release();
     }
-    flush();
+    if (queuedBytes >= COALESCE_BYTES) {
+      flush();
+    }
     if (!wantsMore()) {
       onDemandChanged.run(); // Bounds memory: reading pauses until an upstream has consumed some of the queue.
     }
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -25,7 +25,6 @@
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -100,7 +99,7 @@
   private Set<String> tenants;
   private final Clients clients = new Clients();
   private final StallDetector stallDetector = new StallDetector();
-  private final BufferBudget pipelinedHeadBudget = PipelinedRequests.headBudget();
+  private final BufferBudget headerBudget = HeaderMemory.newBudget();
   private final Counts counts;
   private final RequestReader.Budgets bodyBudgets;
   /** The clients' ids of the requests in progress, and of finished requests with an attempt still in flight. */
@@ -136,8 +135,8 @@
       protected void initChannel(Channel channel) {
         Connection connection = new Connection(channel);
         // The decoder fails a request with more than one length, or with both Content-Length and Transfer-Encoding.
-        channel.pipeline().addLast(connection.inputMonitor(), new HttpServerCodec(new HttpDecoderConfig(), MAX_DECODED_REQUESTS),
-            connection.reader, connection);
+        channel.pipeline().addLast(connection.inputMonitor(),
+            new HttpServerCodec(connection.headerMemory.decoderConfig(), MAX_DECODED_REQUESTS), connection.reader, connection);
         onAccepted(channel);
       }
     }), address, loop -> {
@@ -228,7 +227,10 @@
 
     private final Channel channel;
     private final RequestReader reader;
-    private final PipelinedRequests pipelined = new PipelinedRequests(pipelinedHeadBudget);
+    private final PipelinedRequests pipelined = new PipelinedRequests();
+    private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
+    /** The headers of the request in progress. */
+    private HttpHeaders headers;
     private boolean busy;
     private boolean keepAlive;
     /** The request is HTTP/1.0, which has no chunked encoding. */
@@ -327,6 +329,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
       if (ignoringInput) {
+        discard(request);
         return;
       }
       ignoringInput = !request.decoderResult().isSuccess();
@@ -334,9 +337,15 @@
         handle(request);
       } else if (!pipelined.add(request, reader.bufferedBytes())) {
         ignoringInput = true;
+        discard(request);
       }
     }
 
+    /** Gives back what a request holds that is not answered. */
+    private void discard(FullHttpRequest request) {
+      HeaderMemory.release(request.headers());
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       clients.remove(this);
@@ -345,6 +354,7 @@
         upload.discard();
       }
       reader.release();
+      headerMemory.releaseAll();
       if (streamedResponse != null) {
         streamedResponse.cancelStallTimer();
       }
@@ -400,6 +410,7 @@
     private void handle(FullHttpRequest request) {
       busy = true;
       partialRequest = false;
+      headers = request.headers();
       bodyCapacity = request.content().capacity();
       upload = request instanceof StreamedRequest s ? s.bodyStream : null;
       clients.setState(this, upload == null ? State.SERVED : State.UPLOADING);
@@ -426,7 +437,6 @@
     }
 
     private void forward(FullHttpRequest request) {
-      HttpHeaders headers = request.headers();
       String id = headers.get(ID, "");
       String tenant = headers.get(TENANT);
       RequestClass requestClass = classes.get(headers.get(CLASS, ""));
@@ -569,6 +579,8 @@
       busy = false;
       upload = null;
       reader.release(bodyCapacity);
+      HeaderMemory.release(headers);
+      headers = null;
       FullHttpRequest request = pipelined.poll();
       if (request != null) {
         handle(request);
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -68,7 +68,8 @@
   }
 
   private final Context context;
-  private final FullHttpRequest request;
+  /** Null once it has ended: an attempt in flight may outlast it for long, and needs the request no more. */
+  private FullHttpRequest request;
   private final ClientResponder responder;
   private final Runnable onRemovedCallback;
   /** The part of the body not received yet when the request is accepted; null if there is none. */
@@ -201,6 +202,7 @@
   @Override
   protected void onEnded() {
     request.release();
+    request = null;
     if (bodyStream != null) {
       bodyStream.discard();
     }
--- a/http/src/main/java/cloverpulley/serve/ManagementServer.java
+++ b/http/src/main/java/cloverpulley/serve/ManagementServer.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
@@ -47,6 +48,8 @@
   /** Limits of a call's head in bytes: its request line, and its headers. */
   private static final int MAX_LINE = 1024;
   private static final int MAX_HEADERS = 8192;
+  /** The heap for the headers of all calls beyond their allowance. */
+  private static final int HEADER_BUDGET_BYTES = 512 * 1024;
   private static final int BACKLOG = 64;
   /** The time from connecting to a complete call, and from the answer to closing the connection. */
   private static final long CALL_TIMEOUT_MILLIS = 5000;
@@ -70,6 +73,7 @@
   /** The connections without a complete call, the oldest first. */
   private final Set<Caller> withoutCall = new LinkedHashSet<>();
   private int callers;
+  private final BufferBudget headerBudget = new BufferBudget(HEADER_BUDGET_BYTES);
 
   ManagementServer(CallHandler handler) {
     this.handler = handler;
@@ -89,7 +93,10 @@
               }
             }
             channel.closeFuture().addListener(f -> callers--);
-            channel.pipeline().addLast(new HttpServerCodec(MAX_LINE, MAX_HEADERS, MAX_LINE), new Caller(channel));
+            HeaderMemory headerMemory = new HeaderMemory(headerBudget);
+            channel.closeFuture().addListener(f -> headerMemory.releaseAll());
+            HttpDecoderConfig decoderConfig = headerMemory.decoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEADERS);
+            channel.pipeline().addLast(new HttpServerCodec(decoderConfig), new Caller(channel));
           }
         }).bind(address);
   }
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -17,7 +17,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
-import java.util.ArrayDeque;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -51,7 +50,7 @@
   private boolean discarding;
   /** The capacity requested for a streamed body, and the messages that were decoded while it was not granted: one read at most. */
   private BufferBudget.Reservation reservation;
-  private final ArrayDeque<Object> deferred = new ArrayDeque<>(2);
+  private final DeferredMessages deferred = new DeferredMessages();
   private ChannelHandlerContext context;
 
   /**
@@ -72,12 +71,24 @@
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
     if (isAwaitingCapacity()) {
-      deferred.add(message);
+      deferred.add(message, context.alloc());
     } else {
       read(context, message);
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    flushBody();
+    context.fireChannelReadComplete();
+  }
+
+  private void flushBody() {
+    if (bodyStream != null) {
+      bodyStream.flush();
+    }
+  }
+
   private void read(ChannelHandlerContext context, Object message) {
     try {
       if (message instanceof HttpRequest request) {
@@ -87,6 +98,9 @@
         add(context, content);
       }
     } finally {
+      if (message instanceof LastHttpContent last) {
+        HeaderMemory.release(last.trailingHeaders()); // Trailers are not forwarded.
+      }
       ReferenceCountUtil.release(message);
     }
   }
@@ -96,11 +110,13 @@
     received = 0;
     discarding = false;
     if (!request.decoderResult().isSuccess()) {
+      HeaderMemory.release(request.headers());
       fail(context, request.decoderResult());
       return;
     }
     long length = HttpUtil.getContentLength(request, -1L);
     if (length > MAX_BODY) {
+      HeaderMemory.release(request.headers());
       fail(context, DecoderResult.failure(new TooLongHttpContentException("the body is too large")));
       return;
     }
@@ -208,6 +224,7 @@
     while (!deferred.isEmpty() && !isAwaitingCapacity()) {
       read(context, deferred.poll());
     }
+    flushBody();
     onDemandChanged.run();
   }
 
@@ -255,15 +272,17 @@
   }
 
   private void reset() {
-    head = null;
+    if (head != null) {
+      HeaderMemory.release(head.headers());
+      head = null;
+    }
     bodyStream = null;
     awaitsCapacity = false;
     if (reservation != null) {
       reservation.release();
       reservation = null;
     }
-    deferred.forEach(ReferenceCountUtil::release);
-    deferred.clear();
+    deferred.release();
     if (body != null) {
       body.release();
       body = null;
--- a/http/src/main/java/cloverpulley/serve/StrictResponseDecoder.java
+++ b/http/src/main/java/cloverpulley/serve/StrictResponseDecoder.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 
@@ -9,6 +10,10 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+  StrictResponseDecoder(HttpDecoderConfig config) {
+    super(config);
+  }
+
   @Override
   protected AsciiString splitHeaderName(byte[] line, int start, int length) {
     if (line[start + length] != ':') {
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -67,6 +67,8 @@
   /** A response with a longer body reserves {@link #RESPONSE_RESERVATION_BYTES}: the most that is buffered of it, or in transit while streamed. */
   private static final int UNRESERVED_RESPONSE_BYTES = 8 * 1024;
   private static final int RESPONSE_RESERVATION_BYTES = Frontend.MAX_BUFFERED_RESPONSE;
+  /** Chunks of a streamed response are joined up to this length. */
+  private static final int MAX_JOINED_BYTES = 8 * 1024;
   private final Bootstrap bootstrap;
   private final SocketBudget sockets;
   private long idleNanos;
@@ -78,6 +80,8 @@
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
   /** Memory for responses longer than {@link #UNRESERVED_RESPONSE_BYTES}. */
   private final BufferBudget responseBudget;
+  /** Memory for the headers of responses. */
+  private final BufferBudget headerBudget = HeaderMemory.newBudget();
 
   /**
    * {@code upstreamReady} decides whether an upstream may receive new requests, {@code loadReports} whether responses carry load reports;
@@ -95,8 +99,8 @@
           @Override
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(connection.rawInboundHandler(), new HttpRequestEncoder(), new StrictResponseDecoder(), new ResponseValidator(),
-                connection);
+            channel.pipeline().addLast(connection.rawInboundHandler(), new HttpRequestEncoder(),
+                new StrictResponseDecoder(connection.headerMemory.decoderConfig()), new ResponseValidator(), connection);
           }
         });
     setTimeouts(connectTimeoutNanos, upstreamIdleNanos);
@@ -246,6 +250,7 @@
     private Future<?> progressCheck;
     /** The response being received: its head, the buffered part of its body, and whether it is streamed instead. */
     private HttpResponse responseHead;
+    private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
     private ByteBuf bodyBuffer;
     private boolean streaming;
     private long bodyBytes;
@@ -297,6 +302,9 @@
         @Override
         public void channelReadComplete(ChannelHandlerContext context) {
           context.fireChannelReadComplete();
+          if (streaming) {
+            deliverBody();
+          }
           if (call != null && prefixMatched > 0) {
             responseProgressed();
           }
@@ -337,6 +345,7 @@
       cancelWriteStallTimeout();
       prefixMatched = 0;
       responseHead = null;
+      headerMemory.releaseAll();
       streaming = false;
       bodyBytes = 0;
       if (bodyBuffer != null) {
@@ -479,19 +488,23 @@
       } else if (bodyBytes > Frontend.MAX_BUFFERED_RESPONSE) {
         resetConnection(); // Too long to buffer, and it can't be streamed.
       } else {
-        if (bodyBuffer == null) {
-          bodyBuffer = content.content().retain();
-        } else {
-          ByteBuf writable = bodyBuffer.isReadOnly() || bodyBuffer.refCnt() > 1 || bodyBuffer.unwrap() != null
-              ? copyToWritable(bodyBuffer) : bodyBuffer;
-          bodyBuffer = writable.writeBytes(content.content());
-        }
+        appendToBuffer(content.content());
         if (last) {
           completeResponse();
         }
       }
     }
 
+    private void appendToBuffer(ByteBuf content) {
+      if (bodyBuffer == null) {
+        bodyBuffer = content.retain();
+      } else {
+        ByteBuf writable = bodyBuffer.isReadOnly() || bodyBuffer.refCnt() > 1 || bodyBuffer.unwrap() != null
+            ? copyToWritable(bodyBuffer) : bodyBuffer;
+        bodyBuffer = writable.writeBytes(content);
+      }
+    }
+
     private ByteBuf copyToWritable(ByteBuf first) {
       ByteBuf copy = channel.alloc().buffer(Math.max(1024, 2 * first.readableBytes())).writeBytes(first);
       first.release();
@@ -511,17 +524,16 @@
       return true;
     }
 
+    /** Passes content on. Short chunks of one read are joined: otherwise each would occupy a buffer and a write of its own. */
     private void streamContent(ByteBuf content, boolean last) {
-      if (bodyBuffer != null) {
-        ByteBuf first = bodyBuffer;
-        bodyBuffer = null;
-        call.responseConsumer.bodyReceived(first);
-      }
-      if (content.isReadable() && !call.responseConsumer.bodyReceived(content.retain()) && !last) {
-        paused = true;
-        updateAutoRead();
+      if (content.isReadable()) {
+        if (bodyBuffer != null && bodyBuffer.readableBytes() + content.readableBytes() > MAX_JOINED_BYTES) {
+          deliverBody();
+        }
+        appendToBuffer(content);
       }
       if (last) {
+        deliverBody();
         Call completed = call;
         boolean keepAlive = HttpUtil.isKeepAlive(responseHead);
         call = null;
@@ -534,6 +546,19 @@
       }
     }
 
+    /** Passes the buffered part of the body on to the client, and stops reading if that can't receive more. */
+    private void deliverBody() {
+      if (bodyBuffer == null) {
+        return;
+      }
+      ByteBuf content = bodyBuffer;
+      bodyBuffer = null;
+      if (!call.responseConsumer.bodyReceived(content)) {
+        paused = true;
+        updateAutoRead();
+      }
+    }
+
     /** Returns the connection to the idle ones, or closes it. */
     private void recycle(Call completed, boolean keepAlive) {
       if (keepAlive && completed.written && !completed.isDone() && upstreamReady.test(upstream)) {
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakServer.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakServer.java
@@ -8,6 +8,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 
 /** An upstream server with a fixed id that can be restarted. Records the requests received. */
 final class SoakServer {
@@ -28,6 +29,8 @@
   private final int rejectedPerMille;
   private StandInUpstream server;
   volatile boolean hangs;
+  /** The requests, by their id, that it leaves without an answer for a minute. */
+  volatile Predicate<String> hangsFor = requestId -> false;
 
   SoakServer(String id, EventLoopGroup group, SplittableRandom random) {
     this.id = id;
@@ -58,7 +61,7 @@
     String requestId = request.headers().get("x-trace-id", "");
     String expires = request.headers().get("x-expires-in-ms", "0");
     received.add(new Received(id, requestId, SoakClients.nodeOf(requestId), System.nanoTime(), Long.parseLong(expires), !full));
-    if (hangs) {
+    if (hangs || hangsFor.test(requestId)) {
       return Answer.ok(60_000);
     }
     return full ? Answer.full() : random.nextInt(1000) < 5 ? Answer.status(500) : Answer.ok(random.nextInt(2, maxDelayMillis));
