Both processes of an upgrade know the ids of all requests in progress

Callers saw unsafe requests run twice: the ids in progress were a set of one process, while a balancer is two processes during an upgrade. Beside it, an id was noted when its request was sent on, so one that waited or was still being received was unknown, too. Change: RequestIdClaims claims an id when its head is complete and locks it as a byte of a file in the shared folder, so the system decides between processes either way round and frees the ids of one that ends; a lost file is replaced with all claims. AcceptedRequest gives the claim back on every way out.

--- a/http/src/main/java/cloverpulley/serve/BufferedRequest.java
+++ b/http/src/main/java/cloverpulley/serve/BufferedRequest.java
@@ -1,17 +1,16 @@
 package cloverpulley.serve;
 
+import cloverpulley.handover.RequestIdClaims;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 
 /** A request that was received completely. Its deadline counts from that moment, even while it waits behind pipelined requests. */
-final class BufferedRequest extends DefaultFullHttpRequest {
+final class BufferedRequest extends AcceptedRequest {
 
   private final long receivedAt = System.nanoTime();
 
-  BufferedRequest(HttpRequest head, ByteBuf body) {
-    super(head.protocolVersion(), head.method(), head.uri(), body, head.headers(), EmptyHttpHeaders.INSTANCE);
+  BufferedRequest(HttpRequest head, ByteBuf body, RequestIdClaims.Claim idClaim) {
+    super(head, body, idClaim);
   }
 
   /** The part of a period that remains, in nanoseconds, if it started when the request was complete; at least 0. */
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -9,6 +9,7 @@
 import cloverpulley.engine.Exchange;
 import cloverpulley.engine.Periodic;
 import cloverpulley.engine.SocketBudget;
+import cloverpulley.handover.RequestIdClaims;
 import cloverpulley.serve.Clients.State;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -29,6 +30,7 @@
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -42,7 +44,6 @@
 import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -102,17 +103,18 @@
   private final BufferBudget headerBudget = HeaderMemory.newBudget();
   private final Counts counts;
   private final RequestReader.Budgets bodyBudgets;
-  /** The clients' ids of the requests in progress, and of finished requests with an attempt still in flight. */
-  private final Set<String> activeIds = new HashSet<>();
+  /** The clients' ids of the requests that are received or in progress, and of finished requests with an attempt still in flight. */
+  private final RequestIdClaims requestIds;
   private Channel listener;
   private boolean ready;
   private boolean stopping;
   private boolean closing;
   private boolean rejecting;
 
-  /** {@code bodyBudgets} limits the memory that request bodies take. */
+  /** {@code bodyBudgets} limits the memory that request bodies take, {@code requestIds} holds the ids of the balancer's requests. */
   Frontend(HttpExchange.Context exchangeContext, Clock clock, SocketBudget sockets, Settings settings, RequestReader.Budgets bodyBudgets,
-      Counts counts) {
+      RequestIdClaims requestIds, Counts counts) {
+    this.requestIds = requestIds;
     this.counts = counts;
     this.engine = exchangeContext.engine();
     this.exchangeContext = exchangeContext;
@@ -229,8 +231,8 @@
     private final RequestReader reader;
     private final PipelinedRequests pipelined = new PipelinedRequests();
     private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
-    /** The headers of the request in progress. */
-    private HttpHeaders headers;
+    /** The request in progress, until it is answered; null for one that is malformed. */
+    private AcceptedRequest accepted;
     private boolean busy;
     private boolean keepAlive;
     /** The request is HTTP/1.0, which has no chunked encoding. */
@@ -258,7 +260,7 @@
     Connection(Channel channel) {
       this.channel = channel;
       queuedNanos = channel instanceof ClientSocket socket ? socket.queuedNanos() : 0;
-      reader = new RequestReader(bodyBudgets, () -> busy, this::updateAutoRead);
+      reader = new RequestReader(bodyBudgets, () -> busy, Frontend.this::claimId, this::updateAutoRead);
     }
 
     /** Starts or stops reading, so that the data that waits for a slow upstream stays bounded. */
@@ -343,7 +345,9 @@
 
     /** Gives back what a request holds that is not answered. */
     private void discard(FullHttpRequest request) {
-      HeaderMemory.release(request.headers());
+      if (request instanceof AcceptedRequest unanswered) {
+        unanswered.discard();
+      }
     }
 
     @Override
@@ -354,6 +358,7 @@
         upload.discard();
       }
       reader.release();
+      releaseAccepted();
       headerMemory.releaseAll();
       if (streamedResponse != null) {
         streamedResponse.cancelStallTimer();
@@ -410,15 +415,13 @@
     private void handle(FullHttpRequest request) {
       busy = true;
       partialRequest = false;
-      headers = request.headers();
+      accepted = request instanceof AcceptedRequest valid ? valid : null;
       bodyCapacity = request.content().capacity();
       upload = request instanceof StreamedRequest s ? s.bodyStream : null;
       clients.setState(this, upload == null ? State.SERVED : State.UPLOADING);
       keepAlive = HttpUtil.isKeepAlive(request);
       http10 = request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) < 0;
-      String uri = request.uri();
-      int query = uri.indexOf('?');
-      String path = query < 0 ? uri : uri.substring(0, query);
+      String path = pathOf(request);
       if (!request.decoderResult().isSuccess()) {
         answer(statusFor(request.decoderResult().cause()), "malformed request");
       } else if (request instanceof StreamedRequest s && s.rejected) {
@@ -436,13 +439,25 @@
       }
     }
 
+    /** Gives back what the request in progress holds, apart from the id of one that the engine has not removed yet. */
+    private void releaseAccepted() {
+      if (accepted != null) {
+        accepted.discard();
+        accepted = null;
+      }
+    }
+
     private void forward(FullHttpRequest request) {
+      HttpHeaders headers = request.headers();
       String id = headers.get(ID, "");
       String tenant = headers.get(TENANT);
       RequestClass requestClass = classes.get(headers.get(CLASS, ""));
       long expiresMillis = headers.contains(EXPIRES) ? wholeNumber(headers.get(EXPIRES)) : Long.MAX_VALUE;
-      if (id.isEmpty() || id.length() > MAX_NAME_LENGTH) {
+      if (!isValidId(id)) {
         answer(HttpResponseStatus.BAD_REQUEST, ID + " is missing or too long");
+      } else if (headers.getAll(ID).size() > 1) {
+        // An upstream could take another one than this balancer for the request's id.
+        answer(HttpResponseStatus.BAD_REQUEST, ID + " appears more than once");
       } else if (requestClass == null) {
         answer(HttpResponseStatus.BAD_REQUEST, CLASS + " names no known class");
       } else if (tenant != null && !tenants.isEmpty() && !tenants.contains(tenant)) {
@@ -456,26 +471,33 @@
         answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
       } else if (rejecting) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
-      } else if (activeIds.contains(id)) {
-        // Protects the request that already uses this id, and its effect.
-        answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in hand");
       } else {
-        // No client waits longer than its class's deadline, and no request is kept longer.
-        long allowedNanos = Math.min(requestClass.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expiresMillis, MAX_EXPIRY_MILLIS)));
-        long waitNanos = Math.max(0, BufferedRequest.remainingNanos(request, allowedNanos) - Math.max(queuedNanos, stallDetector.stalledNanos()));
-        queuedNanos = 0;
-        long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
-        // The client's time counts from the end of the body, which is unknown while the body is streamed.
-        long deadline = clock.now() + waitNanos - RESPONSE_MARGIN_NANOS + (upload == null ? 0 : MAX_UPLOAD_NANOS);
-        Exchange.RequestInfo info = new Exchange.RequestInfo(requestClass, tenant, SessionKey.of(headers, MAX_NAME_LENGTH),
-            TimeUnit.MICROSECONDS.toNanos(hint), "1".equals(headers.get(RETRY)), deadline, 0, List.of());
-        exchange = new HttpExchange(info, exchangeContext, request.retain(), waitNanos, this, () -> activeIds.remove(id));
-        activeIds.add(id);
-        engine.accept(exchange);
-        if (upload != null) {
-          HttpExchange uploading = exchange;
-          upload.setCallbacks(() -> engine.bodyDiscarded(uploading), () -> uploadEnded(uploading, waitNanos - RESPONSE_MARGIN_NANOS));
-        }
+        startExchange(request, requestClass, tenant, expiresMillis);
+      }
+    }
+
+    private void startExchange(FullHttpRequest request, RequestClass requestClass, String tenant, long expiresMillis) {
+      RequestIdClaims.Claim idClaim = accepted.takeIdClaim();
+      if (idClaim == null) {
+        // Protects the request that already uses this id, and its effect.
+        answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in progress");
+        return;
+      }
+      HttpHeaders headers = request.headers();
+      // No client waits longer than its class's deadline, and no request is kept longer.
+      long allowedNanos = Math.min(requestClass.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expiresMillis, MAX_EXPIRY_MILLIS)));
+      long waitNanos = Math.max(0, BufferedRequest.remainingNanos(request, allowedNanos) - Math.max(queuedNanos, stallDetector.stalledNanos()));
+      queuedNanos = 0;
+      long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
+      // The client's time counts from the end of the body, which is unknown while the body is streamed.
+      long deadline = clock.now() + waitNanos - RESPONSE_MARGIN_NANOS + (upload == null ? 0 : MAX_UPLOAD_NANOS);
+      Exchange.RequestInfo info = new Exchange.RequestInfo(requestClass, tenant, SessionKey.of(headers, MAX_NAME_LENGTH),
+          TimeUnit.MICROSECONDS.toNanos(hint), "1".equals(headers.get(RETRY)), deadline, 0, List.of());
+      exchange = new HttpExchange(info, exchangeContext, request.retain(), waitNanos, this, idClaim::release);
+      engine.accept(exchange);
+      if (upload != null) {
+        HttpExchange uploading = exchange;
+        upload.setCallbacks(() -> engine.bodyDiscarded(uploading), () -> uploadEnded(uploading, waitNanos - RESPONSE_MARGIN_NANOS));
       }
     }
 
@@ -579,8 +601,7 @@
       busy = false;
       upload = null;
       reader.release(bodyCapacity);
-      HeaderMemory.release(headers);
-      headers = null;
+      releaseAccepted();
       FullHttpRequest request = pipelined.poll();
       if (request != null) {
         handle(request);
@@ -595,6 +616,26 @@
     }
   }
 
+  private static String pathOf(HttpRequest request) {
+    String uri = request.uri();
+    int query = uri.indexOf('?');
+    return query < 0 ? uri : uri.substring(0, query);
+  }
+
+  /**
+   * Claims the id of a request as soon as its head is complete, so that no other request can use it while this one waits or is still being
+   * received; null if there is no single valid id, or if it is taken.
+   */
+  private RequestIdClaims.Claim claimId(HttpRequest request) {
+    List<String> ids = request.headers().getAll(ID);
+    boolean isValid = pathOf(request).equals(API) && ids.size() == 1 && isValidId(ids.get(0));
+    return isValid ? requestIds.claim(ids.get(0)) : null;
+  }
+
+  private static boolean isValidId(String id) {
+    return !id.isEmpty() && id.length() <= MAX_NAME_LENGTH;
+  }
+
   /** The response status for a malformed request. */
   private static HttpResponseStatus statusFor(Throwable cause) {
     return cause instanceof TooLongHttpContentException ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
--- a/http/src/main/java/cloverpulley/serve/Operations.java
+++ b/http/src/main/java/cloverpulley/serve/Operations.java
@@ -10,6 +10,8 @@
 import cloverpulley.handover.ProcessRegistry;
 import cloverpulley.handover.ProcessRegistry.Lifecycle;
 import cloverpulley.handover.ProcessRegistry.PeerProcess;
+import cloverpulley.handover.RequestIdClaims;
+import cloverpulley.handover.RequestIdFile;
 import cloverpulley.serve.ManagementServer.Answer;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -72,13 +74,15 @@
   /** The last snapshot read from another process, and the revision of the endpoint list in the last one published; -1 for none. */
   private ProcessRegistry.Snapshot lastRead;
   private long publishedRevision = -1;
+  /** The file that the engine's loop has been given last; null for none. */
+  private RequestIdFile requestIdFile;
   private boolean failureLogged;
   private String loggedPeers = "";
   private int processCount = 1;
 
   /** The components of a balancer. */
   record Components(EventLoop loop, Engine engine, Fleet fleet, SocketBudget sockets, UpstreamPool pool, Frontend frontend,
-      Set<String> agreedOffline) {}
+      RequestIdClaims requestIds, Set<String> agreedOffline) {}
 
   /** Opens the management endpoint, which reports that the balancer is not ready yet, and joins the other processes. */
   Operations(Config config) {
@@ -210,6 +214,7 @@
     }
     folderFailing = false;
     syncOffline();
+    withFolder(this::syncRequestIdFile); // Before this process publishes itself: its claims have to be visible to a peer by then.
     withFolder(this::syncPeers);
     failureLogged &= folderFailing;
   }
@@ -239,6 +244,17 @@
     return CompletableFuture.runAsync(() -> { }, p.loop());
   }
 
+  /** Opens the file of request ids, and opens another where the folder has lost it. */
+  private void syncRequestIdFile() throws IOException {
+    Components p = components;
+    if (p == null || config.shared() == null || requestIdFile != null && requestIdFile.isInPlace()) {
+      return;
+    }
+    RequestIdFile opened = RequestIdFile.open(config.shared());
+    requestIdFile = opened;
+    p.loop().execute(() -> p.requestIds().adopt(opened));
+  }
+
   private void syncPeers() throws IOException {
     Components p = components;
     if (registry == null) {
--- a/http/src/main/java/cloverpulley/serve/PipelinedRequests.java
+++ b/http/src/main/java/cloverpulley/serve/PipelinedRequests.java
@@ -45,6 +45,9 @@
       if (request instanceof StreamedRequest s) {
         s.bodyStream.discard();
       }
+      if (request instanceof AcceptedRequest accepted) {
+        accepted.discard();
+      }
       request.release();
     }
   }
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import cloverpulley.handover.RequestIdClaims;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
@@ -18,6 +19,7 @@
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 
 /**
  * Assembles requests from their parts. A short body is buffered and passed on whole, a longer one as a {@link StreamedRequest} while it
@@ -38,10 +40,13 @@
 
   private final Budgets budgets;
   private final BooleanSupplier busy;
+  private final Function<HttpRequest, RequestIdClaims.Claim> idClaimer;
   private final Runnable onDemandChanged;
   private long bufferedBytes;
   /** The request that is being assembled, its body so far, and the bytes of the body received. */
   private HttpRequest head;
+  /** The claim of the id in {@link #head}; null for none. */
+  private RequestIdClaims.Claim idClaim;
   private ByteBuf body;
   private BodyStream bodyStream;
   private long received;
@@ -54,12 +59,13 @@
   private ChannelHandlerContext context;
 
   /**
-   * Creates a reader. {@code busy} tells whether an earlier request on the connection has no response yet; {@code onDemandChanged} is run when
-   * {@link #wantsMore} may have changed.
+   * Creates a reader. {@code busy} tells whether an earlier request on the connection has no response yet; {@code idClaimer} claims the
+   * id of a request once its head is complete, or returns null; {@code onDemandChanged} is run when {@link #wantsMore} may have changed.
    */
-  RequestReader(Budgets budgets, BooleanSupplier busy, Runnable onDemandChanged) {
+  RequestReader(Budgets budgets, BooleanSupplier busy, Function<HttpRequest, RequestIdClaims.Claim> idClaimer, Runnable onDemandChanged) {
     this.budgets = budgets;
     this.busy = busy;
+    this.idClaimer = idClaimer;
     this.onDemandChanged = onDemandChanged;
   }
 
@@ -121,6 +127,7 @@
       return;
     }
     head = request;
+    idClaim = idClaimer.apply(request);
     if (length > MAX_BUFFERED_BODY) {
       body = Unpooled.EMPTY_BUFFER;
       awaitUploadCapacity(null);
@@ -183,8 +190,9 @@
         bodyStream = null;
         done.end();
       } else {
-        FullHttpRequest complete = new BufferedRequest(head, body);
+        FullHttpRequest complete = new BufferedRequest(head, body, idClaim);
         head = null;
+        idClaim = null;
         body = null;
         emit(context, complete);
       }
@@ -217,8 +225,9 @@
     }
     bodyStream = new BodyStream(onDemandChanged, reservation::release);
     reservation = null;
-    StreamedRequest request = new StreamedRequest(head, body, bodyStream, rejected);
+    StreamedRequest request = new StreamedRequest(head, body, idClaim, bodyStream, rejected);
     head = null;
+    idClaim = null;
     body = null;
     emit(context, request);
     while (!deferred.isEmpty() && !isAwaitingCapacity()) {
@@ -276,6 +285,10 @@
       HeaderMemory.release(head.headers());
       head = null;
     }
+    if (idClaim != null) {
+      idClaim.release();
+      idClaim = null;
+    }
     bodyStream = null;
     awaitsCapacity = false;
     if (reservation != null) {
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -14,6 +14,7 @@
 import cloverpulley.engine.ServerList;
 import cloverpulley.engine.SocketBudget;
 import cloverpulley.handover.HandoverSnapshot;
+import cloverpulley.handover.RequestIdClaims;
 import cloverpulley.state.BalancerSnapshot.UpstreamSnapshot;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -113,6 +114,7 @@
   /** Null without a management endpoint. */
   private Operations operations;
   private Operations.Components components;
+  private final RequestIdClaims requestIds = new RequestIdClaims();
   private Config config;
   private final AtomicLong reloads = new AtomicLong();
 
@@ -233,8 +235,8 @@
     engine.addTransport(pool);
     frontend = new Frontend(new HttpExchange.Context(engine, pool, config.loadReports()), clock, sockets, config.settings(),
         new RequestReader.Budgets(new BufferBudget(config.memoryBytes() / BUFFERED_BODIES_DIVISOR),
-            new BufferBudget(config.memoryBytes() / UPLOADS_DIVISOR)), counts);
-    components = new Operations.Components(loop, engine, fleet, sockets, pool, frontend, agreedOffline);
+            new BufferBudget(config.memoryBytes() / UPLOADS_DIVISOR)), requestIds, counts);
+    components = new Operations.Components(loop, engine, fleet, sockets, pool, frontend, requestIds, agreedOffline);
     boolean newer = inherited != null && inherited.list().revision() >= config.known().revision();
     if (newer) {
       restoreStartTimes(fleet, inherited);
@@ -488,7 +490,8 @@
     if (operations != null) {
       operations.shutDown();
     }
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    // Ids are released last: until their connections are closed, requests may still run at upstreams.
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> requestIds.close());
   }
 
   private void checkDrained() {
--- a/http/src/main/java/cloverpulley/serve/Warmup.java
+++ b/http/src/main/java/cloverpulley/serve/Warmup.java
@@ -11,6 +11,7 @@
 import cloverpulley.engine.ServerList;
 import cloverpulley.engine.ServerList.Server;
 import cloverpulley.engine.SocketBudget;
+import cloverpulley.handover.RequestIdClaims;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -114,7 +115,7 @@
         (to, data) -> { }, counts);
     engine.addTransport(pool);
     Frontend frontend = new Frontend(new HttpExchange.Context(engine, pool, false), clock, sockets, settings,
-        new RequestReader.Budgets(new BufferBudget(Long.MAX_VALUE), new BufferBudget(Long.MAX_VALUE)), counts);
+        new RequestReader.Budgets(new BufferBudget(Long.MAX_VALUE), new BufferBudget(Long.MAX_VALUE)), new RequestIdClaims(), counts);
     engine.serverListUpdated(ListKind.CACHED, new ServerList(0, true,
         IntStream.range(0, UPSTREAMS).mapToObj(i -> new Server("warm-up-" + i, upstream, settings.zone(), 0, State.READY, 1, 0))
             .toList()));
--- a/http/src/test/java/cloverpulley/serve/MisbehavingClientTest.java
+++ b/http/src/test/java/cloverpulley/serve/MisbehavingClientTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Clients that send malformed or incomplete requests get an error or a close, without any effect on other clients. */
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
@@ -129,6 +130,60 @@
     }
   }
 
+  /** Guards a request that waits behind another, or whose body is still being received, against another client that uses its id first. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void idOfRequestThatIsNotForwardedYetIsConflict(boolean pipelined) throws Exception {
+    CountDownLatch done = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      while (c.next() != null) {
+        done.await();
+        c.write(StubServer.ok("x"));
+      }
+    }); Rig rig = new Rig(configWith(upstream, 1024)); Client client = rig.client(); Client otherClient = rig.client()) {
+      String post = Rig.post("second", "Idempotency-Key: k\r\n", "body");
+      client.write(Rig.get("first", ""));
+      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      client.write(pipelined ? post : post.substring(0, post.length() - 1));
+      while (!otherClient.ask(Rig.get("second", "")).startsWith("HTTP/1.1 409 ")) {
+        assertTrue(upstream.requests.isEmpty(), "the id was used before its request");
+      }
+      done.countDown();
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      client.write(pipelined ? "" : "y");
+      assertTrue(client.answer().startsWith("HTTP/1.1 200 "));
+      assertEquals(1, upstream.requests.size());
+    }
+  }
+
+  /** An upstream could take the id that the balancer has not checked. */
+  @Test
+  void requestWithTwoIdsIsRejected() throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(configWith(upstream, 1024));
+        Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("a", "x-trace-id: b\r\n")).startsWith("HTTP/1.1 400 "));
+      assertTrue(client.ask(Rig.get("b", "")).startsWith("HTTP/1.1 200 "), "a rejected request holds no id");
+    }
+  }
+
+  /** Every way by which a request ends without being forwarded gives its id back. */
+  @ParameterizedTest
+  @ValueSource(strings = {"X-Customer: nobody\r\n", "X-Expires-In-Ms: x\r\n"})
+  void idOfRejectedRequestCanBeUsed(String line) throws Exception {
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x")); Rig rig = new Rig(Config.parse(
+        Rig.text(UNREACHABLE, Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready")), "on_request", 200, 1024, "")
+            .replace("\"settings\":{", "\"settings\":{" + TENANTS), Map.of())); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("a", line)).startsWith("HTTP/1.1 400 "));
+      assertTrue(client.ask(Rig.get("a", "X-Customer: acme\r\n")).startsWith("HTTP/1.1 200 "));
+      try (Client leaver = rig.client()) {
+        leaver.write(Rig.post("c", "Idempotency-Key: k\r\n", "body").replace("body", ""));
+      }
+      while (client.ask(Rig.get("c", "X-Customer: acme\r\n")).startsWith("HTTP/1.1 409 ")) {
+        assertTrue(upstream.requests.size() < 2, "a client that left holds its id");
+      }
+    }
+  }
+
   @Test
   void unknownTenantAndOverlongIdAreErrors() throws Exception {
     Config config = Config.parse(Rig.text(UNREACHABLE, Rig.list(1, true), "on_request", 200, 1024, "")
