A connection with the beginning of a second answer behind the first is not used again

The beginning of a second answer in the same read stayed in the decoder, and the next request's answer became its headers or body: unsafe requests ran twice. Change: StrictResponseDecoder tells whether all bytes belong to complete messages; a connection without a call that has more is closed at the end of the read.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -101,8 +101,8 @@
           @Override
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
-            channel.pipeline().addLast(connection.rawInboundHandler(), new HttpRequestEncoder(),
-                new StrictResponseDecoder(connection.headerMemory.decoderConfig()), new ResponseValidator(), connection);
+            channel.pipeline().addLast(connection.rawInboundHandler(), new HttpRequestEncoder(), connection.decoder,
+                new ResponseValidator(), connection);
           }
         });
     setTimeouts(connectTimeoutNanos, upstreamIdleNanos);
@@ -253,6 +253,7 @@
     /** The response being received: its head, the buffered part of its body, and whether it is streamed instead. */
     private HttpResponse responseHead;
     private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
+    private final StrictResponseDecoder decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
     private ByteBuf bodyBuffer;
     private boolean streaming;
     private long bodyBytes;
@@ -309,7 +310,9 @@
           if (streaming) {
             deliverBody();
           }
-          if (call != null && prefixMatched > 0) {
+          if (call == null && !decoder.isBetweenMessages()) {
+            channel.close(); // The beginning of another response follows the complete one.
+          } else if (call != null && prefixMatched > 0) {
             responseProgressed();
           }
         }
--- a/http/src/test/java/cloverpulley/serve/StubServer.java
+++ b/http/src/test/java/cloverpulley/serve/StubServer.java
@@ -175,6 +175,11 @@
       return finished.await(Rig.LIMIT_S, TimeUnit.SECONDS);
     }
 
+    /** Whether the script has returned. */
+    boolean hasEnded() {
+      return finished.getCount() == 0;
+    }
+
     /** Waits until the peer closes the connection; false if it sends more data first, or is still connected at the timeout. */
     boolean ends() {
       try {
