A 1xx answer and the beginning of the good one may come in one read

After a 1xx answer the check for HTTP/1. began anew with the next read, in the middle of the good answer if that had begun in the same read: the client's connection ended in the first bytes, or it was answered 502.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -294,7 +294,7 @@
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
           ByteBuf bytes = (ByteBuf) message;
-          int matched = call == null ? -1 : ResponseValidator.matchPrefix(bytes, prefixMatched);
+          int matched = call == null ? -1 : isWithinResponse() ? prefixMatched : ResponseValidator.matchPrefix(bytes, prefixMatched);
           if (matched < 0) {
             bytes.release();
             resetConnection();
@@ -312,13 +312,18 @@
           }
           if (call == null && !decoder.isBetweenMessages()) {
             channel.close(); // The beginning of another response follows the complete one.
-          } else if (call != null && prefixMatched > 0) {
+          } else if (call != null && (prefixMatched > 0 || isWithinResponse())) {
             responseProgressed();
           }
         }
       };
     }
 
+    /** Whether a part of a response has been decoded that began in the same read as the end of an informational one. */
+    private boolean isWithinResponse() {
+      return prefixMatched == 0 && !decoder.isBetweenMessages();
+    }
+
     /** Records that bytes arrived, and starts watching for a response that stalls because its head has no end or its length is wrong. */
     private void responseProgressed() {
       lastReadAt = System.nanoTime();
--- a/http/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/http/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -42,6 +42,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Outcomes of attempts, depending on what the upstream does on its connection. */
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
@@ -190,6 +191,49 @@
     }
   }
 
+  /** The beginning of a second response right behind the first, cut off anywhere, would otherwise wait in the decoder for the next request. */
+  @ParameterizedTest
+  @ValueSource(ints = {1, 9, 17, 18, 30, 37, 39, 43})
+  void beginningOfSecondResponseIsNotTakenForNextResponse(int length) throws Exception {
+    String surplus = StubServer.ok("surplus");
+    try (StubServer upstream = new StubServer(c -> {
+      for (String request = c.next(); request != null; request = c.next()) {
+        c.write(request.contains("X-Trace-Id: t-first") ? StubServer.ok("first") + surplus.substring(0, length) : StubServer.ok("next"));
+      }
+    }); Rig rig = new Rig(singleUpstream(upstream.address()), new Script(ATTEMPT_TIMEOUT)); Client client = rig.client()) {
+      assertTrue(client.ask(Rig.get("t-first", "")).endsWith("\r\n\r\nfirst"));
+      StubServer.Connection first = upstream.connections.take();
+      for (int i = 0; !first.hasEnded() || i < 100; i++) {
+        assertTrue(client.ask(Rig.get("t" + i, "")).endsWith("\r\n\r\nnext"));
+      }
+    }
+  }
+
+  /** An informational response and what follows it in the same read must not break off the final response, wherever the reads are cut. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 5, 20, 60, 100_000})
+  void informationalResponseIsFollowedByFinalResponse(int lengthBehind) throws Exception {
+    String response = StubServer.ok("x".repeat(200_000));
+    CountDownLatch begun = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write("HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + response.substring(0, lengthBehind));
+      begun.await();
+      c.write(response.substring(lengthBehind));
+      c.next();
+    }); Rig rig = new Rig(singleUpstream(upstream.address()), new Script(ATTEMPT_TIMEOUT)); Client client = rig.client();
+        Client other = rig.client()) {
+      client.write(Rig.get("t", ""));
+      assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      for (int i = 0; i < 20; i++) {
+        other.ask("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"); // Iterations of the loop, in which it reads what the upstream has written.
+      }
+      begun.countDown();
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 200 ") && answer.endsWith("x".repeat(1000)), () -> answer.substring(0, 100));
+    }
+  }
+
   /** A connection with unread input must not be reused, even before the event loop has read it. */
   @Test
   void unreadInputIsDetected() throws Exception {
