A call offline is recorded even where a call online elsewhere has not been seen yet

In an upgrade, online at the old process and at once offline at the new one, which recorded nothing as it still held the upstream for offline: the last yes was forgotten, and requests went to the upstream.

--- a/handover/src/main/java/cloverpulley/handover/OfflineUpstreams.java
+++ b/handover/src/main/java/cloverpulley/handover/OfflineUpstreams.java
@@ -37,8 +37,12 @@
   /** Digits of the time in a file name. */
   private static final int TIME_DIGITS = 19;
 
-  /** The last change of an upstream. */
-  private record Change(boolean offline, long atNanos) {
+  /**
+   * The last change of an upstream.
+   *
+   * @param sinceNanos when it was first known to be offline, if it was taken offline repeatedly
+   */
+  private record Change(boolean offline, long sinceNanos, long atNanos) {
 
     /** Of two changes at the same time offline wins, which is the safe choice. */
     boolean isAfter(Change other) {
@@ -49,6 +53,8 @@
   private final Path folder;
   private final LongSupplier clock;
   private final Map<String, Change> changes = new LinkedHashMap<>();
+  /** Whether the last {@link #synchronize} has read and written the whole folder. */
+  private boolean synchronizedLast;
 
   /** {@code folder} may be null; nothing is shared then. */
   public OfflineUpstreams(Path folder) {
@@ -58,6 +64,7 @@
   OfflineUpstreams(Path folder, LongSupplier clock) {
     this.folder = folder;
     this.clock = clock;
+    synchronizedLast = folder == null;
   }
 
   /** Whether a name can be stored. */
@@ -66,21 +73,24 @@
     return bytes.length > 0 && bytes.length <= MAX_NAME_BYTES;
   }
 
-  /** Takes an upstream offline; one that is already offline keeps the time of the first call. Returns false if the maximum number is offline. */
+  /**
+   * Takes an upstream offline. Recorded even if it is offline already: another process may have brought it online in a change that this one has
+   * not seen yet, and the later of the two has to win. Returns false if the maximum number is offline.
+   */
   public boolean setOffline(String id) {
-    if (isOffline(id)) {
-      return true;
-    }
-    if (offline().size() >= MAX_OFFLINE) {
+    if (!isOffline(id) && offline().size() >= MAX_OFFLINE) {
       return false;
     }
     change(id, true);
     return true;
   }
 
-  /** Brings an upstream back online. */
+  /**
+   * Brings an upstream back online. Recorded also where the folder could not be read last, since another process may have taken it offline
+   * meanwhile. To be called after {@link #synchronize}.
+   */
   public void setOnline(String id) {
-    if (isOffline(id)) {
+    if (isOffline(id) || !synchronizedLast) {
       change(id, false);
     }
   }
@@ -93,7 +103,9 @@
   private void change(String id, boolean offline) {
     Change before = changes.remove(id);
     long now = clock.getAsLong();
-    changes.put(id, new Change(offline, before == null ? now : Math.max(now, before.atNanos + 1)));
+    long atNanos = before == null ? now : Math.max(now, before.atNanos + 1);
+    boolean repeated = offline && before != null && before.offline;
+    changes.put(id, new Change(offline, repeated ? before.sinceNanos : atNanos, atNanos));
     removeOldestOnline();
   }
 
@@ -109,7 +121,7 @@
     Map<String, Long> offline = new LinkedHashMap<>();
     changes.forEach((id, change) -> {
       if (change.offline) {
-        offline.put(id, Math.max(0, now - change.atNanos));
+        offline.put(id, Math.max(0, now - change.sinceNanos));
       }
     });
     return offline;
@@ -123,6 +135,7 @@
     if (folder == null) {
       return;
     }
+    synchronizedLast = false;
     Files.createDirectories(folder);
     List<Path> files;
     try (Stream<Path> found = Files.list(folder)) {
@@ -146,14 +159,16 @@
     for (Path file : stale) {
       Files.deleteIfExists(file);
     }
+    synchronizedLast = true;
   }
 
   private void applyFile(Path file) {
     String id = id(file);
     Change change = change(file);
     if (id != null && change != null && change.isAfter(changes.get(id))) {
-      changes.remove(id);
-      changes.put(id, change);
+      Change before = changes.remove(id);
+      boolean repeated = change.offline && before != null && before.offline;
+      changes.put(id, repeated ? new Change(true, before.sinceNanos, change.atNanos) : change);
       removeOldestOnline();
     }
   }
@@ -166,14 +181,15 @@
   private static Change change(Path file) {
     String name = file.getFileName().toString();
     if (name.startsWith(LEGACY_PREFIX)) {
-      return new Change(true, 0);
+      return new Change(true, 0, 0);
     }
     int at = name.lastIndexOf('-');
     if (!name.startsWith(OFFLINE_PREFIX) && !name.startsWith(ONLINE_PREFIX) || name.length() - at - 1 != TIME_DIGITS) {
       return null;
     }
     try {
-      return new Change(name.startsWith(OFFLINE_PREFIX), Long.parseLong(name.substring(at + 1)));
+      long atNanos = Long.parseLong(name.substring(at + 1));
+      return new Change(name.startsWith(OFFLINE_PREFIX), atNanos, atNanos);
     } catch (NumberFormatException e) {
       return null;
     }
--- a/handover/src/test/java/cloverpulley/handover/OfflineUpstreamsTest.java
+++ b/handover/src/test/java/cloverpulley/handover/OfflineUpstreamsTest.java
@@ -58,6 +58,30 @@
     assertTrue(second.offline().containsKey("s-1"));
   }
 
+  /** Guards a confirmed call offline against an earlier call online at the other process, which this one has not seen yet. */
+  @Test
+  void aRepeatedCallOfflineIsLaterThanAnUnseenCallOnline() throws IOException {
+    createBoth();
+    first.setOffline("s-1");
+    synchronizeBoth();
+    first.setOnline("s-1");
+    assertTrue(second.setOffline("s-1"));
+    synchronizeBoth();
+    assertTrue(first.offline().containsKey("s-1"));
+    assertTrue(second.offline().containsKey("s-1"));
+  }
+
+  /** The same the other way round: a call online after an unseen call offline, while the folder can't be read. */
+  @Test
+  void aCallOnlineWithoutAFolderIsLaterThanAnUnseenCallOffline() throws IOException {
+    createBoth();
+    first.setOffline("s-1");
+    second.setOnline("s-1");
+    synchronizeBoth();
+    assertEquals(Set.of(), first.offline().keySet());
+    assertEquals(Set.of(), second.offline().keySet());
+  }
+
   @Test
   void anEmptiedFolderPutsNothingOnline() throws IOException {
     createBoth();
--- a/http/src/main/java/cloverpulley/serve/Operations.java
+++ b/http/src/main/java/cloverpulley/serve/Operations.java
@@ -409,6 +409,7 @@
 
   /** Records a change in memory, which confirms it even if the folder fails: the other processes are notified once it works again. */
   private CompletableFuture<Answer> commitChange(String upstream, boolean toOffline) {
+    withFolder(offline::synchronize); // A change that another process has confirmed since the last scan comes before this one.
     if (!toOffline) {
       offline.setOnline(upstream);
     } else if (!offline.setOffline(upstream)) {
