An upload whose client left is cut off at its server, too: the rest of it will not follow

Where attempts may not be called off, a request whose client left in the middle of its body kept its connection, half written, for up to 10 minutes. Change: an exchange with a streamed body that ends cancels its calls that are not written; they can't have run. A file of request ids that is closed is opened again.

--- a/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
+++ b/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
@@ -52,10 +52,10 @@
     }
   }
 
-  /** Whether the folder still holds this file: a process that looks for it would open the same one. */
+  /** Whether this file can be used and the folder still holds it: a process that looks for it would open the same one. */
   public boolean isInPlace() throws IOException {
     try {
-      return Files.readAttributes(path, BasicFileAttributes.class).fileKey().equals(fileKey);
+      return channel.isOpen() && Files.readAttributes(path, BasicFileAttributes.class).fileKey().equals(fileKey);
     } catch (NoSuchFileException e) {
       return false;
     }
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -216,6 +216,7 @@
     calls.forEach(Call::discardResponse); // Attempts that may not be cancelled go on; without a client nothing resumes their responses.
     if (bodyStream != null) {
       bodyStream.discard();
+      calls.forEach(context.pool::cancelUnwritten); // The rest of the body will not follow, so the upstream can't run the request.
     }
   }
 
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -177,6 +177,13 @@
     abandon(call, Status.NOT_SENT, Status.CANCELLED);
   }
 
+  /** Cancels a call whose request has not been written completely, and so has not run. */
+  void cancelUnwritten(Call call) {
+    if (!call.written) {
+      cancel(call);
+    }
+  }
+
   /** Closes the idle connections to upstreams that drain or were removed, and cancels calls that are still connecting to them. */
   @Override
   public void drainUpstreams(LongPredicate upstreams) {
--- a/http/src/test/java/cloverpulley/serve/BufferReleaseTest.java
+++ b/http/src/test/java/cloverpulley/serve/BufferReleaseTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Balancer.BodyDiscarded;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.Outcome;
 import cloverpulley.Balancer.Request;
@@ -165,6 +166,23 @@
     });
   }
 
+  /** The upstream connection of an upload whose client left is closed: the rest of the request will not follow. */
+  @Test
+  void incompleteUploadHoldsNoConnection() throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.in().readAllBytes();
+    }); Rig rig = rig(upstream, module)) {
+      try (Client client = rig.client()) {
+        client.write(upload("/api", "u", "Content-Length: " + LONG_UPLOAD) + "x".repeat(RequestReader.MAX_BUFFERED_BODY + 10_000));
+        module.next(BodyDiscarded.class);
+      }
+      StubServer.Connection connection = upstream.connections.take();
+      assertEquals(Status.NOT_SENT, module.next(Outcome.class).status());
+      assertTrue(connection.awaitEnd(), "the connection is kept");
+    }
+  }
+
   /** An upload that is dropped because it follows too many requests at once takes no capacity once its client has left. */
   @Test
   void droppedUploadHoldsNoCapacity() throws Exception {
