Soak: a report of a time that was told says when the test's own process stood still

Need: SoakIT reports attempts that told their servers up to 0.28 s too much, at times at two balancers at once; whether they or the test were late can't be told from the report. Change: StallMonitor notes pauses of the test's process and of its servers' loops; the reports of TOLD_TIME and AFTER_LEAVING name those that lie within. No check or bound is changed.

--- a/standins/src/main/java/cloverpulley/standins/soak/Soak.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/Soak.java
@@ -65,6 +65,7 @@
   private final SplittableRandom random;
   private final SoakCounts counts = new SoakCounts();
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(3, NioIoHandler.newFactory());
+  private final StallMonitor stalls = new StallMonitor(group);
   private final Path folder;
   private final List<SoakNode> nodes = new ArrayList<>();
   private final List<SoakServer> servers = new ArrayList<>();
@@ -480,7 +481,7 @@
   }
 
   private void check() {
-    new SoakChecker(counts, notifications, nodes, servers, clients).check();
+    new SoakChecker(counts, notifications, nodes, servers, clients, stalls).check();
   }
 
   private void close() throws IOException {
@@ -490,6 +491,7 @@
       discovery.close();
     }
     servers.forEach(SoakServer::stop);
+    stalls.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     if (!counts.isEmpty() && Boolean.getBoolean("soak.keep")) {
       System.err.println("kept: " + folder);
--- a/standins/src/main/java/cloverpulley/standins/soak/SoakChecker.java
+++ b/standins/src/main/java/cloverpulley/standins/soak/SoakChecker.java
@@ -30,13 +30,16 @@
   /** At the end of that time a server in slow start has less than this ratio of its capacity. */
   private static final double SLOW_START_RATIO = 0.75;
 
+  private final StallMonitor stalls;
   private final SoakCounts counts;
   private final SoakNotifications notifications;
   private final List<SoakNode> nodes;
   private final List<SoakServer> servers;
   private final Map<String, SentRequest> requests;
 
-  SoakChecker(SoakCounts counts, SoakNotifications notifications, List<SoakNode> nodes, List<SoakServer> servers, SoakClients clients) {
+  SoakChecker(SoakCounts counts, SoakNotifications notifications, List<SoakNode> nodes, List<SoakServer> servers, SoakClients clients,
+      StallMonitor stalls) {
+    this.stalls = stalls;
     this.counts = counts;
     this.notifications = notifications;
     this.nodes = nodes;
@@ -108,11 +111,13 @@
       return;
     }
     if ((a.end() == End.LEFT || a.end() == End.UNANSWERED) && r.atNanos() > a.endNanos() + AFTER_DISCONNECT_NANOS) {
-      counts.add(Breach.AFTER_LEAVING, r.id() + " began " + (r.atNanos() - a.endNanos()) / 1_000_000 + " ms after its client left");
+      counts.add(Breach.AFTER_LEAVING, r.id() + " began " + (r.atNanos() - a.endNanos()) / 1_000_000 + " ms after its client left"
+          + stalls.describe(a.endNanos(), r.atNanos()));
     }
     long remainingMillis = a.expiresMillis() - (r.atNanos() - a.sentNanos()) / 1_000_000;
     if (r.expiresMillis() > remainingMillis + EXPIRY_SLACK_MILLIS) {
-      counts.add(Breach.TOLD_TIME, r.id() + " told " + r.expiresMillis() + " ms of " + remainingMillis);
+      counts.add(Breach.TOLD_TIME, r.id() + " told " + r.expiresMillis() + " ms of " + remainingMillis + ", sent " + (r.atNanos() - a.sentNanos()) / 1_000_000
+          + " ms before" + stalls.describe(a.sentNanos(), r.atNanos()));
     }
   }
 
