A slow answer is not cut off after 0.3 s: the module learns of the pause

Cause: UpstreamPool ended a buffered answer that gave nothing for 0.3 s as RESET, to free the clients of spoilt answers. A slow answer looks the same until it goes on. The limiter took each cut for a failure of the upstream.

Change: silence ends nothing. The pool reports the body's beginning (AnswerBegan) and one pause of 0.3 s (AnswerStalled); the attempt goes on until its client's time is up. The module sends another attempt beside it where class, deduplication window and cell, settings (second-copies) and retry budget allow; the first whole answer wins. Load and latency count to the body's beginning. A status other than 200 is the outcome once its body pauses. The log counts answers_paused.

--- a/decision/src/main/java/cloverpulley/Attempt.java
+++ b/decision/src/main/java/cloverpulley/Attempt.java
@@ -12,9 +12,23 @@
   boolean rejected;
   /** Its response has started and is being streamed to the client. */
   boolean streaming;
+  /** How long after it was sent the body of its response began to arrive; -1 before. */
+  long beganAfterNanos = -1;
+  /** Its response has begun, if only the head, and then paused. */
+  boolean stalled;
 
   Attempt(Upstream upstream, long sentAt) {
     this.upstream = upstream;
     this.sentAt = sentAt;
   }
+
+  /** Whether its upstream still works on it, as far as is known, rather than transferring the response. */
+  boolean countsAsLoad() {
+    return inFlight && !streaming && !hasBegun();
+  }
+
+  /** Whether the body of its response has begun to arrive. */
+  boolean hasBegun() {
+    return beganAfterNanos >= 0;
+  }
 }
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -135,7 +135,7 @@
   record Endpoint(long upstream, String zone, int cell, State state, long startedNanos, double weight) {}
 
   /** Something that happened to the balancer. */
-  sealed interface Event permits EndpointUpdate, Request, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
+  sealed interface Event permits EndpointUpdate, Request, AnswerBegan, AnswerStalled, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
       PeerMessage, UpstreamSetOffline, UpstreamSetOnline, SnapshotRequested, SnapshotRestored,
       ProcessCountChanged, SettingsChanged, BodyEnded, BodyDiscarded {}
 
@@ -166,6 +166,15 @@
    */
   record AnswerStarted(String id, int attempt, long upstream, long latencyNanos) implements Event {}
 
+  /**
+   * The body of a response has begun to arrive, {@code latencyNanos} after the attempt was sent, and is not complete: the upstream has done its
+   * work, and what remains is the transfer. Reported at most once for an attempt.
+   */
+  record AnswerBegan(String id, int attempt, long upstream, long latencyNanos) implements Event {}
+
+  /** The response to an attempt has begun and then paused: it may go on, or never be complete. Reported at most once for an attempt. */
+  record AnswerStalled(String id, int attempt, long upstream) implements Event {}
+
   /**
    * An attempt ended. {@code finished}: the request is complete (the first SERVED completes it); otherwise it must still
    * get a final answer. {@code load} is the load report of the upstream, empty if there was none.
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -82,9 +82,6 @@
   private static final long MAX_EJECTION_NANOS = 8 * SECOND;
   /** With more than this part of the ready upstreams ejected or unresponsive, both states are ignored. */
   private static final double PANIC_THRESHOLD = 0.5;
-  /** Back-off of calls for the endpoint list. */
-  private static final long MIN_LIST_BACKOFF = SECOND / 2;
-  private static final long MAX_LIST_BACKOFF = 2 * SECOND;
   /** Part of the slow-start budget of a window that may be sent at once. */
   private static final double SLOW_START_BURST = 0.25;
   /** Attempts per second that all balancers together may always send to an upstream in slow start. */
@@ -125,7 +122,7 @@
   private boolean sweepScheduled;
   /** Processes that run as this balancer and share its allowances. */
   private int processes = 1;
-  private int listFailures;
+  private final ListBackoff listBackoff = new ListBackoff();
   private long resubscribeAt = Long.MAX_VALUE;
   private long now;
   private Consumer<Action> actions;
@@ -191,6 +188,10 @@
       }
     } else if (event instanceof AnswerStarted e) {
       onAnswerStarted(e);
+    } else if (event instanceof AnswerBegan e) {
+      onAnswerBegan(e);
+    } else if (event instanceof AnswerStalled e) {
+      onAnswerStalled(e);
     } else if (event instanceof BodyEnded e && pending.get(e.id()) != null) {
       onBodyEnded(pending.get(e.id()), e.deadlineNanos());
     } else if (event instanceof BodyDiscarded e && pending.get(e.id()) != null) {
@@ -204,12 +205,6 @@
 
   // ---- Admission: linear rate curve ---------------------------------------------------------------------
 
-  /** The published rate curve: linear from maxRate at or below minValue to minRate at or above maxValue. */
-  static double allowedRate(double mean, double minValue, double maxValue, double maxRate, double minRate) {
-    double ratio = Math.min(1, Math.max(0, (mean - minValue) / (maxValue - minValue)));
-    return maxRate + ratio * (minRate - maxRate);
-  }
-
   private void onRequest(Request request) {
     RequestClass type = classes.get(request.className());
     if (type == null) {
@@ -257,8 +252,8 @@
     double maxRate = r.flowWindow.total(now, Metric.OFFERED) * RATE_HEADROOM;
     double curveRatio =
         r.overQuota ? EXCESS_LATENCY_RATIO + (1 - EXCESS_LATENCY_RATIO) * settings.overShareWorth() : 1;
-    double allowed = allowedRate(mean, MIN_LATENCY_RATIO * curveRatio, MAX_LATENCY_RATIO * curveRatio,
-        maxRate, maxRate * MIN_RATE_RATIO);
+    double allowed = RateCurve.allowedRate(mean, MIN_LATENCY_RATIO * curveRatio,
+        MAX_LATENCY_RATIO * curveRatio, maxRate, maxRate * MIN_RATE_RATIO);
     // With no more load than while healthy, this balancer did not cause the overload: admit within quotas.
     boolean belowBaseline = tenantQuotas.hasQuota(r.request.tenant())
         && readyLoad + queue.size() < baselineInFlight * readyCount / processes;
@@ -451,19 +446,29 @@
    * healthy. */
   private void hedge(PendingRequest r) {
     Attempt last = r.attempts.get(r.attempts.size() - 1);
-    if (!settings.limits().hedging() || !settings.limits().cancel() || !isUnresponsive(last.upstream)
-        || !retryBudget.allowsHedge() || fleet.mean(now) > MIN_LATENCY_RATIO
-        || now - r.receivedAt > r.type.aimNanos()
-        || r.notRetryable || r.attempts.size() >= r.maxAttempts) {
-      return;
+    if (isUnresponsive(last.upstream) && fleet.mean(now) <= MIN_LATENCY_RATIO
+        && now - r.receivedAt <= r.type.aimNanos()) {
+      sendSecondCopy(r);
     }
-    Upstream u = r.type.effect() == Effect.UNSAFE ? null : selectUpstream(r);
+  }
+
+  /** Sends a further attempt beside those in flight, if class, settings and budget allow it. */
+  private void sendSecondCopy(PendingRequest r) {
+    Upstream u = RetryRules.allowsSecondCopy(r, settings.limits()) && retryBudget.allowsHedge()
+        ? selectUpstream(r) : null;
     if (u != null) {
       retryBudget.takeHedge();
       send(r, u);
     }
   }
 
+  /** Sends a further attempt beside responses that have paused: they may go on, or never be complete. */
+  private void hedgeStalled(PendingRequest r) {
+    if (!r.answered && !r.streaming && r.isStalled() && now < r.deadline - 2 * sweepNanos) {
+      sendSecondCopy(r);
+    }
+  }
+
   private boolean answerDue(PendingRequest r) {
     return r.request.answerByNanos() > 0 && now >= r.request.answerByNanos();
   }
@@ -505,17 +510,17 @@
 
   private void onOutcome(Outcome o) {
     PendingRequest r = pending.get(o.id());
-    if (r == null || o.attempt() >= r.attempts.size() || !r.attempts.get(o.attempt()).inFlight) {
+    Attempt a = inFlight(r, o.attempt());
+    if (a == null) {
       return;
     }
-    Attempt a = r.attempts.get(o.attempt());
+    if (a.countsAsLoad()) {
+      removeLoad(r, a);
+    }
     a.inFlight = false;
     a.mayHaveRun = !o.status().provesNotRun();
     a.rejected = o.status() == Status.FULL;
     r.inFlight--;
-    if (!a.streaming) {
-      removeLoad(r, a);
-    }
     if (!a.streaming || o.status() != Status.SERVED) {
       recordOutcome(r, a, o);
     }
@@ -544,19 +549,45 @@
   /** Load and latency count up to the start of the response, so that slow readers do not distort them. */
   private void onAnswerStarted(AnswerStarted e) {
     PendingRequest r = pending.get(e.id());
-    if (r == null || r.answered || e.attempt() >= r.attempts.size()
-        || !r.attempts.get(e.attempt()).inFlight) {
+    Attempt a = inFlight(r, e.attempt());
+    if (a == null || r.answered) {
       return;
     }
-    Attempt a = r.attempts.get(e.attempt());
+    if (a.countsAsLoad()) {
+      removeLoad(r, a);
+    }
     r.streaming = true;
     a.streaming = true;
-    removeLoad(r, a);
     recordOutcome(r, a, new Outcome(e.id(), e.attempt(), e.upstream(), Status.SERVED, e.latencyNanos(), false,
         Map.of()));
     cancelOthers(r, a);
   }
 
+  private void onAnswerBegan(AnswerBegan e) {
+    PendingRequest r = pending.get(e.id());
+    Attempt a = inFlight(r, e.attempt());
+    if (a != null && a.countsAsLoad()) {
+      removeLoad(r, a);
+      a.beganAfterNanos = e.latencyNanos();
+    }
+  }
+
+  /** A pause is no failure, since the response may go on, but a reason for another attempt. */
+  private void onAnswerStalled(AnswerStalled e) {
+    PendingRequest r = pending.get(e.id());
+    Attempt a = inFlight(r, e.attempt());
+    if (a != null) {
+      a.stalled = true;
+      hedgeStalled(r);
+    }
+  }
+
+  /** An attempt of a request, null if either is over. */
+  private static Attempt inFlight(PendingRequest r, int attempt) {
+    boolean known = r != null && attempt < r.attempts.size() && r.attempts.get(attempt).inFlight;
+    return known ? r.attempts.get(attempt) : null;
+  }
+
   private void onBodyEnded(PendingRequest r, long deadline) {
     boolean queued = queue.remove(r);
     r.receivedAt = now;
@@ -574,9 +605,13 @@
       u.firstResponseAt = u.firstResponseAt == 0 ? now : u.firstResponseAt;
       u.window.add(now, Metric.AIM_SUM, r.load * r.type.aimNanos() / SECOND);
       u.window.add(now, Metric.SAMPLES, 1);
-      u.window.add(now, Metric.LATENCY_SUM, r.load * o.latencyNanos());
-      recordSlowness(u, (double) o.latencyNanos() / r.type.aimNanos());
-      recordLatency(r, (double) (now - r.receivedAt) / r.type.aimNanos());
+      long latency = a.hasBegun() ? a.beganAfterNanos : o.latencyNanos();
+      u.window.add(now, Metric.LATENCY_SUM, r.load * latency);
+      recordSlowness(u, (double) latency / r.type.aimNanos());
+      long answeredAt = a.hasBegun() ? Math.max(a.sentAt, r.receivedAt) + latency : now;
+      recordLatency(r, (double) (answeredAt - r.receivedAt) / r.type.aimNanos());
+    } else if (o.status() == Status.CANCELLED && a.stalled) {
+      recordSlowness(u, Double.MAX_VALUE); // Another attempt was faster.
     } else if (o.status() == Status.FULL) {
       recordSlowness(u, Double.MAX_VALUE);
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
@@ -618,13 +653,14 @@
     for (PendingRequest r : List.copyOf(pending.values())) {
       for (Attempt a : r.attempts) {
         // Detects a hanging upstream early: a time-out may come seconds after the aim.
-        if (a.inFlight && !a.streaming && !a.overdue
+        if (a.countsAsLoad() && !a.overdue
             && now - Math.max(a.sentAt, r.receivedAt) > r.type.aimNanos()) {
           a.overdue = true;
           recordSlowness(a.upstream, Double.MAX_VALUE);
         }
       }
-      if (r.inFlight == 1 && !r.answered && !r.streaming) {
+      hedgeStalled(r);
+      if (r.inFlight == 1 && !r.answered && !r.streaming && !r.isStalled()) {
         hedge(r);
       }
     }
@@ -639,13 +675,11 @@
 
   private void onEndpointUpdate(EndpointUpdate update) {
     if (update.kind() == ListKind.FAILED) {
-      // Full jitter, or all balancers would call the discovery service again at the same time.
-      long backoff = Math.min(MAX_LIST_BACKOFF, MIN_LIST_BACKOFF << Math.min(listFailures++, 10));
-      resubscribeAt = now + (long) (backoff * random.nextDouble());
+      resubscribeAt = now + listBackoff.nextNanos(random);
       return;
     }
     if (update.kind() != ListKind.CACHED) {
-      listFailures = 0;
+      listBackoff.reset();
     } else if (settings.listOnRequest()) {
       actions.accept(new Watch(true));
     }
--- a/decision/src/main/java/cloverpulley/PendingRequest.java
+++ b/decision/src/main/java/cloverpulley/PendingRequest.java
@@ -37,6 +37,11 @@
     this.maxAttempts = maxAttempts;
   }
 
+  /** Whether all its attempts in flight have a response that has paused. */
+  boolean isStalled() {
+    return inFlight > 0 && attempts.stream().noneMatch(a -> a.inFlight && !a.stalled);
+  }
+
   boolean mayHaveRun() {
     for (Attempt a : attempts) {
       if (a.mayHaveRun) {
--- a/decision/src/main/java/cloverpulley/RetryRules.java
+++ b/decision/src/main/java/cloverpulley/RetryRules.java
@@ -2,6 +2,7 @@
 
 import cloverpulley.Balancer.DedupScope;
 import cloverpulley.Balancer.Effect;
+import cloverpulley.Balancer.Limits;
 
 /** Rule 2: which further attempts a request may have, and whether it may be rejected, which tells the client that a retry
  * is safe. */
@@ -47,6 +48,12 @@
     return !forbidsAttempts(r, now, tickNanos);
   }
 
+  /** Whether a request may have a further attempt beside those in flight. */
+  static boolean allowsSecondCopy(PendingRequest r, Limits limits) {
+    return limits.hedging() && limits.cancel() && r.type.effect() != Effect.UNSAFE && !r.notRetryable
+        && r.attempts.size() < r.maxAttempts;
+  }
+
   static boolean allowsRejection(PendingRequest r) {
     return r.type.effect() == Effect.SAFE || !r.mayHaveRun()
         || r.type.effect() == Effect.KEYED && r.type.dedupScope() == DedupScope.ALL;
--- a/engine/src/main/java/cloverpulley/engine/Attempt.java
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -10,6 +10,8 @@
   private final long sendBy;
   /** Clock reading at which the request's body was complete, if that was after this attempt had started; else 0. */
   long bodyEndedAt;
+  /** How long the first bytes of its answer's body took to arrive, if that was not complete then; else -1. */
+  long answerBeganAfterNanos = -1;
   /** How long its answer took to start, if it is streamed to the client; else -1. */
   long answerStartedAfterNanos = -1;
   CancelHandle cancelHandle;
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -2,6 +2,8 @@
 
 import cloverpulley.Balancer;
 import cloverpulley.Balancer.Action;
+import cloverpulley.Balancer.AnswerBegan;
+import cloverpulley.Balancer.AnswerStalled;
 import cloverpulley.Balancer.AnswerStarted;
 import cloverpulley.Balancer.BodyDiscarded;
 import cloverpulley.Balancer.BodyEnded;
@@ -286,6 +288,25 @@
     return clock.now() - Math.max(attempt.sentAt(), attempt.bodyEndedAt);
   }
 
+  /** The body of an attempt's answer has begun to arrive and is not complete. */
+  public void answerBegan(Attempt attempt) {
+    if (!attempt.ended && attempt.answerBeganAfterNanos < 0) {
+      Exchange x = attempt.exchange();
+      attempt.answerBeganAfterNanos = latency(attempt);
+      enqueue(() -> isTracked(x) && !x.isEnded() && !attempt.ended
+          ? new AnswerBegan(x.id, attempt.number(), attempt.upstream(), attempt.answerBeganAfterNanos) : null);
+    }
+  }
+
+  /** An attempt's answer has begun, and nothing of it has arrived for a while. The attempt goes on: the module decides on another one. */
+  public void answerStalled(Attempt attempt) {
+    Exchange x = attempt.exchange();
+    if (!attempt.ended) {
+      enqueue(() -> isTracked(x) && !x.isEnded() && !attempt.ended
+          ? new AnswerStalled(x.id, attempt.number(), attempt.upstream()) : null);
+    }
+  }
+
   /**
    * An attempt's answer has started and is to be streamed to the client: from here on the request belongs to this attempt, has no
    * deadline and ends with it. Returns false if the request has ended or streams another attempt's answer: nothing may be streamed then.
@@ -297,7 +318,7 @@
     }
     x.streamingAttempt = attempt;
     x.deadlineTimer.cancel(false);
-    attempt.answerStartedAfterNanos = latency(attempt);
+    attempt.answerStartedAfterNanos = attempt.answerBeganAfterNanos >= 0 ? attempt.answerBeganAfterNanos : latency(attempt);
     enqueue(() -> isTracked(x) && !x.isEnded()
         ? new AnswerStarted(x.id, attempt.number(), attempt.upstream(), attempt.answerStartedAfterNanos) : null);
     return true;
--- a/engine/src/test/java/cloverpulley/engine/EventNamesTest.java
+++ b/engine/src/test/java/cloverpulley/engine/EventNamesTest.java
@@ -18,6 +18,8 @@
     Map<String, String> expected = new TreeMap<>(Map.ofEntries(
         Map.entry("EndpointUpdate", "ListNews"),
         Map.entry("Request", "Request"),
+        Map.entry("AnswerBegan", "AnswerBegan"),
+        Map.entry("AnswerStalled", "AnswerStalled"),
         Map.entry("AnswerStarted", "AnswerStarted"),
         Map.entry("Outcome", "Outcome"),
         Map.entry("ClientGone", "ClientGone"),
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -23,6 +23,12 @@
     /** Whether a client still waits for the response. Checked before the request is written to a newly opened connection. */
     boolean isWanted();
 
+    /** The body of the response has begun to arrive and is not complete. */
+    void responseBegan();
+
+    /** The response has begun, and nothing of it has arrived for a while. The call goes on. */
+    void responseStalled();
+
     /** Offers the response head; returns false to decline the response, and then no body is delivered. */
     boolean responseStarted(HttpResponse head);
 
--- a/http/src/main/java/cloverpulley/serve/Counts.java
+++ b/http/src/main/java/cloverpulley/serve/Counts.java
@@ -43,6 +43,7 @@
   private int closedForOthers;
   private int closedOnTimeout;
   private int uploadsRejected;
+  private int responsesStalled;
   private int idleConnections;
   private int accepted;
   private int sent;
@@ -102,6 +103,11 @@
     uploadsRejected++;
   }
 
+  /** Counts a response that paused before it was complete or passed on. */
+  void responseStalled() {
+    responsesStalled++;
+  }
+
   /** Counts a client connection that was closed to make room for another, or because it sent no complete request in time. */
   void clientClosed(boolean forAnother) {
     closedForOthers += forAnother ? 1 : 0;
@@ -188,7 +194,8 @@
     put(s, "clients_closed_for_others", closedForOthers);
     put(s, "clients_closed_late", closedOnTimeout);
     put(s, "uploads_turned_away", uploadsRejected);
-    closedForOthers = closedOnTimeout = uploadsRejected = 0;
+    put(s, "answers_paused", responsesStalled);
+    closedForOthers = closedOnTimeout = uploadsRejected = responsesStalled = 0;
     accepted = served = clientsGone = sent = retried = listsRequested = listsUnanswered = listsIgnored = listLines = 0;
     return s.toString();
   }
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -149,6 +149,16 @@
       return checkClientConnected();
     }
 
+    @Override
+    public void responseBegan() {
+      context.engine.answerBegan(attempt);
+    }
+
+    @Override
+    public void responseStalled() {
+      context.engine.answerStalled(attempt);
+    }
+
     @Override
     public boolean responseStarted(HttpResponse head) {
       if (!context.engine.answerStarted(attempt)) {
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -58,9 +58,9 @@
   /** Delay between a response and the reuse of its connection, so that surplus bytes behind the response show up first. */
   private static final long REUSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   private static final long PROBE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-  /** A response that stalls for longer is considered incomplete: its head has no end, or its body is shorter than its length. */
-  private static final long RESPONSE_STALL_MILLIS = 300;
-  /** The same for a streamed response, which can't be replaced by another any more. */
+  /** A buffered response that pauses for longer is reported as stalled. It may go on, until its client's time is up. */
+  private static final long STALL_REPORT_MILLIS = 300;
+  /** A streamed response that pauses for longer ends: it can't be replaced by another, and its client has no other time limit. */
   private static final long STREAMED_RESPONSE_STALL_MILLIS = 10_000;
   /** How long a streamed response is read on after its client has left: as long as a client may read nothing of one. */
   private static final long DISCARD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
@@ -257,6 +257,7 @@
     private int prefixMatched;
     private int informationalCount;
     private Future<?> progressCheck;
+    private boolean stallReported;
     /** The response being received: its head, the buffered part of its body, and whether it is streamed instead. */
     private HttpResponse responseHead;
     private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
@@ -292,10 +293,7 @@
       channel.close();
     }
 
-    /**
-     * Inspects bytes before they are decoded. Bytes that belong to no call would be taken for the response to the next one, and
-     * an incomplete response would keep its client waiting until its deadline.
-     */
+    /** Inspects bytes before they are decoded. Bytes that belong to no call would be taken for the response to the next one. */
     ChannelInboundHandlerAdapter rawInboundHandler() {
       return new ChannelInboundHandlerAdapter() {
         @Override
@@ -331,23 +329,47 @@
       return prefixMatched == 0 && !decoder.isBetweenMessages();
     }
 
-    /** Records that bytes arrived, and starts watching for a response that stalls because its head has no end or its length is wrong. */
+    /** Records that bytes arrived, and watches for a pause: the head may have no end, the length may be wrong, or the upstream is slow. */
     private void responseProgressed() {
       lastReadAt = System.nanoTime();
-      if (progressCheck == null) {
-        progressCheck = channel.eventLoop().schedule(this::checkProgress, RESPONSE_STALL_MILLIS, TimeUnit.MILLISECONDS);
+      if (progressCheck == null && (streaming || !stallReported)) {
+        scheduleProgressCheck(pauseLimitNanos());
       }
     }
 
+    private void scheduleProgressCheck(long nanos) {
+      progressCheck = channel.eventLoop().schedule(this::checkProgress, nanos, TimeUnit.NANOSECONDS);
+    }
+
+    private long pauseLimitNanos() {
+      return TimeUnit.MILLISECONDS.toNanos(streaming ? STREAMED_RESPONSE_STALL_MILLIS : STALL_REPORT_MILLIS);
+    }
+
     private void checkProgress() {
       progressCheck = null;
-      long limit = TimeUnit.MILLISECONDS.toNanos(streaming ? STREAMED_RESPONSE_STALL_MILLIS : RESPONSE_STALL_MILLIS);
-      long remaining = limit - (System.nanoTime() - lastReadAt);
-      if (remaining <= 0 && channel.config().isAutoRead()) {
+      long remaining = pauseLimitNanos() - (System.nanoTime() - lastReadAt);
+      if (remaining > 0) {
+        scheduleProgressCheck(remaining);
+      } else if (!channel.config().isAutoRead()) {
+        scheduleProgressCheck(pauseLimitNanos()); // This side stopped reading because of a slow client; the upstream is not at fault.
+      } else if (streaming) {
         resetConnection();
       } else {
-        // This side stopped reading because of a slow client; the upstream is not at fault.
-        progressCheck = channel.eventLoop().schedule(this::checkProgress, remaining <= 0 ? limit : remaining, TimeUnit.NANOSECONDS);
+        reportStall();
+      }
+    }
+
+    /** A slow response and one that will never be complete can't be told apart: the module decides whether another attempt is made. */
+    private void reportStall() {
+      stallReported = true;
+      if (responseHead != null && !responseHead.status().equals(HttpResponseStatus.OK)) {
+        HttpUtil.setKeepAlive(responseHead, false);
+        completeResponse(); // Its status is the outcome; the rest of its body is of no use.
+        return;
+      }
+      if (call.responseConsumer != null && !call.isResponseDiscarded()) {
+        counts.responseStalled();
+        call.responseConsumer.responseStalled();
       }
     }
 
@@ -368,6 +390,7 @@
       headerMemory.releaseAll();
       streaming = false;
       bodyBytes = 0;
+      stallReported = false;
       if (progressCheck != null) {
         progressCheck.cancel(false);
         progressCheck = null;
@@ -540,6 +563,8 @@
         appendToBuffer(content.content());
         if (last) {
           completeResponse();
+        } else if (call.responseConsumer != null) {
+          call.responseConsumer.responseBegan();
         }
       }
     }
--- /dev/null
+++ b/http/src/test/java/cloverpulley/serve/SlowResponseTest.java
@@ -0,0 +1,101 @@
+package cloverpulley.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import cloverpulley.Balancer.AnswerStalled;
+import cloverpulley.Balancer.Outcome;
+import cloverpulley.Balancer.Status;
+import cloverpulley.serve.Rig.Client;
+import cloverpulley.serve.Rig.Script;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Sound responses that their upstream gives slowly. */
+@Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
+class SlowResponseTest {
+
+  private enum Framing { LENGTH, CHUNKS }
+
+  private static Rig rig(StubServer upstream, Script module) throws IOException {
+    return new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-a", upstream.address(), "ready"))), module);
+  }
+
+  private static String head(Framing framing, int length) {
+    return "HTTP/1.1 200 OK\r\n" + switch (framing) {
+      case LENGTH -> "Content-Length: " + length + "\r\n\r\n";
+      case CHUNKS -> "Transfer-Encoding: chunked\r\n\r\n";
+    };
+  }
+
+  private static String part(Framing framing, String text) {
+    return framing != Framing.CHUNKS || text.isEmpty() ? text : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  private static String end(Framing framing) {
+    return framing == Framing.CHUNKS ? "0\r\n\r\n" : "";
+  }
+
+  /** The body of the next response: by its length, in chunks, or to the end of the connection. */
+  static String body(Client client, String expectedStatus) throws IOException {
+    InputStream in = client.socket.getInputStream();
+    String head = readUntil(in, "\r\n\r\n").toLowerCase(Locale.ROOT);
+    assertTrue(head.startsWith("http/1.1 " + expectedStatus), head);
+    if (head.contains("content-length: ")) {
+      String length = head.split("content-length: ")[1].split("\r\n")[0];
+      return new String(in.readNBytes(Integer.parseInt(length)), StandardCharsets.ISO_8859_1);
+    }
+    if (!head.contains("chunked")) {
+      return new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+    StringBuilder body = new StringBuilder();
+    for (int size = -1; size != 0; ) {
+      size = Integer.parseInt(readUntil(in, "\r\n").trim(), 16);
+      body.append(new String(in.readNBytes(size), StandardCharsets.ISO_8859_1));
+      readUntil(in, "\r\n");
+    }
+    return body.toString();
+  }
+
+  private static String readUntil(InputStream in, String end) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    while (!bytes.toString(StandardCharsets.ISO_8859_1).endsWith(end)) {
+      int b = in.read();
+      if (b < 0) {
+        throw new IOException("ended after: " + bytes.toString(StandardCharsets.ISO_8859_1));
+      }
+      bytes.write(b);
+    }
+    return bytes.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"LENGTH, 6000, 1000", "CHUNKS, 6000, 1000", "LENGTH, 6000, 0", "CHUNKS, 6000, 0", "CHUNKS, 200000, 1000", "CHUNKS, 200000, 0",
+    "LENGTH, 200000, 0"})
+  void soundResponseThatPausesIsNotCutOff(Framing framing, int length, int beforePause) throws Exception {
+    String body = "x".repeat(length - 1) + "y";
+    CountDownLatch paused = new CountDownLatch(1);
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(head(framing, length) + part(framing, body.substring(0, beforePause)));
+      paused.await();
+      c.write(part(framing, body.substring(beforePause)) + end(framing));
+      c.next();
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.get("r1", ""));
+      module.next(AnswerStalled.class);
+      paused.countDown();
+      assertEquals(body, body(client, "200 "));
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+    }
+  }
+}
