An answer without a length is forwarded where its connection ends in order

Cause: ResponseValidator failed each 200 with neither a length nor chunks, since the end of the connection can't be told from a crash.

Change: an orderly close completes such an answer; a failure of the connection, a close by this side and a reset don't (the decoder reports the end of the body in all of these). Its connection is not used again.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -102,7 +102,7 @@
           protected void initChannel(Channel channel) {
             Connection connection = new Connection(channel);
             channel.pipeline().addLast(connection.rawInboundHandler(), new HttpRequestEncoder(), connection.decoder,
-                new ResponseValidator(), connection);
+                connection);
           }
         });
     setTimeouts(connectTimeoutNanos, upstreamIdleNanos);
@@ -264,6 +264,8 @@
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
     private ByteBuf bodyBuffer;
     private boolean streaming;
+    /** The connection has failed, rather than been closed in order by the upstream. */
+    private boolean broken;
     private long bodyBytes;
     private long lastReadAt;
     /** Memory of a long response, null for a short one or one that is discarded; and whether reading is paused for a slow client. */
@@ -493,6 +495,7 @@
     }
 
     private void requestWritten(Call next, boolean success) {
+      broken |= !success;
       if (success) {
         next.written = true;
         if (next.bodyStream != null) {
@@ -538,6 +541,9 @@
 
     private void contentReceived(HttpContent content) {
       boolean last = content instanceof LastHttpContent;
+      if (last && (broken || call.isDone()) && ResponseValidator.endsWithConnection(responseHead)) {
+        return; // The decoder takes any end of the connection for the end of the body, also a failure or a close by this side.
+      }
       bodyBytes += content.content().readableBytes();
       if (reservation == null && bodyBytes > UNRESERVED_RESPONSE_BYTES && !call.isResponseDiscarded()) {
         reservation = responseBudget.reserve(RESPONSE_RESERVATION_BYTES, this::updateAutoRead);
@@ -622,7 +628,7 @@
 
     private void completeStreamedResponse() {
       Call completed = call;
-      boolean keepAlive = HttpUtil.isKeepAlive(responseHead);
+      boolean keepAlive = isKeepAlive(responseHead);
       call = null;
       resetResponse();
       recordReuse(false);
@@ -645,6 +651,10 @@
       }
     }
 
+    private boolean isKeepAlive(HttpResponse head) {
+      return HttpUtil.isKeepAlive(head) && !ResponseValidator.endsWithConnection(head);
+    }
+
     /** Returns the connection to the idle ones, or closes it. */
     private void recycle(Call completed, boolean keepAlive) {
       if (keepAlive && completed.written && !completed.isDone() && upstreamReady.test(upstream)) {
@@ -675,7 +685,7 @@
         counts.newConnectionRejected(upstream);
       }
       firstCall = false;
-      recycle(completed, status != Status.RESET && HttpUtil.isKeepAlive(response));
+      recycle(completed, status != Status.RESET && isKeepAlive(response));
       completed.end(status, response);
       response.release();
     }
@@ -697,6 +707,7 @@
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       boolean expected = cause instanceof IOException || cause instanceof CodecException;
       LOG.log(expected ? Level.FINE : Level.WARNING, "connection to " + channel.remoteAddress(), cause);
+      broken = true;
       context.close();
     }
   }
