A long answer of unknown length is begun by its client's deadline

Cause: an answer of unknown length is passed on once 64 KiB of it have come; before that the attempt's timer ended it. Over 64 KiB only the first bytes have to be in time.

Change: at the client's deadline a 200 of unknown length whose body has begun is streamed, unless nothing has come for 0.9 s: that one is more likely to be incomplete, and is answered 504 as before. A streamed one that pauses for 0.9 s before it has reached 64 KiB, and not sooner than 0.4 s after the deadline, ends with a close that the client can tell from a whole answer.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -62,6 +62,10 @@
   private static final long STALL_REPORT_MILLIS = 300;
   /** A streamed response that pauses for longer ends: it can't be replaced by another, and its client has no other time limit. */
   private static final long STREAMED_RESPONSE_STALL_MILLIS = 10_000;
+  /** The longest pause of a response of unknown length whose client's time is up before {@link Frontend#MAX_BUFFERED_RESPONSE} of it have arrived. */
+  private static final long LATE_RESPONSE_STALL_MILLIS = 900;
+  /** How long such a response may at least go on: an answer counts as in time until half a second after the deadline. */
+  private static final long LATE_RESPONSE_GRACE_MILLIS = 400;
   /** How long a streamed response is read on after its client has left: as long as a client may read nothing of one. */
   private static final long DISCARD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
   /** Limit of 1xx responses per call; an upstream that sends more is taken to send them endlessly. */
@@ -169,7 +173,15 @@
 
   private Future<?> scheduleTimeout(Call call, long nanos) {
     call.expireIn(nanos);
-    return bootstrap.config().group().next().schedule(() -> abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT), nanos, TimeUnit.NANOSECONDS);
+    return bootstrap.config().group().next().schedule(() -> expire(call), nanos, TimeUnit.NANOSECONDS);
+  }
+
+  /** The client's time is up: what has arrived of a long response is passed on, and any other call ends. */
+  private void expire(Call call) {
+    Connection connection = call.channel == null ? null : call.channel.pipeline().get(Connection.class);
+    if (connection == null || !connection.streamLate(call)) {
+      abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT);
+    }
   }
 
   /** Cancels a call. */
@@ -264,6 +276,8 @@
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
     private ByteBuf bodyBuffer;
     private boolean streaming;
+    /** When the response was started to be streamed at its client's deadline, its length unknown; 0 for any other. */
+    private long streamedLateAt;
     /** The connection has failed, rather than been closed in order by the upstream. */
     private boolean broken;
     private long bodyBytes;
@@ -335,7 +349,7 @@
     private void responseProgressed() {
       lastReadAt = System.nanoTime();
       if (progressCheck == null && (streaming || !stallReported)) {
-        scheduleProgressCheck(pauseLimitNanos());
+        scheduleProgressCheck(remainingPauseNanos());
       }
     }
 
@@ -343,17 +357,24 @@
       progressCheck = channel.eventLoop().schedule(this::checkProgress, nanos, TimeUnit.NANOSECONDS);
     }
 
-    private long pauseLimitNanos() {
-      return TimeUnit.MILLISECONDS.toNanos(streaming ? STREAMED_RESPONSE_STALL_MILLIS : STALL_REPORT_MILLIS);
+    /** How much longer the response may pause. */
+    private long remainingPauseNanos() {
+      long now = System.nanoTime();
+      if (streamedLateAt != 0 && bodyBytes <= Frontend.MAX_BUFFERED_RESPONSE) {
+        long sinceStart = TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_GRACE_MILLIS) - (now - streamedLateAt);
+        return Math.max(sinceStart, TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS) - (now - lastReadAt));
+      }
+      return TimeUnit.MILLISECONDS.toNanos(streaming ? STREAMED_RESPONSE_STALL_MILLIS : STALL_REPORT_MILLIS) - (now - lastReadAt);
     }
 
     private void checkProgress() {
       progressCheck = null;
-      long remaining = pauseLimitNanos() - (System.nanoTime() - lastReadAt);
+      long remaining = remainingPauseNanos();
       if (remaining > 0) {
         scheduleProgressCheck(remaining);
       } else if (!channel.config().isAutoRead()) {
-        scheduleProgressCheck(pauseLimitNanos()); // This side stopped reading because of a slow client; the upstream is not at fault.
+        lastReadAt = System.nanoTime(); // This side stopped reading because of a slow client; the upstream is not at fault.
+        scheduleProgressCheck(remainingPauseNanos());
       } else if (streaming) {
         resetConnection();
       } else {
@@ -391,6 +412,7 @@
       responseHead = null;
       headerMemory.releaseAll();
       streaming = false;
+      streamedLateAt = 0;
       bodyBytes = 0;
       stallReported = false;
       if (progressCheck != null) {
@@ -561,7 +583,7 @@
         if (last) {
           completeDiscardedResponse();
         }
-      } else if (streaming || startStreaming()) {
+      } else if (streaming || startStreamingIfLong()) {
         streamContent(content.content(), last);
       } else if (bodyBytes > Frontend.MAX_BUFFERED_RESPONSE) {
         resetConnection(); // Too long to buffer, and it can't be streamed.
@@ -591,11 +613,34 @@
       return copy;
     }
 
-    /** Starts streaming the response if it is a 200, too long to buffer and still wanted; returns whether it did. */
-    private boolean startStreaming() {
+    /** Starts streaming a response that is too long to buffer; returns whether it did. */
+    private boolean startStreamingIfLong() {
       boolean exceedsBuffer = bodyBytes > Frontend.MAX_BUFFERED_RESPONSE
           || HttpUtil.getContentLength(responseHead, -1L) > Frontend.MAX_BUFFERED_RESPONSE;
-      if (!exceedsBuffer || !responseHead.status().equals(HttpResponseStatus.OK) || !call.written || call.responseConsumer == null
+      return exceedsBuffer && startStreaming();
+    }
+
+    /**
+     * Streams what has arrived of a response of unknown length, at its client's deadline: of a long one the first bytes are in time then. One that
+     * has paused for long by then is more likely to be incomplete. Returns whether it did.
+     */
+    private boolean streamLate(Call expired) {
+      long pause = System.nanoTime() - lastReadAt;
+      if (call != expired || streaming || bodyBytes == 0 || HttpUtil.isContentLengthSet(responseHead) || call.isResponseDiscarded()
+          || pause > TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS) || !startStreaming()) {
+        return false;
+      }
+      streamedLateAt = System.nanoTime();
+      deliverBody();
+      if (progressCheck == null) {
+        scheduleProgressCheck(remainingPauseNanos());
+      }
+      return true;
+    }
+
+    /** Starts streaming the response if it is a 200 and still wanted; returns whether it did. */
+    private boolean startStreaming() {
+      if (!responseHead.status().equals(HttpResponseStatus.OK) || !call.written || call.responseConsumer == null
           || !call.responseConsumer.responseStarted(responseHead)) {
         return false;
       }
--- a/http/src/test/java/cloverpulley/serve/SlowResponseTest.java
+++ b/http/src/test/java/cloverpulley/serve/SlowResponseTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Sound responses that their upstream gives slowly. */
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
@@ -160,4 +161,58 @@
       assertEquals(Status.RESET, module.next(Outcome.class).status());
     }
   }
+
+  /** Of a response over 64 KiB only the first bytes have to be in time. */
+  @ParameterizedTest
+  @EnumSource(value = Framing.class, names = {"CHUNKS", "CLOSE"})
+  void longResponseOfUnknownLengthIsBegunByTheDeadline(Framing framing) throws Exception {
+    String body = "x".repeat(199_999) + "y";
+    CountDownLatch begun = new CountDownLatch(1);
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(head(framing, body.length()) + part(framing, body.substring(0, 30_000)));
+      begun.await();
+      c.write(part(framing, body.substring(30_000)) + end(framing));
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.get("r1", "X-Expires-In-Ms: 600\r\n"));
+      module.next(AnswerStarted.class);
+      begun.countDown();
+      assertEquals(body, body(client, "200 "));
+      assertEquals(Status.SERVED, module.next(Outcome.class).status());
+    }
+  }
+
+  /** An incomplete response and a slow one look alike at the deadline: the client is free soon after it, and can tell that its answer is not whole. */
+  @ParameterizedTest
+  @EnumSource(value = Framing.class, names = {"CHUNKS", "CLOSE"})
+  void incompleteResponseThatWasBegunAtTheDeadlineIsEnded(Framing framing) throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(head(framing, 0) + part(framing, "x".repeat(30_000)));
+      c.next();
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.get("r1", "X-Expires-In-Ms: 600\r\n"));
+      module.next(AnswerStarted.class);
+      assertThrows(IOException.class, () -> body(client, "200 "));
+      assertEquals(Status.RESET, module.next(Outcome.class).status());
+    }
+  }
+
+  @ParameterizedTest
+  @CsvSource({"LENGTH, 2000", "LENGTH, 600", "CHUNKS, 2000", "CLOSE, 2000"})
+  void incompleteResponseIsAnsweredAtTheDeadline(Framing framing, int expiresMillis) throws Exception {
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      c.write(head(framing, 30_000) + part(framing, "x".repeat(20_000)));
+      c.next();
+    }); Rig rig = rig(upstream, module); Client client = rig.client()) {
+      client.write(Rig.get("r1", "X-Expires-In-Ms: " + expiresMillis + "\r\n"));
+      assertEquals(Status.TIMEOUT, module.next(Outcome.class).status());
+      String answer = client.answer();
+      assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+    }
+  }
 }
