Slow clients and slow upstreams hold back nobody else's answer

Cause: each answer over 8 KiB waited, first come first served, for 64 KiB of a budget of memory_mb / 24, and kept them to its end whether it held a byte or not.

Change: the budget counts what is really held, buffered or on its way to a client, and nobody waits for it. The budget is memory_mb / 32 now, as for bodies, which leaves room for these steps. A client is considered gone when its socket has accepted nothing for 30 s, counted from the last part it accepted. Bodies of answers other than 200 are not buffered: they are never passed on.

--- a/http/src/main/java/cloverpulley/serve/BufferBudget.java
+++ b/http/src/main/java/cloverpulley/serve/BufferBudget.java
@@ -56,17 +56,22 @@
     return reservation;
   }
 
-  /** Takes bytes without waiting, even beyond the budget. */
-  void forceAcquire(long bytes) {
+  /** Takes bytes without waiting, even beyond the budget; a negative number gives them back. */
+  void acquire(long bytes) {
     usedBytes += bytes;
   }
 
+  /** Whether the budget is used up. */
+  boolean isExhausted() {
+    return usedBytes >= maxBytes;
+  }
+
   /** Whether so many more bytes fit in the budget. */
   boolean fits(long bytes) {
     return usedBytes + bytes <= maxBytes;
   }
 
-  /** Releases bytes taken with {@link #forceAcquire}. */
+  /** Releases bytes taken with {@link #acquire}. */
   void release(long bytes) {
     usedBytes -= bytes;
     grantQueued();
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -32,8 +32,11 @@
     /** Offers the response head; returns false to decline the response, and then no body is delivered. */
     boolean responseStarted(HttpResponse head);
 
-    /** Takes ownership of a part of the body; returns false to pause reading until {@link Call#resume}. */
-    boolean bodyReceived(ByteBuf content);
+    /**
+     * Takes ownership of a part of the body; returns false to pause reading until {@link Call#resume}. {@code onWritten} runs once the part has
+     * been written to the client, or never will be.
+     */
+    boolean bodyReceived(ByteBuf content, Runnable onWritten);
   }
 
   final long upstream;
--- a/http/src/main/java/cloverpulley/serve/HeaderMemory.java
+++ b/http/src/main/java/cloverpulley/serve/HeaderMemory.java
@@ -49,7 +49,7 @@
     private void acquire(long moreBytes) {
       bytes += moreBytes;
       heldBytes += moreBytes;
-      budget.forceAcquire(moreBytes);
+      budget.acquire(moreBytes);
     }
 
     private void release() {
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -50,8 +50,8 @@
   interface ResponseStream {
     boolean isWritable();
 
-    /** Writes a part of the body and takes ownership of it. */
-    void write(ByteBuf content);
+    /** Writes a part of the body and takes ownership of it; {@code onWritten} runs once it is written or can't be. */
+    void write(ByteBuf content, Runnable onWritten);
 
     void end();
 
@@ -171,8 +171,8 @@
     }
 
     @Override
-    public boolean bodyReceived(ByteBuf content) {
-      responseStream.write(content);
+    public boolean bodyReceived(ByteBuf content, Runnable onWritten) {
+      responseStream.write(content, onWritten);
       return responseStream.isWritable();
     }
 
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -146,7 +146,7 @@
   }
 
   private void reserve(long bytes) {
-    budgets.buffered().forceAcquire(bytes);
+    budgets.buffered().acquire(bytes);
     bufferedBytes += bytes;
   }
 
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -18,13 +18,11 @@
 import cloverpulley.state.BalancerSnapshot.UpstreamSnapshot;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
@@ -51,18 +49,17 @@
 
   private static final int BACKLOG = 1024;
   /**
-   * Buffered bodies, streamed bodies and long responses may each take the memory divided by this at one time. Together that is five sixths
-   * of what the `run` command gives to buffers: the rest is for reads, small requests, discovery and the management endpoint.
+   * Buffered bodies, streamed bodies and responses may each take the memory divided by this at one time. Together that is three quarters
+   * of what the `run` command gives to buffers: the rest is for reads, for bodies in small steps once their share is used up, for small requests,
+   * discovery and the management endpoint.
    */
   private static final int BUFFERED_BODIES_DIVISOR = 32;
   private static final int UPLOADS_DIVISOR = 32;
-  private static final int RESPONSES_DIVISOR = 24;
-  /** The unwritten bytes of a connection at which reading from its counterpart stops and resumes, and the sizes of a read. */
+  private static final int RESPONSES_DIVISOR = 32;
+  /** The unwritten bytes of a connection at which reading from its counterpart stops and resumes. */
   private static final WriteBufferWaterMark WATER_MARKS = new WriteBufferWaterMark(8 * 1024, 16 * 1024);
-  private static final int MIN_READ = 512;
-  private static final int INITIAL_READ = 2048;
+  /** The longest read. */
   static final int MAX_READ = 16 * 1024;
-  private static final int READS_PER_ITERATION = 2;
   private static final int DISCOVERY_CONNECT_MILLIS = 2000;
   /** The minimum time between two watches of pushed lists. The engine does not request pushed lists, so this class reopens the watch. */
   private static final long AGENT_RETRY_MILLIS = 200;
@@ -97,6 +94,8 @@
   private final CountDownLatch stopping = new CountDownLatch(1);
   private final CountDownLatch drained = new CountDownLatch(1);
   private final CountDownLatch stopped = new CountDownLatch(1);
+  /** The read sizes of connections to clients and upstreams. */
+  private BoundedReceiveAllocator receiveAllocator;
   private Engine engine;
   private Frontend frontend;
   private Discovery discovery;
@@ -123,11 +122,6 @@
     loop = group.next();
   }
 
-  /** The read sizes of a connection. Bounded per iteration of the loop, so that a long body does not delay small requests. */
-  private static RecvByteBufAllocator receiveAllocator() {
-    return new AdaptiveRecvByteBufAllocator(MIN_READ, INITIAL_READ, MAX_READ).maxMessagesPerRead(READS_PER_ITERATION);
-  }
-
   /** Starts a balancer and returns once it listens. */
   static Server start(Config config) {
     return start(config, n -> new Logic(config.settings(), config.seed() + n));
@@ -166,7 +160,7 @@
       ServerBootstrap listen = new ServerBootstrap().group(server.group).channelFactory(Listener::new)
           .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
           .childOption(ChannelOption.TCP_NODELAY, true).childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
-          .childOption(ChannelOption.RECVBUF_ALLOCATOR, receiveAllocator());
+          .childOption(ChannelOption.RECVBUF_ALLOCATOR, server.receiveAllocator);
       if (server.operations != null) {
         listen.option(Listener.REUSE_PORT, true);
       }
@@ -214,11 +208,14 @@
     SocketBudget sockets = new SocketBudget(config.sockets() - (config.management() == null ? 0 : ManagementServer.MAX_CONNECTIONS));
     Counts counts = new Counts(fleet, config.settings().contract().slowStartNanos());
     counts.writeOn(loop);
+    BufferBudget responses = new BufferBudget(config.memoryBytes() / RESPONSES_DIVISOR);
+    BufferBudget uploads = new BufferBudget(config.memoryBytes() / UPLOADS_DIVISOR);
+    receiveAllocator = new BoundedReceiveAllocator(() -> responses.isExhausted() || uploads.isExhausted());
     Bootstrap connections = new Bootstrap().group(group).channelFactory(UpstreamSocket::new)
         .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARKS)
-        .option(ChannelOption.RECVBUF_ALLOCATOR, receiveAllocator());
+        .option(ChannelOption.RECVBUF_ALLOCATOR, receiveAllocator);
     UpstreamPool pool = new UpstreamPool(connections, sockets, config.settings().limits().connectTimeoutNanos(),
-        config.idleNanos(), fleet::isReady, config.loadReports(), new BufferBudget(config.memoryBytes() / RESPONSES_DIVISOR), counts);
+        config.idleNanos(), fleet::isReady, config.loadReports(), responses, counts);
     peers = new Peers(config.settings().selfId(), config.peers(), config.peersAll());
     listsPushed = !config.settings().listOnRequest();
     Engine.ListSource source;
@@ -234,8 +231,7 @@
         engineListener == EngineListener.NO_OP ? counts : new CompositeEngineListener(counts, engineListener));
     engine.addTransport(pool);
     frontend = new Frontend(new HttpExchange.Context(engine, pool, config.loadReports()), clock, sockets, config.settings(),
-        new RequestReader.Budgets(new BufferBudget(config.memoryBytes() / BUFFERED_BODIES_DIVISOR),
-            new BufferBudget(config.memoryBytes() / UPLOADS_DIVISOR)), requestIds, counts);
+        new RequestReader.Budgets(new BufferBudget(config.memoryBytes() / BUFFERED_BODIES_DIVISOR), uploads), requestIds, counts);
     components = new Operations.Components(loop, engine, fleet, sockets, pool, frontend, requestIds, agreedOffline);
     boolean newer = inherited != null && inherited.list().revision() >= config.known().revision();
     if (newer) {
--- a/http/src/main/java/cloverpulley/serve/StreamedResponse.java
+++ b/http/src/main/java/cloverpulley/serve/StreamedResponse.java
@@ -12,13 +12,16 @@
 final class StreamedResponse implements HttpExchange.ResponseStream {
 
   /** A client that reads nothing of a response for this long is considered gone. */
-  private static final long STALL_TIMEOUT_MILLIS = 30_000;
+  private static final long STALL_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
 
   private final Channel channel;
   private final Runnable onWritable;
   private final Runnable onLastWrite;
   private final Consumer<Boolean> onEnded;
   private Future<?> stallTimer;
+  /** Parts that the client's socket has not accepted yet, and when it last accepted one. */
+  private int pendingWrites;
+  private long lastWrittenAt;
 
   /**
    * {@code onWritable} runs when the client can receive more again, {@code onLastWrite} before the last write, and {@code onEnded} receives
@@ -33,20 +36,29 @@
 
   @Override
   public boolean isWritable() {
-    boolean writable = channel.isWritable();
-    if (!writable && stallTimer == null) {
-      stallTimer = channel.eventLoop().schedule(this::abort, STALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-    }
-    return writable;
+    return channel.isWritable();
   }
 
   void writabilityChanged() {
-    if (channel.isWritable() && stallTimer != null) {
-      cancelStallTimer();
+    if (channel.isWritable()) {
       onWritable.run();
     }
   }
 
+  private void scheduleStallCheck(long nanos) {
+    stallTimer = channel.eventLoop().schedule(this::checkStall, nanos, TimeUnit.NANOSECONDS);
+  }
+
+  private void checkStall() {
+    stallTimer = null;
+    long remaining = STALL_TIMEOUT_NANOS - (System.nanoTime() - lastWrittenAt);
+    if (pendingWrites > 0 && remaining <= 0) {
+      abort();
+    } else if (pendingWrites > 0) {
+      scheduleStallCheck(remaining);
+    }
+  }
+
   void cancelStallTimer() {
     if (stallTimer != null) {
       stallTimer.cancel(false);
@@ -55,8 +67,19 @@
   }
 
   @Override
-  public void write(ByteBuf content) {
-    channel.writeAndFlush(new DefaultHttpContent(content));
+  public void write(ByteBuf content, Runnable onWritten) {
+    if (pendingWrites == 0) {
+      lastWrittenAt = System.nanoTime();
+    }
+    pendingWrites++;
+    channel.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> {
+      pendingWrites--;
+      lastWrittenAt = System.nanoTime();
+      onWritten.run();
+    });
+    if (pendingWrites > 0 && stallTimer == null) {
+      scheduleStallCheck(STALL_TIMEOUT_NANOS);
+    }
   }
 
   @Override
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -7,7 +7,6 @@
 import cloverpulley.engine.Transport;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -70,9 +69,8 @@
   private static final long DISCARD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
   /** Limit of 1xx responses per call; an upstream that sends more is taken to send them endlessly. */
   private static final int MAX_INFORMATIONAL = 16;
-  /** A response with a longer body reserves {@link #RESPONSE_RESERVATION_BYTES}: the most that is buffered of it, or in transit while streamed. */
-  private static final int UNRESERVED_RESPONSE_BYTES = 8 * 1024;
-  private static final int RESPONSE_RESERVATION_BYTES = Frontend.MAX_BUFFERED_RESPONSE;
+  /** A response with a shorter body is buffered whole even if the memory for responses is used up. */
+  private static final int ALWAYS_BUFFERED_BYTES = 8 * 1024;
   /** Chunks of a streamed response are joined up to this length. */
   private static final int MAX_JOINED_BYTES = 8 * 1024;
   private final Bootstrap bootstrap;
@@ -84,14 +82,14 @@
   private final IdleConnections<Connection> idle = new IdleConnections<>();
   private final Set<Call> connecting = new HashSet<>();
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
-  /** Memory for responses longer than {@link #UNRESERVED_RESPONSE_BYTES}. */
+  /** Memory for the bodies of responses, buffered or on their way to a client. */
   private final BufferBudget responseBudget;
   /** Memory for the headers of responses. */
   private final BufferBudget headerBudget = HeaderMemory.newBudget();
 
   /**
    * {@code upstreamReady} decides whether an upstream may receive new requests, {@code loadReports} whether responses carry load reports;
-   * {@code responseBudget} bounds the memory for long responses; {@code counts} receives connection statistics.
+   * {@code responseBudget} bounds the memory for responses; {@code counts} receives connection statistics.
    */
   UpstreamPool(Bootstrap bootstrap, SocketBudget sockets, long connectTimeoutNanos, long upstreamIdleNanos,
       LongPredicate upstreamReady, boolean loadReports, BufferBudget responseBudget, Counts counts) {
@@ -274,16 +272,17 @@
     private HttpResponse responseHead;
     private final HeaderMemory headerMemory = new HeaderMemory(headerBudget);
     private final StrictResponseDecoder decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
-    private ByteBuf bodyBuffer;
+    private final ResponseBuffer body;
+    /** Bytes of a streamed response that its client's socket has not accepted yet. */
+    private int inTransitBytes;
     private boolean streaming;
-    /** When the response was started to be streamed at its client's deadline, its length unknown; 0 for any other. */
+    /** When the client's time was up while a response was streamed that is not known to be long; 0 before. */
     private long streamedLateAt;
     /** The connection has failed, rather than been closed in order by the upstream. */
     private boolean broken;
     private long bodyBytes;
     private long lastReadAt;
-    /** Memory of a long response, null for a short one or one that is discarded; and whether reading is paused for a slow client. */
-    private BufferBudget.Reservation reservation;
+    /** Reading is paused for a slow client. */
     private boolean paused;
     /** Ends a call whose streamed response is discarded. */
     private Future<?> discardTimeout;
@@ -292,6 +291,7 @@
 
     Connection(Channel channel) {
       this.channel = channel;
+      body = new ResponseBuffer(channel.alloc(), responseBudget);
     }
 
     @Override
@@ -397,12 +397,13 @@
     }
 
     private void updateAutoRead() {
-      channel.config().setAutoRead(!paused && (reservation == null || reservation.isGranted()));
+      channel.config().setAutoRead(!paused);
     }
 
     private void resetResponse() {
       paused = false;
-      releaseBuffers();
+      body.release();
+      inTransitBytes = 0;
       cancelWriteStallTimeout();
       if (discardTimeout != null) {
         discardTimeout.cancel(false);
@@ -421,17 +422,6 @@
       }
     }
 
-    private void releaseBuffers() {
-      if (reservation != null) {
-        reservation.release();
-        reservation = null;
-      }
-      if (bodyBuffer != null) {
-        bodyBuffer.release();
-        bodyBuffer = null;
-      }
-    }
-
     /**
      * Reads the rest of the response without keeping it. A streamed one has no other time limit, and its upstream may not be cut off sooner, so
      * that the connection can be reused.
@@ -441,7 +431,7 @@
         return;
       }
       paused = false;
-      releaseBuffers();
+      body.release();
       updateAutoRead();
       if (streaming) {
         discardTimeout = channel.eventLoop().schedule(() -> abandon(unwanted, Status.CONNECT_FAILED, Status.TIMEOUT), DISCARD_TIMEOUT_NANOS,
@@ -567,10 +557,6 @@
         return; // The decoder takes any end of the connection for the end of the body, also a failure or a close by this side.
       }
       bodyBytes += content.content().readableBytes();
-      if (reservation == null && bodyBytes > UNRESERVED_RESPONSE_BYTES && !call.isResponseDiscarded()) {
-        reservation = responseBudget.reserve(RESPONSE_RESERVATION_BYTES, this::updateAutoRead);
-        updateAutoRead();
-      }
       if (responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         if (++informationalCount > MAX_INFORMATIONAL || responseHead.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
           resetConnection();
@@ -588,36 +574,30 @@
       } else if (bodyBytes > Frontend.MAX_BUFFERED_RESPONSE) {
         resetConnection(); // Too long to buffer, and it can't be streamed.
       } else {
-        appendToBuffer(content.content());
-        if (last) {
-          completeResponse();
-        } else if (call.responseConsumer != null) {
-          call.responseConsumer.responseBegan();
-        }
+        bufferContent(content.content(), last);
       }
     }
 
-    private void appendToBuffer(ByteBuf content) {
-      if (bodyBuffer == null) {
-        bodyBuffer = content.retain();
-      } else {
-        ByteBuf writable = bodyBuffer.isReadOnly() || bodyBuffer.refCnt() > 1 || bodyBuffer.unwrap() != null
-            ? copyToWritable(bodyBuffer) : bodyBuffer;
-        bodyBuffer = writable.writeBytes(content);
+    private void bufferContent(ByteBuf content, boolean last) {
+      if (responseHead.status().equals(HttpResponseStatus.OK)) {
+        body.append(content); // Any other response is replaced by one of the balancer's own.
+      }
+      if (last) {
+        completeResponse();
+      } else if (call.responseConsumer != null) {
+        call.responseConsumer.responseBegan();
       }
     }
 
-    private ByteBuf copyToWritable(ByteBuf first) {
-      ByteBuf copy = channel.alloc().buffer(Math.max(1024, 2 * first.readableBytes())).writeBytes(first);
-      first.release();
-      return copy;
+    /** Starts streaming a response that is too long to buffer, or that there is no memory to buffer; returns whether it did. */
+    private boolean startStreamingIfLong() {
+      return (isLong() || bodyBytes > ALWAYS_BUFFERED_BYTES && responseBudget.isExhausted()) && startStreaming();
     }
 
-    /** Starts streaming a response that is too long to buffer; returns whether it did. */
-    private boolean startStreamingIfLong() {
-      boolean exceedsBuffer = bodyBytes > Frontend.MAX_BUFFERED_RESPONSE
+    /** Whether the response is known to be longer than is buffered. */
+    private boolean isLong() {
+      return bodyBytes > Frontend.MAX_BUFFERED_RESPONSE
           || HttpUtil.getContentLength(responseHead, -1L) > Frontend.MAX_BUFFERED_RESPONSE;
-      return exceedsBuffer && startStreaming();
     }
 
     /**
@@ -625,9 +605,7 @@
      * has paused for long by then is more likely to be incomplete. Returns whether it did.
      */
     private boolean streamLate(Call expired) {
-      long pause = System.nanoTime() - lastReadAt;
-      if (call != expired || streaming || bodyBytes == 0 || HttpUtil.isContentLengthSet(responseHead) || call.isResponseDiscarded()
-          || pause > TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS) || !startStreaming()) {
+      if (call != expired || call.isResponseDiscarded() || !streaming && !startStreamingLate()) {
         return false;
       }
       streamedLateAt = System.nanoTime();
@@ -638,6 +616,12 @@
       return true;
     }
 
+    private boolean startStreamingLate() {
+      long pause = System.nanoTime() - lastReadAt;
+      return bodyBytes > 0 && !HttpUtil.isContentLengthSet(responseHead) && pause <= TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS)
+          && startStreaming();
+    }
+
     /** Starts streaming the response if it is a 200 and still wanted; returns whether it did. */
     private boolean startStreaming() {
       if (!responseHead.status().equals(HttpResponseStatus.OK) || !call.written || call.responseConsumer == null
@@ -645,17 +629,19 @@
         return false;
       }
       streaming = true;
-      call.timeout.cancel(false);
+      if (isLong()) {
+        call.timeout.cancel(false);
+      }
       return true;
     }
 
     /** Passes content on. Short chunks of one read are joined: otherwise each would occupy a buffer and a write of its own. */
     private void streamContent(ByteBuf content, boolean last) {
       if (content.isReadable()) {
-        if (bodyBuffer != null && bodyBuffer.readableBytes() + content.readableBytes() > MAX_JOINED_BYTES) {
+        if (body.length() + content.readableBytes() > MAX_JOINED_BYTES) {
           deliverBody();
         }
-        appendToBuffer(content);
+        body.append(content);
       }
       if (last) {
         deliverBody();
@@ -685,17 +671,32 @@
 
     /** Passes the buffered part of the body on to the client, and stops reading if that can't receive more. */
     private void deliverBody() {
-      if (bodyBuffer == null) {
+      if (body.isEmpty()) {
         return;
       }
-      ByteBuf content = bodyBuffer;
-      bodyBuffer = null;
-      if (!call.responseConsumer.bodyReceived(content)) {
+      ByteBuf content = body.take();
+      int bytes = content.readableBytes();
+      Call current = call;
+      inTransitBytes += bytes;
+      responseBudget.acquire(bytes);
+      boolean writable = call.responseConsumer.bodyReceived(content, () -> transferred(current, bytes));
+      if (!writable || inTransitBytes > 0 && responseBudget.isExhausted()) {
         paused = true;
         updateAutoRead();
       }
     }
 
+    /** A client's socket has accepted a part of its response, or never will. */
+    private void transferred(Call to, int bytes) {
+      responseBudget.release(bytes);
+      if (call == to) {
+        inTransitBytes -= bytes;
+        if (paused && inTransitBytes == 0) {
+          to.resume();
+        }
+      }
+    }
+
     private boolean isKeepAlive(HttpResponse head) {
       return HttpUtil.isKeepAlive(head) && !ResponseValidator.endsWithConnection(head);
     }
@@ -714,8 +715,7 @@
     /** Ends the call with a buffered response that has been received completely. */
     private void completeResponse() {
       FullHttpResponse response = new DefaultFullHttpResponse(responseHead.protocolVersion(), responseHead.status(),
-          bodyBuffer == null ? Unpooled.EMPTY_BUFFER : bodyBuffer, responseHead.headers(), EmptyHttpHeaders.INSTANCE);
-      bodyBuffer = null;
+          body.take(), responseHead.headers(), EmptyHttpHeaders.INSTANCE);
       Call completed = call;
       call = null;
       resetResponse();
