Slow uploads keep no other upload waiting past its client's time

Cause: a body over 256 KiB, or one without a place among the buffered ones, waited first come first served for 80 KiB of a budget that other uploads kept to their end, and what ended the wait was the read timeout of 2.5 s, which knows nothing of the client's time.

Change: nobody waits. BodyStream counts what it really holds, queued or on its way to the upstream. Once the budget is used up, a stream reads its next 4 KiB when it holds nothing any more.

--- a/http/src/main/java/cloverpulley/serve/BodyStream.java
+++ b/http/src/main/java/cloverpulley/serve/BodyStream.java
@@ -13,8 +13,8 @@
   interface Sink {
     boolean isWritable();
 
-    /** Writes a part of the body and takes ownership of it. */
-    void write(ByteBuf content);
+    /** Writes a part of the body and takes ownership of it; {@code onWritten} runs once it is written or can't be. */
+    void write(ByteBuf content, Runnable onWritten);
 
     /** Called after the last part. */
     void end();
@@ -22,27 +22,27 @@
 
   /** Reading from the client pauses once this much is queued. */
   private static final int MAX_QUEUED_BYTES = 32 * 1024;
-  /** The maximum direct memory that one stream may hold: the queue, the read that exceeds its limit, and bytes pending at the upstream's socket. */
-  static final int MAX_HELD_BYTES = MAX_QUEUED_BYTES + 3 * Server.MAX_READ;
   /** Smaller parts are coalesced while queued; otherwise each would occupy a buffer and a write of its own. */
   private static final int COALESCE_BYTES = Server.MAX_READ / 2;
 
   private final ArrayDeque<ByteBuf> queue = new ArrayDeque<>();
+  private final BufferBudget budget;
   private final Runnable onDemandChanged;
-  private Runnable onReleased;
   private ByteBuf tail;
   private Runnable onFirstConsumed;
   private Runnable onCompleted;
   private int queuedBytes;
+  /** Bytes that an upstream's socket has not accepted yet. */
+  private int inTransitBytes;
   private boolean complete;
   private boolean discarded;
   private boolean consumed;
   private Sink sink;
 
-  /** {@code onDemandChanged} runs when {@link #wantsMore} may have changed, {@code onReleased} once the stream holds no memory any more. */
-  BodyStream(Runnable onDemandChanged, Runnable onReleased) {
+  /** {@code budget} counts what all streams hold; {@code onDemandChanged} runs when {@link #wantsMore} may have changed. */
+  BodyStream(BufferBudget budget, Runnable onDemandChanged) {
+    this.budget = budget;
     this.onDemandChanged = onDemandChanged;
-    this.onReleased = onReleased;
   }
 
   /** Sets what runs when the first part is consumed, after which the body can't be sent again, and when the whole body has been received. */
@@ -61,6 +61,7 @@
       return;
     }
     queuedBytes += content.readableBytes();
+    budget.acquire(content.readableBytes());
     if (content.readableBytes() >= COALESCE_BYTES || queue.isEmpty()) {
       tail = null;
       queue.add(content);
@@ -99,8 +100,10 @@
     return consumed;
   }
 
+  /** Whether more may be read. While the budget is used up, a stream goes on once it holds nothing: in small steps, and without waiting for others. */
   boolean wantsMore() {
-    return discarded || queuedBytes < MAX_QUEUED_BYTES;
+    boolean holdsNothing = queuedBytes + inTransitBytes == 0;
+    return discarded || queuedBytes < MAX_QUEUED_BYTES && (holdsNothing || !budget.isExhausted());
   }
 
   /** Sets the attempt that receives queued and future parts; null when it has ended. */
@@ -111,7 +114,6 @@
 
   /** Writes queued parts for as long as the attempt accepts them. */
   void flush() {
-    boolean wantedBefore = wantsMore();
     while (sink != null && sink.isWritable() && !queue.isEmpty()) {
       if (!consumed) {
         consumed = true;
@@ -121,15 +123,22 @@
       }
       ByteBuf content = queue.poll();
       tail = content == tail ? null : tail;
-      queuedBytes -= content.readableBytes();
-      sink.write(content);
+      int bytes = content.readableBytes();
+      queuedBytes -= bytes;
+      inTransitBytes += bytes;
+      sink.write(content, () -> written(bytes));
     }
     if (sink != null && complete && queue.isEmpty()) {
       Sink completed = sink;
       sink = null;
       completed.end();
     }
-    if (!wantedBefore && wantsMore()) {
+  }
+
+  private void written(int bytes) {
+    inTransitBytes -= bytes;
+    budget.release(bytes);
+    if (wantsMore()) {
       onDemandChanged.run();
     }
   }
@@ -144,17 +153,8 @@
     queue.forEach(ByteBuf::release);
     queue.clear();
     tail = null;
+    budget.release(queuedBytes);
     queuedBytes = 0;
-    releaseReservation();
     onDemandChanged.run();
   }
-
-  /** Releases the stream's memory reservation once the last part is written to an upstream or the stream is discarded. */
-  void releaseReservation() {
-    Runnable callback = onReleased;
-    onReleased = null;
-    if (callback != null) {
-      callback.run();
-    }
-  }
 }
--- a/http/src/main/java/cloverpulley/serve/Counts.java
+++ b/http/src/main/java/cloverpulley/serve/Counts.java
@@ -42,7 +42,6 @@
   private final Map<Long, Integer> slowStarting = new HashMap<>();
   private int closedForOthers;
   private int closedOnTimeout;
-  private int uploadsRejected;
   private int responsesStalled;
   private int idleConnections;
   private int accepted;
@@ -98,11 +97,6 @@
     newConnectionsRejected.merge(upstream, 1, Integer::sum);
   }
 
-  /** Counts a streamed body that got no buffer capacity in time. */
-  void uploadRejected() {
-    uploadsRejected++;
-  }
-
   /** Counts a response that paused before it was complete or passed on. */
   void responseStalled() {
     responsesStalled++;
@@ -193,9 +187,8 @@
     put(s, "idle", idleConnections);
     put(s, "clients_closed_for_others", closedForOthers);
     put(s, "clients_closed_late", closedOnTimeout);
-    put(s, "uploads_turned_away", uploadsRejected);
     put(s, "answers_paused", responsesStalled);
-    closedForOthers = closedOnTimeout = uploadsRejected = responsesStalled = 0;
+    closedForOthers = closedOnTimeout = responsesStalled = 0;
     accepted = served = clientsGone = sent = retried = listsRequested = listsUnanswered = listsIgnored = listLines = 0;
     return s.toString();
   }
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -86,8 +86,6 @@
   private static final long MAX_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(10);
   /** How many times {@link Clients#READ_TIMEOUT_NANOS} an upstream may accept no data of a body. */
   private static final int MAX_UPLOAD_PAUSES = 12;
-  /** The Retry-After of a request whose body was rejected for lack of buffer capacity. */
-  private static final long UPLOAD_RETRY_AFTER_NANOS = TimeUnit.SECONDS.toNanos(1);
   /** Subtracted from a client's deadline, which runs from when it sent the request until the response has reached it. */
   private static final long RESPONSE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -382,10 +380,6 @@
         clients.setState(this, State.UPLOADING); // The upstream is slow, not the client.
         return;
       }
-      if (reader.isAwaitingCapacity()) {
-        reader.rejectUpload();
-        return;
-      }
       counts.clientClosed(false);
       if (clients.is(this, State.UPLOADING)) {
         close(); // An upstream may have its beginning and must not get the rest; or the response has been sent.
@@ -421,9 +415,6 @@
       String path = pathOf(request);
       if (!request.decoderResult().isSuccess()) {
         answer(statusFor(request.decoderResult().cause()), "malformed request");
-      } else if (request instanceof StreamedRequest s && s.rejected) {
-        counts.uploadRejected();
-        sendResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, UPLOAD_RETRY_AFTER_NANOS, null, Unpooled.EMPTY_BUFFER);
       } else if (path.equals(HEALTH)) {
         boolean serves = isReady();
         answer(serves ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE, serves ? "ok" : "not serving");
--- a/http/src/main/java/cloverpulley/serve/RequestReader.java
+++ b/http/src/main/java/cloverpulley/serve/RequestReader.java
@@ -50,12 +50,8 @@
   private ByteBuf body;
   private BodyStream bodyStream;
   private long received;
-  private boolean awaitsCapacity;
   /** The parts that arrive belong to a request that has failed. */
   private boolean discarding;
-  /** The capacity requested for a streamed body, and the messages that were decoded while it was not granted: one read at most. */
-  private BufferBudget.Reservation reservation;
-  private final DeferredMessages deferred = new DeferredMessages();
   private ChannelHandlerContext context;
 
   /**
@@ -76,11 +72,7 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (isAwaitingCapacity()) {
-      deferred.add(message, context.alloc());
-    } else {
-      read(context, message);
-    }
+    read(context, message);
   }
 
   @Override
@@ -130,7 +122,7 @@
     idClaim = idClaimer.apply(request);
     if (length > MAX_BUFFERED_BODY) {
       body = Unpooled.EMPTY_BUFFER;
-      awaitUploadCapacity(null);
+      startStreaming(null);
     } else {
       body = context.alloc().buffer((int) Math.max(0, Math.min(length, INITIAL_CAPACITY)));
       reserve(body.capacity());
@@ -181,7 +173,7 @@
     } else if (bytes > 0 && (received > MAX_BUFFERED_BODY || !append(content.content()))) {
       // Bounds the memory that many bodies take at once: one that does not fit in the budget is streamed.
       received -= bytes;
-      awaitUploadCapacity(content);
+      startStreaming(content);
       return;
     }
     if (content instanceof LastHttpContent) {
@@ -199,57 +191,21 @@
     }
   }
 
-  /** Streams the body from this piece on, as soon as the budget for uploads has capacity. */
-  private void awaitUploadCapacity(HttpContent piece) {
-    if (piece != null) {
-      deferred.addFirst(piece.retain());
-    }
-    // Deferred, since this callback runs inside the caller that releases the capacity.
-    reservation = budgets.streamed().reserve(BodyStream.MAX_HELD_BYTES, () -> context.executor().execute(() -> {
-      // The capacity may be that of an earlier body, which was rejected meanwhile.
-      if (isAwaitingCapacity() && reservation.isGranted()) {
-        startStreaming(false);
-      }
-    }));
-    awaitsCapacity = true;
-    if (reservation.isGranted()) {
-      startStreaming(false);
-    } else {
-      onDemandChanged.run();
-    }
-  }
-
-  private void startStreaming(boolean rejected) {
-    awaitsCapacity = false;
-    if (rejected) {
-      reservation.release(); // The body is discarded. Still queued, it would be granted capacity that it does not use.
-    } else {
-      sendContinue();
-    }
-    bodyStream = new BodyStream(onDemandChanged, reservation::release);
-    reservation = null;
-    StreamedRequest request = new StreamedRequest(head, body, idClaim, bodyStream, rejected);
+  /** Passes the request on with the body as far as it is buffered, and streams the rest from this piece on. */
+  private void startStreaming(HttpContent piece) {
+    sendContinue();
+    bodyStream = new BodyStream(budgets.streamed(), onDemandChanged);
+    StreamedRequest request = new StreamedRequest(head, body, idClaim, bodyStream);
     head = null;
     idClaim = null;
     body = null;
     emit(context, request);
-    while (!deferred.isEmpty() && !isAwaitingCapacity()) {
-      read(context, deferred.poll());
+    if (piece != null) {
+      add(context, piece);
     }
-    flushBody();
     onDemandChanged.run();
   }
 
-  /** Whether a body waits for upload capacity; nothing more is read from its connection meanwhile. */
-  boolean isAwaitingCapacity() {
-    return awaitsCapacity;
-  }
-
-  /** Passes the waiting request on as rejected, because there was no upload capacity in time. */
-  void rejectUpload() {
-    startStreaming(true);
-  }
-
   private static void emit(ChannelHandlerContext context, FullHttpRequest request) {
     context.fireChannelRead(request); // The receiver releases it.
   }
@@ -278,9 +234,9 @@
     return received;
   }
 
-  /** Whether more may be read: no body waits for capacity, and a streamed body is below its limit. */
+  /** Whether more may be read: a streamed body is below its limit. */
   boolean wantsMore() {
-    return !awaitsCapacity && (bodyStream == null || bodyStream.wantsMore());
+    return bodyStream == null || bodyStream.wantsMore();
   }
 
   private void reset() {
@@ -293,12 +249,6 @@
       idClaim = null;
     }
     bodyStream = null;
-    awaitsCapacity = false;
-    if (reservation != null) {
-      reservation.release();
-      reservation = null;
-    }
-    deferred.release();
     if (body != null) {
       body.release();
       body = null;
--- a/http/src/main/java/cloverpulley/serve/StreamedRequest.java
+++ b/http/src/main/java/cloverpulley/serve/StreamedRequest.java
@@ -8,13 +8,10 @@
 final class StreamedRequest extends AcceptedRequest {
 
   final BodyStream bodyStream;
-  /** There was no upload capacity in time: the request gets an error and its body is discarded. */
-  final boolean rejected;
 
-  StreamedRequest(HttpRequest head, ByteBuf beginning, RequestIdClaims.Claim idClaim, BodyStream bodyStream, boolean rejected) {
+  StreamedRequest(HttpRequest head, ByteBuf beginning, RequestIdClaims.Claim idClaim, BodyStream bodyStream) {
     super(head, beginning, idClaim);
     this.bodyStream = bodyStream;
-    this.rejected = rejected;
   }
 
   /** Gives back the buffer capacity of the body as well, whether or not the body was received, consumed or forwarded. */
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -495,8 +495,8 @@
         }
 
         @Override
-        public void write(ByteBuf content) {
-          channel.writeAndFlush(new DefaultHttpContent(content));
+        public void write(ByteBuf content, Runnable onWritten) {
+          channel.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> onWritten.run());
         }
 
         @Override
@@ -510,9 +510,6 @@
       broken |= !success;
       if (success) {
         next.written = true;
-        if (next.bodyStream != null) {
-          next.bodyStream.releaseReservation();
-        }
       } else {
         channel.close();
         next.end(Status.CONNECT_FAILED, null);
