A request is not forwarded behind the close that much unread data hides

Cause: a close is found only behind all data before it, and the check before an attempt read 16 KiB at most.

Change: the check reads to the end of what has arrived, into the same queues and budgets as any read, unless the client was connected less than 50 ms ago by ClientTime (it closes after its last byte). Where there is no memory for that, or after 4 MiB, the attempt is not sent and the module ends the request: it is answered, not forwarded blindly.

Test: ClientDisconnectTest#longUploadWithMuchUnreadIsNotForwardedAfterDisconnect (failed before 3 of 3).

--- a/http/src/main/java/cloverpulley/serve/ClientSocket.java
+++ b/http/src/main/java/cloverpulley/serve/ClientSocket.java
@@ -6,14 +6,16 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
+import java.util.function.BooleanSupplier;
 
 /** A client connection that can be checked for a close by the client, even while it is not read. */
 final class ClientSocket extends NioSocketChannel {
 
-  /** The maximum number of bytes read by one check. */
-  private static final int PROBE_BYTES = 1024;
-  /** Checks that may find data before the end of a connection that is not read otherwise: bounds the data held beyond its water mark. */
-  private static final int MAX_PROBES = 16;
+  /** The maximum number of bytes found by one read of a check. */
+  private static final int PROBE_BYTES = 4 * 1024;
+  /** What a check reads in any case, and at most, before the end of a connection. */
+  private static final int MIN_READ_BEFORE_TURN = 16 * 1024;
+  private static final int MAX_READ_BEFORE_TURN = 4 << 20;
 
   private final long queuedNanos;
 
@@ -44,29 +46,45 @@
   }
 
   /**
-   * Whether the client has neither closed nor reset the connection, as far as can be seen. Used to avoid forwarding the requests of clients
-   * that left while their requests waited: the loop notices a close only by reading, after all data before it. Data that is found is
-   * passed on as if the loop had read it. Must not be called while a read of this connection is in progress.
+   * Whether the client has closed or reset the connection, as far as can be seen. Used to avoid forwarding the requests of clients that left while
+   * their requests waited: the loop notices a close only by reading, after all data before it. Data that is found is passed on as if the loop had
+   * read it. Must not be called while a read of this connection is in progress.
+   *
+   * @param seenLately whether the client was still connected a moment ago, so that data which remains unread need not be read now
+   * @param hasMemory whether there is memory for data that is read before its turn
    */
-  boolean isClientConnected() {
-    for (int i = 0; isActive() && i < MAX_PROBES; i++) {
-      ByteBuf found = alloc().ioBuffer(PROBE_BYTES);
-      int count;
-      try {
-        count = found.writeBytes(javaChannel(), PROBE_BYTES);
-      } catch (IOException e) {
-        count = -1;
-      }
+  ClientPresence presence(BooleanSupplier seenLately, BooleanSupplier hasMemory) {
+    for (int read = 0; isActive(); ) {
+      int count = readBeforeTurn();
       if (count <= 0) {
-        found.release();
-        if (count < 0) {
-          close();
-        }
         break;
       }
+      read += count;
+      if (read >= MIN_READ_BEFORE_TURN && (seenLately.getAsBoolean() || read >= MAX_READ_BEFORE_TURN || !hasMemory.getAsBoolean())) {
+        return seenLately.getAsBoolean() ? ClientPresence.CONNECTED : ClientPresence.UNKNOWN;
+      }
+    }
+    return isActive() ? ClientPresence.CONNECTED : ClientPresence.GONE;
+  }
+
+  /** Reads once and passes on what it finds; returns how much, or not more than 0 if there was nothing. Closes at the end of the input. */
+  private int readBeforeTurn() {
+    ByteBuf found = alloc().ioBuffer(PROBE_BYTES);
+    int count;
+    try {
+      count = found.writeBytes(javaChannel(), PROBE_BYTES);
+    } catch (IOException e) {
+      count = -1;
+    }
+    if (count > 0) {
       pipeline().fireChannelRead(found);
       pipeline().fireChannelReadComplete();
+      return count;
+    }
+    found.release();
+    if (count < 0) {
+      close();
     }
-    return isActive();
+    return count;
   }
 }
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -86,6 +86,8 @@
   /** The time a client may take per byte of a body, on top of the read timeout, and the longest that any body may take. */
   private static final long BODY_NANOS_PER_BYTE = TimeUnit.SECONDS.toNanos(1) / (32 * 1024);
   private static final long MAX_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(10);
+  /** How long a close may go unseen: no request may be forwarded later than 0.1 s after its client has closed. */
+  private static final long MAX_UNSEEN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   /** The interval at which a body that is not read is checked for whether its client's time is running, and up. */
   private static final long UPLOAD_CHECK_MILLIS = 25;
   /** Subtracted from a client's deadline, which runs from when it sent the request until the response has reached it. */
@@ -591,8 +593,12 @@
     }
 
     @Override
-    public boolean isClientConnected() {
-      return channel instanceof ClientSocket socket ? socket.isClientConnected() : channel.isActive();
+    public ClientPresence clientPresence() {
+      if (channel instanceof ClientSocket socket) {
+        // A client closes after its last byte.
+        return socket.presence(() -> System.nanoTime() - clientTime.earliest() < MAX_UNSEEN_NANOS, () -> !bodyBudgets.streamed().isExhausted());
+      }
+      return channel.isActive() ? ClientPresence.CONNECTED : ClientPresence.GONE;
     }
 
     private void discardUpload(BodyStream remaining) {
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -38,8 +38,8 @@
 
   /** Sends the final response to the client; a no-op if the client is gone. The caller keeps ownership of the content. */
   interface ClientResponder {
-    /** Whether the client is still connected, as far as its socket shows. */
-    boolean isClientConnected();
+    /** Checks whether the client is still connected. */
+    ClientPresence clientPresence();
 
     void sendResponse(HttpResponseStatus status, long retryAfterNanos, CharSequence contentType, ByteBuf content);
 
@@ -119,13 +119,14 @@
 
   /**
    * Checks whether the client still waits, so that no abandoned request is forwarded. If it is gone, the engine is notified of that before the
-   * attempt ends.
+   * attempt ends; if that can't be told, the attempt is not sent.
    */
   private boolean checkClientConnected() {
-    if (!isEnded() && !responder.isClientConnected()) {
+    ClientPresence presence = isEnded() ? ClientPresence.GONE : responder.clientPresence();
+    if (!isEnded() && presence == ClientPresence.GONE) {
       context.engine.clientGone(this);
     }
-    return !isEnded();
+    return !isEnded() && presence == ClientPresence.CONNECTED;
   }
 
   /** The request body is complete: a pending attempt may wait for a response for {@code remainingNanos} from now. */
--- a/http/src/test/java/cloverpulley/serve/ClientDisconnectTest.java
+++ b/http/src/test/java/cloverpulley/serve/ClientDisconnectTest.java
@@ -34,6 +34,8 @@
 @Timeout(value = 2 * Rig.LIMIT_S, unit = TimeUnit.SECONDS)
 class ClientDisconnectTest {
 
+  /** Longer than a close may go unseen, and than a connection to an unresponsive upstream is waited for. */
+  private static final long LONG_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
   private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n";
 
   private static Config configFor(StubServer upstream, String more) throws IOException {
@@ -172,6 +174,42 @@
     }
   }
 
+  /** The client has sent all of a long body and disconnected, and most of it is unread when the module forwards the request, or retries it. */
+  @ParameterizedTest
+  @CsvSource({"false, 400000", "true, 400000", "false, 2000000"})
+  void longUploadWithMuchUnreadIsNotForwardedAfterDisconnect(boolean retry, int length) throws Exception {
+    Script[] module = new Script[1];
+    module[0] = new Script((event, out) -> {
+      if (event instanceof Request r && retry) {
+        out.accept(new Send(r.id(), module[0].upstreams.get(1), 0));
+      } else if (event instanceof Request r) {
+        out.accept(new SetTimer(r.id(), module[0].now + LONG_WAIT_NANOS));
+      } else if (event instanceof TimerFired t) {
+        out.accept(new Send(t.token(), module[0].upstreams.get(0), 0));
+      } else if (event instanceof Outcome o && o.attempt() == 0 && retry && !o.finished()) {
+        out.accept(new Send(o.id(), module[0].upstreams.get(0), 0));
+      }
+    });
+    try (StubServer upstream = StubServer.answering(StubServer.ok("x"));
+        AttemptTest.UnresponsiveServer unresponsive = new AttemptTest.UnresponsiveServer();
+        Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"),
+            Rig.member("s-2", unresponsive.address(), "ready")), "on_request", 150, 1024, ""), module[0])) {
+      Client client = rig.client();
+      client.socket.setSendBufferSize(2 * length);
+      client.write("POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: t\r\nX-Qos: keyed\r\nIdempotency-Key: k\r\nContent-Length: " + length + "\r\n\r\n"
+          + "x".repeat(length));
+      module[0].next(Request.class);
+      client.close();
+      if (retry) {
+        assertTrue(module[0].next(Outcome.class).finished() || module[0].next(Outcome.class).finished(), "the client has left");
+      } else {
+        module[0].next(ClientGone.class);
+      }
+      awaitLoopIterations(rig);
+      assertTrue(upstream.requests.isEmpty() && upstream.connections.isEmpty(), "nothing is sent");
+    }
+  }
+
   /**
    * The request is queued when the process is stopped, also as the old process of an upgrade; its client disconnects, and only then the
    * module forwards it.
