The id of a request that may have run can't run again, at either process

Cause: an id was known while its request was in progress. It was released when the last attempt had ended, also where the attempt may have had its effect; a process that ended took its ids with it.

Change: the id of a request that is not safe to repeat and has an attempt that may have run is used up when the request ends, answered or not: it is answered 409 from then on. The hashes of used ids are kept in memory (256 KiB) and in the content of `request-ids`, so that both processes of an upgrade and the next one know them; a replaced file gets those of the process. Of the last 3,000 about one in a thousand is forgotten. By the protocol a client's retry has a new id.

--- a/balancer/src/test/java/cloverpulley/standins/soak/UpgradeRequestIdIT.java
+++ b/balancer/src/test/java/cloverpulley/standins/soak/UpgradeRequestIdIT.java
@@ -154,4 +154,26 @@
     assertConflicts(bad);
     assertRanOnce("held");
   }
+
+  /** The first run has ended, its client has left, and the process that forwarded it has gone, too. */
+  @Test
+  void theIdOfARunWhoseClientLeftStaysUsed() throws Exception {
+    List<Socket> leavers = connect();
+    send(leavers, "left");
+    awaitRuns("left");
+    for (Socket leaver : leavers) {
+      leaver.close();
+    }
+    servers.forEach(SoakServer::stop);
+    startProcess();
+    List<Socket> toEither = connect();
+    send(toEither, "left");
+    assertConflicts(toEither);
+    old.terminate();
+    assertTrue(old.awaitExit(ANSWER_MILLIS), "the old process goes on");
+    List<Socket> toNew = connect();
+    send(toNew, "left");
+    assertConflicts(toNew);
+    assertRanOnce("left");
+  }
 }
--- a/engine/src/main/java/cloverpulley/engine/Attempt.java
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -16,6 +16,8 @@
   long answerStartedAfterNanos = -1;
   CancelHandle cancelHandle;
   boolean ended;
+  /** Whether its upstream may have run the request; until it has ended nothing else is known. */
+  boolean mayHaveRun = true;
 
   /** Stops a frontend's attempt; the frontend still reports its end, as cancelled or as not sent. */
   public interface CancelHandle {
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -274,6 +274,7 @@
       return;
     }
     attempt.ended = true;
+    attempt.mayHaveRun = !status.provesNotRun();
     Exchange x = attempt.exchange();
     long latency = attempt.answerStartedAfterNanos >= 0 ? attempt.answerStartedAfterNanos : latency(attempt);
     listener.attemptEnded(attempt, status, latency);
--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -72,6 +72,11 @@
     return null;
   }
 
+  /** Whether an upstream may have run it, or may yet. */
+  public final boolean mayHaveRun() {
+    return attempts.stream().anyMatch(a -> a.mayHaveRun);
+  }
+
   /** Whether it has its final answer or the client has disconnected. */
   public final boolean isEnded() {
     return ended;
--- a/handover/src/main/java/cloverpulley/handover/RequestIdClaims.java
+++ b/handover/src/main/java/cloverpulley/handover/RequestIdClaims.java
@@ -11,7 +11,7 @@
 import java.util.logging.Logger;
 
 /**
- * The ids of the requests that this balancer has accepted and not finished. An id can be claimed once at a time, in this process and, through
+ * The ids of the requests that this balancer has accepted and not finished, and of finished ones that may not run again. An id can be claimed once at a time, in this process and, through
  * a {@link RequestIdFile}, in all processes of the balancer: during an upgrade a client could otherwise have a request run a second time by
  * sending its id to the other process.
  *
@@ -30,11 +30,13 @@
   public final class Claim {
 
     private final String id;
+    private final long hash;
     private final List<FileLock> locks = new ArrayList<>(1);
     private boolean released;
 
-    private Claim(String id) {
+    private Claim(String id, long hash) {
       this.id = id;
+      this.hash = hash;
     }
 
     /** Releases the id; further calls have no effect. */
@@ -46,10 +48,18 @@
       }
     }
 
+    /** Releases the id for good: it can't be claimed again, by any process of the balancer, for as long as it is remembered. */
+    public void useUp() {
+      if (!released) {
+        remember(hash);
+        release();
+      }
+    }
+
     /** Locks the id in a file; false if another process holds it. */
     private boolean lockIn(RequestIdFile file) {
       try {
-        FileLock lock = file.tryLock(id);
+        FileLock lock = file.tryLock(hash);
         if (lock != null) {
           locks.add(lock);
         }
@@ -62,7 +72,10 @@
   }
 
   private final LongSupplier clock;
+  private final RequestIdHash hash = new RequestIdHash();
   private final Map<String, Claim> held = new HashMap<>();
+  /** The ids that this process has used up; the file has those of all processes. */
+  private final UsedIdTable usedIds = UsedIdTable.inMemory();
   /** The file that all processes use; null for none. */
   private RequestIdFile file;
   /** The file before it, and when it was replaced; null once it is closed. */
@@ -80,14 +93,15 @@
     this.clock = clock;
   }
 
-  /** Claims an id; null if it is held already, by this process or by another of the balancer. */
+  /** Claims an id; null if it is held already or used up, by this process or by another of the balancer. */
   public Claim claim(String id) {
     if (held.containsKey(id)) {
       return null;
     }
     closeReplacedFile();
-    Claim claim = new Claim(id);
-    if (file != null && !claim.lockIn(file) || replacedFile != null && !claim.lockIn(replacedFile)) {
+    Claim claim = new Claim(id, hash.of(id));
+    // Locked first: the process that holds it marks it as used before it releases it.
+    if (file != null && !claim.lockIn(file) || replacedFile != null && !claim.lockIn(replacedFile) || isUsed(claim.hash)) {
       claim.locks.forEach(RequestIdFile::unlock);
       return null;
     }
@@ -95,6 +109,29 @@
     return claim;
   }
 
+  private boolean isUsed(long id) {
+    try {
+      return usedIds.contains(id) || file != null && file.usedIds().contains(id) || replacedFile != null && replacedFile.usedIds().contains(id);
+    } catch (IOException e) {
+      logFailure(e);
+      return false;
+    }
+  }
+
+  private void remember(long id) {
+    try {
+      usedIds.add(id);
+      if (file != null) {
+        file.usedIds().add(id);
+      }
+      if (replacedFile != null) {
+        replacedFile.usedIds().add(id);
+      }
+    } catch (IOException e) {
+      logFailure(e);
+    }
+  }
+
   private void closeReplacedFile() {
     if (replacedFile != null && clock.getAsLong() - replacedAt > REPLACED_FILE_NANOS) {
       replacedFile.close();
@@ -111,12 +148,17 @@
     replacedAt = clock.getAsLong();
     file = newFile;
     held.values().forEach(claim -> claim.lockIn(newFile));
+    try {
+      newFile.usedIds().addAll(usedIds);
+    } catch (IOException e) {
+      logFailure(e);
+    }
   }
 
   private void logFailure(IOException e) {
     if (!failureLogged) {
       failureLogged = true;
-      LOG.warning("request ids can't be locked in the shared folder, they are checked in this process alone: " + e);
+      LOG.warning("request ids can't be kept in the shared folder, they are checked in this process alone: " + e);
     }
   }
 
--- a/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
+++ b/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
@@ -5,21 +5,20 @@
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.nio.file.attribute.BasicFileAttributes;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 
 /**
  * The file in the shared folder in which the processes of one balancer lock the ids of their requests, each as one byte at the position of its
- * hash. The file stays empty: locks take no space, and the system releases those of a process that ends, however it ends.
+ * hash. Locks take no space, and the system releases those of a process that ends, however it ends. The file's content is the table of used ids,
+ * which outlives the processes; positions of locks and of content are independent.
  *
  * <p>The system also releases all locks of a process when it closes any descriptor of the file, so a process must not open a file that it has
  * open. {@link #open} and {@link #isInPlace} access the folder and may block; {@link #tryLock} does not.
+ * Reads and writes of the table are short and go to the system's cache.
  */
 public final class RequestIdFile {
 
@@ -31,7 +30,17 @@
   private final Path path;
   private final FileChannel channel;
   private final Object fileKey;
-  private final MessageDigest hash = newHash();
+  private final UsedIdTable usedIds = new UsedIdTable(new UsedIdTable.Storage() {
+    @Override
+    public void read(ByteBuffer bucket, long position) throws IOException {
+      channel.read(bucket, position);
+    }
+
+    @Override
+    public void write(ByteBuffer bucket, long position) throws IOException {
+      channel.write(bucket, position);
+    }
+  });
 
   private RequestIdFile(Path path, FileChannel channel, Object fileKey) {
     this.path = path;
@@ -43,7 +52,7 @@
   public static RequestIdFile open(Path folder) throws IOException {
     Files.createDirectories(folder);
     Path path = folder.resolve(NAME);
-    FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+    FileChannel channel = FileChannel.open(path, StandardOpenOption.CREATE, StandardOpenOption.READ, StandardOpenOption.WRITE);
     try {
       return new RequestIdFile(path, channel, Files.readAttributes(path, BasicFileAttributes.class).fileKey());
     } catch (IOException e) {
@@ -61,9 +70,14 @@
     }
   }
 
-  /** Locks an id; null if another process or another balancer of this process holds it. Throws if the system can't tell. */
-  FileLock tryLock(String id) throws IOException {
-    long position = positionOf(id);
+  /** The ids that were used up by any process. */
+  UsedIdTable usedIds() {
+    return usedIds;
+  }
+
+  /** Locks the id with this hash; null if another process or another balancer of this process holds it. Throws if the system can't tell. */
+  FileLock tryLock(long hash) throws IOException {
+    long position = hash & (MAX_POSITION - 1);
     IOException failure = null;
     for (int i = 0; i < MAX_TRIES; i++) {
       try {
@@ -88,18 +102,6 @@
     }
   }
 
-  private long positionOf(String id) {
-    return ByteBuffer.wrap(hash.digest(id.getBytes(StandardCharsets.UTF_8))).getLong() & (MAX_POSITION - 1);
-  }
-
-  private static MessageDigest newHash() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e); // Every Java platform has it.
-    }
-  }
-
   /** Closes the file, which releases all locks that this process holds in it. */
   void close() {
     try {
--- a/handover/src/test/java/cloverpulley/handover/RequestIdClaimsTest.java
+++ b/handover/src/test/java/cloverpulley/handover/RequestIdClaimsTest.java
@@ -82,4 +82,44 @@
     first.close();
     assertNotNull(second.claim("a"));
   }
+
+  @Test
+  void anIdThatIsUsedUpCantBeClaimedAtEitherProcessNorAtTheNextOne() throws IOException {
+    first.claim("alone").useUp();
+    adoptBoth();
+    first.claim("a").useUp();
+    assertNull(first.claim("a"));
+    assertNull(second.claim("a"));
+    assertNull(second.claim("alone"));
+    first.close();
+    second.close();
+    RequestIdClaims next = new RequestIdClaims(() -> now);
+    next.adopt(RequestIdFile.open(folder));
+    assertNull(next.claim("a"));
+    assertNotNull(next.claim("b"));
+  }
+
+  @Test
+  void usedIdsAreKnownWhenTheFolderIsEmptied() throws IOException {
+    adoptBoth();
+    first.claim("a").useUp();
+    Files.delete(folder.resolve("request-ids"));
+    RequestIdFile replacement = RequestIdFile.open(folder);
+    second.adopt(replacement);
+    first.adopt(RequestIdFile.open(folder));
+    now += RequestIdClaims.REPLACED_FILE_NANOS + 1;
+    assertNull(second.claim("a"));
+  }
+
+  @Test
+  void theLastThreeThousandUsedIdsAreRemembered() {
+    for (int i = 0; i < 3000; i++) {
+      first.claim("id" + i).useUp();
+    }
+    int forgotten = 0;
+    for (int i = 0; i < 3000; i++) {
+      forgotten += first.claim("id" + i) == null ? 0 : 1;
+    }
+    assertTrue(forgotten <= 6, forgotten + " of 3,000 forgotten");
+  }
 }
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -518,7 +518,7 @@
       RequestIdClaims.Claim idClaim = accepted.takeIdClaim();
       if (idClaim == null) {
         // Protects the request that already uses this id, and its effect.
-        answer(HttpResponseStatus.CONFLICT, ID + " is that of a request in progress");
+        answer(HttpResponseStatus.CONFLICT, ID + " is that of an earlier request");
         return;
       }
       HttpHeaders headers = request.headers();
@@ -533,7 +533,7 @@
           TimeUnit.MICROSECONDS.toNanos(hint), "1".equals(headers.get(RETRY)), deadline, 0, List.of());
       long wait = waitNanos;
       LongSupplier clientRemaining = upload == null ? null : () -> clientTime.remaining(wait);
-      exchange = new HttpExchange(info, exchangeContext, request.retain(), clientRemaining, this, idClaim::release);
+      exchange = new HttpExchange(info, exchangeContext, request.retain(), clientRemaining, this, idClaim);
       engine.accept(exchange);
       if (upload != null) {
         HttpExchange uploading = exchange;
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -1,11 +1,13 @@
 package cloverpulley.serve;
 
+import cloverpulley.Balancer.Effect;
 import cloverpulley.Balancer.Status;
 import cloverpulley.engine.Attempt;
 import cloverpulley.engine.Engine;
 import cloverpulley.engine.Exchange;
 import cloverpulley.engine.LoadReport;
 import cloverpulley.engine.LocalReply;
+import cloverpulley.handover.RequestIdClaims;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -73,7 +75,7 @@
   /** Null once it has ended: an attempt in flight may outlast it for long, and needs the request no more. */
   private FullHttpRequest request;
   private final ClientResponder responder;
-  private final Runnable onRemovedCallback;
+  private final RequestIdClaims.Claim idClaim;
   /** The part of the body not received yet when the request is accepted; null if there is none. */
   private final BodyStream bodyStream;
   /** How long the client still waits, while its body is being read; null for a request that was received completely. */
@@ -83,17 +85,17 @@
   private ResponseStream responseStream;
 
   /**
-   * Takes ownership of the request; {@code clientRemaining} tells how long the client still waits while its body is being read, {@code onRemovedCallback} runs once the engine has removed
-   * the exchange.
+   * Takes ownership of the request; {@code clientRemaining} tells how long the client still waits while its body is being read; {@code idClaim} is
+   * released once the engine has removed the exchange.
    */
-  HttpExchange(RequestInfo info, Context context, FullHttpRequest request, LongSupplier clientRemaining, ClientResponder responder, Runnable onRemovedCallback) {
+  HttpExchange(RequestInfo info, Context context, FullHttpRequest request, LongSupplier clientRemaining, ClientResponder responder, RequestIdClaims.Claim idClaim) {
     super(info);
     bodyStream = request instanceof StreamedRequest s ? s.bodyStream : null;
     this.clientRemaining = clientRemaining;
     this.context = context;
     this.request = request;
     this.responder = responder;
-    this.onRemovedCallback = onRemovedCallback;
+    this.idClaim = idClaim;
   }
 
   @Override
@@ -235,7 +237,11 @@
 
   @Override
   protected void onRemoved() {
-    onRemovedCallback.run();
+    if (mayHaveRun() && info().requestClass().effect() != Effect.SAFE) {
+      idClaim.useUp(); // Its effect must not come about again, whoever sends the id.
+    } else {
+      idClaim.release();
+    }
   }
 
   /** The request as it is forwarded to an upstream. */
--- a/http/src/test/java/cloverpulley/serve/AtMostOnceTest.java
+++ b/http/src/test/java/cloverpulley/serve/AtMostOnceTest.java
@@ -1,6 +1,7 @@
 package cloverpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import cloverpulley.serve.Rig.Client;
@@ -8,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -86,4 +88,32 @@
       }
     }
   }
+
+  /** The first run goes on after its client has left, and must stay the only one when it has ended. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void idOfARequestWhoseClientLeftDoesNotRunAgain(boolean answered) throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    try (StubServer upstream = new StubServer(c -> {
+      c.next();
+      left.await();
+      if (answered) {
+        c.write(StubServer.ok("x"));
+        c.next();
+      }
+    }); Rig rig = new Rig(configFor(upstream.address())); Client other = rig.client()) {
+      try (Client leaver = rig.client()) {
+        leaver.write(request("t"));
+        assertNotNull(upstream.requests.poll(Rig.LIMIT_S, TimeUnit.SECONDS));
+      }
+      StubServer.Connection run = upstream.connections.take();
+      left.countDown();
+      assertTrue(run.awaitEnd());
+      for (int i = 0; i < 20; i++) {
+        String answer = other.ask(request("t"));
+        assertTrue(answer.startsWith("HTTP/1.1 409 "), answer);
+      }
+      assertTrue(upstream.requests.isEmpty(), "it ran again");
+    }
+  }
 }
