A second copy of an answer is not taken for the next request's: reuse waits longer where copies come

Cause: a connection was used again 10 ms after its answer, a fixed clock, and a copy that came later was the next request's answer. A copy that comes sooner is seen, as nothing is expected then, but nothing was learned from it.

Change: ReuseDelay: surplus bytes on a resting connection make all connections rest for four times as long as the latest came (40 to 200 ms), for 10 minutes. Where no copies come it stays at 10 ms.

A first copy that comes later than 10 ms, before any other was seen, can still be taken for another's answer.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -54,8 +54,6 @@
    * with the upstream's own close would fail with a reset. */
   private static final double IDLE_RATIO = 0.7;
   private static final long IDLE_SWEEP_MILLIS = 250;
-  /** Delay between a response and the reuse of its connection, so that surplus bytes behind the response show up first. */
-  private static final long REUSE_DELAY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
   private static final long PROBE_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
   /** A buffered response that pauses for longer is reported as stalled. It may go on, until its client's time is up. */
   private static final long STALL_REPORT_MILLIS = 300;
@@ -81,6 +79,7 @@
   private final Counts counts;
   private final IdleConnections<Connection> idle = new IdleConnections<>();
   private final Set<Call> connecting = new HashSet<>();
+  private final ReuseDelay reuseDelay = new ReuseDelay();
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
   /** Memory for the bodies of responses, buffered or on their way to a client. */
   private final BufferBudget responseBudget;
@@ -235,7 +234,7 @@
   private Connection takeIdle(long upstream, SocketAddress address) {
     long now = System.nanoTime();
     for (Connection c : idle.of(upstream)) {
-      if (now - c.idleSince >= REUSE_DELAY_NANOS) {
+      if (now - c.idleSince >= reuseDelay.nanos(now)) {
         idle.remove(c);
         if (c.channel.isActive() && c.channel.remoteAddress().equals(address) && reusePolicy.isReusable(now, now - c.idleSince)
             && c.isInputEmpty()) {
@@ -315,6 +314,9 @@
           ByteBuf bytes = (ByteBuf) message;
           int matched = call == null ? -1 : isWithinResponse() ? prefixMatched : ResponseValidator.matchPrefix(bytes, prefixMatched);
           if (matched < 0) {
+            if (call == null && !firstCall) {
+              reuseDelay.recordSurplus(System.nanoTime(), System.nanoTime() - idleSince);
+            }
             bytes.release();
             resetConnection();
           } else {
@@ -330,6 +332,7 @@
             deliverBody();
           }
           if (call == null && !decoder.isBetweenMessages()) {
+            reuseDelay.recordSurplus(System.nanoTime(), 0);
             channel.close(); // The beginning of another response follows the complete one.
           } else if (call != null && (prefixMatched > 0 || isWithinResponse())) {
             responseProgressed();
