Answers that are never complete don't make the limiter refuse others

Cause: an attempt that ends at its request's time counted as the class's whole deadline in the mean latency, also where its answer had begun at once and the body was never complete.

Change: such an attempt counts by when its answer began, and at least as the mean. It still counts as a failure for ejection.

Test: StalledResponseTest#incompleteResponsesRejectNoOthers (failed before: request 222 refused over_rate).

--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -599,6 +599,8 @@
 
   private void recordOutcome(PendingRequest r, Attempt a, Outcome o) {
     Upstream u = a.upstream;
+    long answeredAt = a.hasBegun() ? Math.max(a.sentAt, r.receivedAt) + a.beganAfterNanos : now;
+    double seen = (double) (answeredAt - r.receivedAt) / r.type.aimNanos();
     if (o.status() == Status.SERVED) {
       u.failures = 0;
       u.ejections = 0;
@@ -608,20 +610,19 @@
       long latency = a.hasBegun() ? a.beganAfterNanos : o.latencyNanos();
       u.window.add(now, Metric.LATENCY_SUM, r.load * latency);
       recordSlowness(u, (double) latency / r.type.aimNanos());
-      long answeredAt = a.hasBegun() ? Math.max(a.sentAt, r.receivedAt) + latency : now;
-      recordLatency(r, (double) (answeredAt - r.receivedAt) / r.type.aimNanos());
+      recordLatency(r, seen);
     } else if (o.status() == Status.CANCELLED && a.stalled) {
       recordSlowness(u, Double.MAX_VALUE); // Another attempt was faster.
     } else if (o.status() == Status.FULL) {
       recordSlowness(u, Double.MAX_VALUE);
     } else if (o.status() != Status.CANCELLED && o.status() != Status.NOT_SENT) {
       recordSlowness(u, (double) r.type.deadlineNanos() / r.type.aimNanos());
-      // A time-out counts as its limit, another failure as its latency but at least the mean, so that fast
-      // failures don't lower the mean. Counting every failure as the limit rejected all traffic after a few
-      // resets, although other upstreams could have served it.
-      double latency = (double) (now - r.receivedAt) / r.type.aimNanos();
-      recordLatency(r, o.status() == Status.TIMEOUT ? (double) r.type.deadlineNanos() / r.type.aimNanos()
-          : Math.max(latency, Math.max(r.flowWindow.mean(now), fleet.mean(now))));
+      // A time-out without a response counts as its limit, another failure as its latency but at least the
+      // mean, so that fast failures don't lower the mean. Counting every failure as the limit rejected all
+      // traffic after a few resets, although other upstreams could have served it.
+      boolean silent = o.status() == Status.TIMEOUT && !a.hasBegun();
+      recordLatency(r, silent ? (double) r.type.deadlineNanos() / r.type.aimNanos()
+          : Math.max(seen, Math.max(r.flowWindow.mean(now), fleet.mean(now))));
       if (++u.failures >= EJECTION_FAILURES && u.ejectedUntil <= now) {
         long backoff = Math.min(MAX_EJECTION_NANOS, MIN_EJECTION_NANOS << Math.min(u.ejections++, 10));
         u.ejectedUntil = now + (long) (backoff * (0.5 + random.nextDouble() / 2));
--- a/decision/src/test/java/cloverpulley/StalledResponseTest.java
+++ b/decision/src/test/java/cloverpulley/StalledResponseTest.java
@@ -117,6 +117,28 @@
     }
   }
 
+  /** One in four responses is never complete: the others must not be rejected for it, as no upstream is overloaded. */
+  @Test
+  void incompleteResponsesRejectNoOthers() {
+    Driver d = driver(Effect.UNSAFE).upstreams(3);
+    for (int i = 0; i < 300; i++) {
+      String id = d.nextId();
+      List<Action> actions = d.request(id, "c", "k" + i);
+      assertFalse(Driver.has(actions, Reject.class), i + ": " + actions);
+      d.pass(10 * MS);
+      for (Driver.Sent s : List.copyOf(d.outstanding)) {
+        boolean incomplete = Integer.parseInt(s.id().substring(1)) % 4 == 0;
+        if (!incomplete) {
+          d.end(s, Status.SERVED, d.now - s.at());
+        } else if (d.now - s.at() == 10 * MS) {
+          d.step(new AnswerBegan(s.id(), s.attempt(), s.upstream(), 10 * MS));
+        } else if (d.now - s.at() >= 1900 * MS) {
+          d.end(s, Status.TIMEOUT, 1900 * MS);
+        }
+      }
+    }
+  }
+
   @Test
   void aStalledResponseThatIsStreamedIsTheFinalAnswer() {
     Driver d = driver(Effect.SAFE).upstreams(3);
