A short answer that is late is not begun at its client's deadline

Cause: at the deadline a short answer and the beginning of a long one look alike.

Change: less than 16 KiB by then is taken for a short one and answered 504.

Test: SlowResponseTest#incompleteResponseIsAnsweredAtTheDeadline, two further rows (begun before).

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -59,6 +59,8 @@
   private static final long STALL_REPORT_MILLIS = 300;
   /** A streamed response that pauses for longer ends: it can't be replaced by another, and its client has no other time limit. */
   private static final long STREAMED_RESPONSE_STALL_MILLIS = 10_000;
+  /** A response of unknown length of which less has arrived by its client's deadline is taken for a short one, which is too late then. */
+  private static final int MIN_LATE_RESPONSE_BYTES = 16 * 1024;
   /** The longest pause of a response of unknown length whose client's time is up before {@link Frontend#MAX_BUFFERED_RESPONSE} of it have arrived. */
   private static final long LATE_RESPONSE_STALL_MILLIS = 900;
   /** How long such a response may at least go on: an answer counts as in time until half a second after the deadline. */
@@ -585,8 +587,8 @@
     }
 
     /**
-     * Streams what has arrived of a response of unknown length, at its client's deadline: of a long one the first bytes are in time then. One that
-     * has paused for long by then is more likely to be incomplete. Returns whether it did.
+     * Streams what has arrived of a response of unknown length, at its client's deadline: of a long one the first bytes are in time then. One of
+     * which little has arrived is more likely to be short, and one that has paused for long to be incomplete. Returns whether it did.
      */
     private boolean streamLate(Call expired) {
       if (call != expired || call.isResponseDiscarded() || !streaming && !startStreamingLate()) {
@@ -602,7 +604,7 @@
 
     private boolean startStreamingLate() {
       long pause = System.nanoTime() - lastReadAt;
-      return bodyBytes > 0 && !HttpUtil.isContentLengthSet(responseHead) && pause <= TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS)
+      return bodyBytes >= MIN_LATE_RESPONSE_BYTES && !HttpUtil.isContentLengthSet(responseHead) && pause <= TimeUnit.MILLISECONDS.toNanos(LATE_RESPONSE_STALL_MILLIS)
           && startStreaming();
     }
 
--- a/http/src/test/java/cloverpulley/serve/SlowResponseTest.java
+++ b/http/src/test/java/cloverpulley/serve/SlowResponseTest.java
@@ -205,12 +205,12 @@
   }
 
   @ParameterizedTest
-  @CsvSource({"LENGTH, 2000", "LENGTH, 600", "CHUNKS, 2000", "CLOSE, 2000"})
-  void incompleteResponseIsAnsweredAtTheDeadline(Framing framing, int expiresMillis) throws Exception {
+  @CsvSource({"LENGTH, 2000, 20000", "LENGTH, 600, 20000", "CHUNKS, 2000, 20000", "CLOSE, 2000, 20000", "CHUNKS, 600, 6000", "CLOSE, 600, 6000"})
+  void incompleteResponseIsAnsweredAtTheDeadline(Framing framing, int expiresMillis, int length) throws Exception {
     Script module = new Script(0);
     try (StubServer upstream = new StubServer(c -> {
       c.next();
-      c.write(head(framing, 30_000) + part(framing, "x".repeat(20_000)));
+      c.write(head(framing, 30_000) + part(framing, "x".repeat(length)));
       c.next();
     }); Rig rig = rig(upstream, module); Client client = rig.client()) {
       client.write(Rig.get("r1", "X-Expires-In-Ms: " + expiresMillis + "\r\n"));
