A body that is still arriving is no load at its upstream

Cause: since uploads no longer wait for one another, all of them are attempts in flight, and the module took each for work that its upstream does.

Change: the engine tells the module of a request whose body is incomplete (BodyPending); its attempts count as load from BodyEnded on.

Test: decision StreamingTest#aSlowUploadIsNoLoadUntilItsBodyHasEnded (rests on the new event).

--- a/decision/src/main/java/cloverpulley/Attempt.java
+++ b/decision/src/main/java/cloverpulley/Attempt.java
@@ -12,6 +12,8 @@
   boolean rejected;
   /** Its response has started and is being streamed to the client. */
   boolean streaming;
+  /** It counts as load: its upstream works on it, as far as is known, rather than transferring its body or its response. */
+  boolean loaded;
   /** How long after it was sent the body of its response began to arrive; -1 before. */
   long beganAfterNanos = -1;
   /** Its response has begun, if only the head, and then paused. */
@@ -22,8 +24,8 @@
     this.sentAt = sentAt;
   }
 
-  /** Whether its upstream still works on it, as far as is known, rather than transferring the response. */
-  boolean countsAsLoad() {
+  /** Whether nothing of its response has arrived yet, apart from the head. */
+  boolean awaitsResponse() {
     return inFlight && !streaming && !hasBegun();
   }
 
--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -137,7 +137,7 @@
   /** Something that happened to the balancer. */
   sealed interface Event permits EndpointUpdate, Request, AnswerBegan, AnswerStalled, AnswerStarted, Outcome, ClientGone, TimerFired, ProbeResult,
       PeerMessage, UpstreamSetOffline, UpstreamSetOnline, SnapshotRequested, SnapshotRestored,
-      ProcessCountChanged, SettingsChanged, BodyEnded, BodyDiscarded {}
+      ProcessCountChanged, SettingsChanged, BodyPending, BodyEnded, BodyDiscarded {}
 
   /** An update of the endpoint list. The first update of an instance is of kind CACHED. */
   record EndpointUpdate(ListKind kind, List<Endpoint> endpoints) implements Event {}
@@ -194,6 +194,9 @@
   /** A message from another balancer of the group. */
   record PeerMessage(int from, byte[] data) implements Event {}
 
+  /** A request was announced before its body was complete: its attempts are no load at an upstream until {@link BodyEnded}. */
+  record BodyPending(String id) implements Event {}
+
   /** The body of a request that was announced before it was complete has been received: its latency and deadline count from here. */
   record BodyEnded(String id, long deadlineNanos) implements Event {}
 
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -192,6 +192,8 @@
       onAnswerBegan(e);
     } else if (event instanceof AnswerStalled e) {
       onAnswerStalled(e);
+    } else if (event instanceof BodyPending e && pending.get(e.id()) != null) {
+      onBodyPending(pending.get(e.id()));
     } else if (event instanceof BodyEnded e && pending.get(e.id()) != null) {
       onBodyEnded(pending.get(e.id()), e.deadlineNanos());
     } else if (event instanceof BodyDiscarded e && pending.get(e.id()) != null) {
@@ -356,7 +358,7 @@
 
   private boolean usable(Upstream u) {
     return (panic || u.ejectedUntil <= now && !isUnresponsive(u))
-        && (slowStartRatio(u) >= 1 || slowStartTokens(u) >= 1);
+        && (u.slowStartRatio(now, settings.contract()) >= 1 || slowStartTokens(u) >= 1);
   }
 
   /** The load below which an upstream may take a request. */
@@ -386,20 +388,12 @@
 
   // ---- Rule 4: slow start -------------------------------------------------------------------------------
 
-  /** The part of its capacity that an upstream is known to have: rises linearly from the minimum to 1. */
-  private double slowStartRatio(Upstream u) {
-    double ratio = Math.max(0, now - u.startedAt)
-        / (double) Math.max(1, settings.contract().slowStartNanos());
-    return u.startedAt <= 0 || ratio >= 1 ? 1 : settings.contract().slowStartMinRatio() * (1 - ratio) + ratio;
-  }
-
   /** Attempts that an upstream in slow start may still get: its slow-start ratio of what a warmed-up one
    * usually gets from this balancer. The minimum rate prevents a deadlock where the whole fleet is in slow
    * start and there is no baseline rate yet. */
   private double slowStartTokens(Upstream u) {
-    double rate =
-        Math.max(MIN_SLOW_START_RATE / settings.groupSize(), slowStartRatio(u) * baselineSendRate)
-            / processes;
+    double ratio = u.slowStartRatio(now, settings.contract());
+    double rate = Math.max(MIN_SLOW_START_RATE / settings.groupSize(), ratio * baselineSendRate) / processes;
     double windowTokens = rate * settings.contract().overloadWindowNanos() / SECOND;
     return u.slowStart.fill(now, rate, Math.max(1, windowTokens * SLOW_START_BURST));
   }
@@ -433,11 +427,8 @@
     long sendBy = RetryRules.sendDeadline(r, settings.tickNanos());
     r.attempts.add(new Attempt(u, now));
     r.inFlight++;
-    u.lastActivityAt = u.inFlight == 0 ? now : u.lastActivityAt;
-    u.inFlight++;
-    u.load += r.load;
-    u.slowStart.tokens -= slowStartRatio(u) < 1 ? 1 : 0;
-    readyLoad += r.load;
+    addLoad(r, r.attempts.get(r.attempts.size() - 1));
+    u.slowStart.tokens -= u.slowStartRatio(now, settings.contract()) < 1 ? 1 : 0;
     fleet.add(now, Metric.ADMITTED, 1);
     actions.accept(new Send(r.request.id(), u.id, r.deadline - now, sendBy));
   }
@@ -445,9 +436,8 @@
   /** Sends a hedged request around an unresponsive upstream if class and settings allow it and the fleet is
    * healthy. */
   private void hedge(PendingRequest r) {
-    Attempt last = r.attempts.get(r.attempts.size() - 1);
-    if (isUnresponsive(last.upstream) && fleet.mean(now) <= MIN_LATENCY_RATIO
-        && now - r.receivedAt <= r.type.aimNanos()) {
+    if (isUnresponsive(r.attempts.get(r.attempts.size() - 1).upstream)
+        && fleet.mean(now) <= MIN_LATENCY_RATIO && now - r.receivedAt <= r.type.aimNanos()) {
       sendSecondCopy(r);
     }
   }
@@ -514,9 +504,7 @@
     if (a == null) {
       return;
     }
-    if (a.countsAsLoad()) {
-      removeLoad(r, a);
-    }
+    removeLoad(r, a);
     a.inFlight = false;
     a.mayHaveRun = !o.status().provesNotRun();
     a.rejected = o.status() == Status.FULL;
@@ -538,12 +526,21 @@
     }
   }
 
-  /** Removes an attempt from the load: the upstream has responded, or no response is expected any more. */
+  private void addLoad(PendingRequest r, Attempt a) {
+    if (!r.bodyPending && a.awaitsResponse()) {
+      a.loaded = true;
+      a.upstream.addLoad(now, r.load);
+      readyLoad += r.load;
+    }
+  }
+
+  /** Removes an attempt from the load: the upstream has responded, or has not begun to work on it. */
   private void removeLoad(PendingRequest r, Attempt a) {
-    a.upstream.inFlight--;
-    a.upstream.load -= a.upstream.inFlight == 0 ? a.upstream.load : r.load;
-    a.upstream.lastActivityAt = now;
-    readyLoad -= upstreams.isReady(a.upstream) ? r.load : 0;
+    if (a.loaded) {
+      a.loaded = false;
+      a.upstream.removeLoad(now, r.load);
+      readyLoad -= upstreams.isReady(a.upstream) ? r.load : 0;
+    }
   }
 
   /** Load and latency count up to the start of the response, so that slow readers do not distort them. */
@@ -553,9 +550,7 @@
     if (a == null || r.answered) {
       return;
     }
-    if (a.countsAsLoad()) {
-      removeLoad(r, a);
-    }
+    removeLoad(r, a);
     r.streaming = true;
     a.streaming = true;
     recordOutcome(r, a, new Outcome(e.id(), e.attempt(), e.upstream(), Status.SERVED, e.latencyNanos(), false,
@@ -566,7 +561,7 @@
   private void onAnswerBegan(AnswerBegan e) {
     PendingRequest r = pending.get(e.id());
     Attempt a = inFlight(r, e.attempt());
-    if (a != null && a.countsAsLoad()) {
+    if (a != null) {
       removeLoad(r, a);
       a.beganAfterNanos = e.latencyNanos();
     }
@@ -588,7 +583,14 @@
     return known ? r.attempts.get(attempt) : null;
   }
 
+  private void onBodyPending(PendingRequest r) {
+    r.bodyPending = true;
+    r.attempts.forEach(a -> removeLoad(r, a));
+  }
+
   private void onBodyEnded(PendingRequest r, long deadline) {
+    r.bodyPending = false;
+    r.attempts.forEach(a -> addLoad(r, a));
     boolean queued = queue.remove(r);
     r.receivedAt = now;
     r.deadline = deadline;
@@ -654,7 +656,7 @@
     for (PendingRequest r : List.copyOf(pending.values())) {
       for (Attempt a : r.attempts) {
         // Detects a hanging upstream early: a time-out may come seconds after the aim.
-        if (a.countsAsLoad() && !a.overdue
+        if (a.loaded && !a.overdue
             && now - Math.max(a.sentAt, r.receivedAt) > r.type.aimNanos()) {
           a.overdue = true;
           recordSlowness(a.upstream, Double.MAX_VALUE);
--- a/decision/src/main/java/cloverpulley/PendingRequest.java
+++ b/decision/src/main/java/cloverpulley/PendingRequest.java
@@ -23,6 +23,8 @@
   /** It has its final answer. */
   boolean answered;
   boolean streaming;
+  /** Its body is not complete yet. */
+  boolean bodyPending;
 
   PendingRequest(Balancer.Request request, Balancer.RequestClass type, long receivedAt, boolean overQuota, Window flowWindow,
       Window keyWindow, double load, int maxAttempts) {
--- a/decision/src/main/java/cloverpulley/Upstream.java
+++ b/decision/src/main/java/cloverpulley/Upstream.java
@@ -41,6 +41,26 @@
     slowStart.filledAt = now;
   }
 
+  /** An attempt begins to count as load. */
+  void addLoad(long now, double attemptLoad) {
+    lastActivityAt = inFlight == 0 ? now : lastActivityAt;
+    inFlight++;
+    load += attemptLoad;
+  }
+
+  /** An attempt ceases to count as load, which is a sign of activity. */
+  void removeLoad(long now, double attemptLoad) {
+    inFlight--;
+    load -= inFlight == 0 ? load : attemptLoad;
+    lastActivityAt = now;
+  }
+
+  /** The part of its capacity that it is known to have: rises linearly from the minimum to 1. */
+  double slowStartRatio(long now, Balancer.Contract contract) {
+    double ratio = Math.max(0, now - startedAt) / (double) Math.max(1, contract.slowStartNanos());
+    return startedAt <= 0 || ratio >= 1 ? 1 : contract.slowStartMinRatio() * (1 - ratio) + ratio;
+  }
+
   /** Returns its state for a successor. */
   UpstreamSnapshot snapshot(long now) {
     return new UpstreamSnapshot(id, startedAt <= 0 ? -1 : now - startedAt, startEstimated, startEstimated ? now - offlineSince : 0,
--- a/decision/src/test/java/cloverpulley/StreamingTest.java
+++ b/decision/src/test/java/cloverpulley/StreamingTest.java
@@ -8,6 +8,7 @@
 import cloverpulley.Balancer.AnswerStarted;
 import cloverpulley.Balancer.BodyDiscarded;
 import cloverpulley.Balancer.BodyEnded;
+import cloverpulley.Balancer.BodyPending;
 import cloverpulley.Balancer.Cancel;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.Fail;
@@ -55,6 +56,24 @@
     assertTrue(sends(d.request(d.nextId(), "c", "k")));
   }
 
+  /** Clients that take a minute to send a long body: their requests are no load at the upstreams until they are complete. */
+  @Test
+  void aSlowUploadIsNoLoadUntilItsBodyHasEnded() {
+    Driver d = new Driver(Driver.safe()).upstreams(2);
+    for (int i = 0; i < 200; i++) {
+      d.serve("k" + i, 20 * MS);
+    }
+    for (int i = 0; i < 300; i++) {
+      String id = d.nextId();
+      assertTrue(sends(d.request(id, "c", "k" + i)), "upload " + i);
+      d.step(new BodyPending(id));
+      assertTrue(d.serve("s" + i, 20 * MS) >= 0, "a request beside " + (i + 1) + " uploads");
+    }
+    d.outstanding.forEach(s -> d.step(new BodyEnded(s.id(), d.now + 2000 * MS)));
+    d.request(d.nextId(), "c", "k");
+    assertEquals(300, d.outstanding.size(), "600 complete requests in flight are load");
+  }
+
   @Test
   void aStartedResponseIsTheFinalAnswer() {
     Driver d = new Driver(Driver.safe()).upstreams(2);
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -7,6 +7,7 @@
 import cloverpulley.Balancer.AnswerStarted;
 import cloverpulley.Balancer.BodyDiscarded;
 import cloverpulley.Balancer.BodyEnded;
+import cloverpulley.Balancer.BodyPending;
 import cloverpulley.Balancer.Cancel;
 import cloverpulley.Balancer.ClientGone;
 import cloverpulley.Balancer.CloseIdle;
@@ -330,6 +331,11 @@
     return true;
   }
 
+  /** A request was accepted before its body was complete: to be called right after {@link #accept}. */
+  public void bodyPending(Exchange x) {
+    enqueue(() -> isTracked(x) ? new BodyPending(x.id) : null);
+  }
+
   /** The body of a request that was accepted before it was complete has arrived; {@code deadline} is when an answer is of no more use. */
   public void bodyEnded(Exchange x, long deadline) {
     if (x.isEnded() || !isTracked(x)) {
--- a/engine/src/test/java/cloverpulley/engine/EventNamesTest.java
+++ b/engine/src/test/java/cloverpulley/engine/EventNamesTest.java
@@ -32,6 +32,7 @@
         Map.entry("SnapshotRestored", "Inherited"),
         Map.entry("ProcessCountChanged", "Beside"),
         Map.entry("SettingsChanged", "Retuned"),
+        Map.entry("BodyPending", "BodyPending"),
         Map.entry("BodyEnded", "BodyEnded"),
         Map.entry("BodyDiscarded", "Unrepeatable")));
     Map<String, String> names = new TreeMap<>();
--- a/http/src/main/java/cloverpulley/serve/ClientTime.java
+++ b/http/src/main/java/cloverpulley/serve/ClientTime.java
@@ -18,6 +18,8 @@
    */
   static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
   private static final int CATCH_UP_BYTES = 48 * 1024;
+  /** More than this arrives between two inspections if the window of the socket has opened rather than the client sent something. */
+  private static final int MAX_SENT_BYTES = 8 * 1024;
 
   private final LongSupplier clock;
   /** The last byte was not accepted before. */
@@ -108,10 +110,10 @@
   void inspected(long unread) {
     long now = clock.getAsLong();
     boolean settled = inspectedAt - pausedAt >= CATCH_UP_NANOS;
-    boolean grew = unread > unreadBytes && unreadBytes >= 0;
+    boolean sent = unread > unreadBytes && unreadBytes >= 0 && unread - unreadBytes <= MAX_SENT_BYTES;
     if (settled && unread == 0) {
       earliest = now;
-    } else if (settled && grew) {
+    } else if (settled && sent) {
       earliest = inspectedAt;
     }
     idleSince = settled && unread == 0 ? idleSince : now;
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -537,6 +537,7 @@
       engine.accept(exchange);
       if (upload != null) {
         HttpExchange uploading = exchange;
+        engine.bodyPending(uploading);
         upload.setCallbacks(() -> engine.bodyDiscarded(uploading), () -> uploadEnded(uploading, clientRemaining.getAsLong() - RESPONSE_MARGIN_NANOS));
         scheduleUploadCheck();
       }
