Keyed work is not repeated at a process that may have replaced another

Cause: the module repeats keyed work within its cell, and the cell is that of the list; nothing asked whether the process at the address is still the one that the list names, though the balancer had seen the old one end.

Change: ReplacementDetector: an upstream that has ended all its connections itself, or refuses one, may have been replaced. First attempts, and classes that are safe to repeat, are not affected.

--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -77,6 +77,11 @@
     return attempts.stream().anyMatch(a -> a.mayHaveRun);
   }
 
+  /** Whether an attempt repeats work that an earlier attempt, or another one in flight, may have done. */
+  public final boolean isRepeat(Attempt attempt) {
+    return attempts.stream().anyMatch(a -> a != attempt && a.mayHaveRun) || info.priorAttempts().stream().anyMatch(PriorAttempt::mayHaveRun);
+  }
+
   /** Whether it has its final answer or the client has disconnected. */
   public final boolean isEnded() {
     return ended;
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -100,7 +100,7 @@
 
   @Override
   protected Attempt.CancelHandle startAttempt(Attempt attempt, SocketAddress address, long timeoutNanos) {
-    if (!checkClientConnected()) {
+    if (!checkClientConnected() || !isSafeAt(attempt)) {
       context.engine.attemptEnded(attempt, Status.NOT_SENT, Map.of(), () -> { });
       return () -> { };
     }
@@ -131,6 +131,11 @@
     return !isEnded() && presence == ClientPresence.CONNECTED;
   }
 
+  /** A keyed request may be repeated only in its deduplication group, to which a process that has replaced another may not belong. */
+  private boolean isSafeAt(Attempt attempt) {
+    return info().requestClass().effect() == Effect.SAFE || !isRepeat(attempt) || !context.pool.mayBeReplaced(attempt.upstream());
+  }
+
   /** The request body is complete: a pending attempt may wait for a response for {@code remainingNanos} from now. */
   void bodyEnded(long deadline, long remainingNanos) {
     context.engine.bodyEnded(this, deadline);
@@ -151,7 +156,7 @@
 
     @Override
     public boolean isWanted() {
-      return checkClientConnected();
+      return checkClientConnected() && isSafeAt(attempt);
     }
 
     @Override
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -35,6 +36,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.SocketAddress;
 import java.util.HashSet;
 import java.util.List;
@@ -82,6 +84,7 @@
   private final IdleConnections<Connection> idle = new IdleConnections<>();
   private final Set<Call> connecting = new HashSet<>();
   private final ReuseDelay reuseDelay = new ReuseDelay();
+  private final ReplacementDetector replacements = new ReplacementDetector();
   private final IdleReusePolicy reusePolicy = new IdleReusePolicy();
   /** Memory for the bodies of responses, buffered or on their way to a client. */
   private final BufferBudget responseBudget;
@@ -147,6 +150,7 @@
     call.channel.closeFuture().addListener(f -> sockets.closed());
     connect.addListener(f -> {
       connecting.remove(call);
+      recordConnect(call.upstream, connect);
       // The call may have been cancelled while connecting, or have begun to connect after drainUpstreams cancelled the connecting
       // calls, since the module is notified of the drain only later. It must not be written then.
       boolean wanted = !call.isDone() && call.canStillBeSent()
@@ -162,6 +166,19 @@
     });
   }
 
+  private void recordConnect(long upstream, ChannelFuture connect) {
+    if (connect.isSuccess()) {
+      connect.channel().pipeline().get(Connection.class).established(upstream);
+    } else if (connect.cause() instanceof ConnectException && !(connect.cause() instanceof ConnectTimeoutException)) {
+      replacements.refused(upstream, System.nanoTime());
+    }
+  }
+
+  /** Whether the process at an upstream's address may be another than the one that the endpoint list names. */
+  boolean mayBeReplaced(long upstream) {
+    return replacements.mayBeReplaced(upstream, System.nanoTime());
+  }
+
   /** Restarts the timeout of a call, replacing the one it was started with. */
   void updateTimeout(Call call, long timeoutNanos) {
     if (!call.isDone()) {
@@ -226,8 +243,11 @@
   private void abandon(Call call, Status unwritten, Status written) {
     if (!call.isDone()) {
       Channel channel = call.channel;
+      Connection connection = channel == null ? null : channel.pipeline().get(Connection.class);
       call.end(call.written ? written : unwritten, null);
-      if (channel != null) {
+      if (connection != null) {
+        connection.close();
+      } else if (channel != null) {
         channel.close();
       }
     }
@@ -259,6 +279,9 @@
 
     final Channel channel;
     long upstream;
+    private boolean established;
+    /** This side has closed the connection, rather than the upstream. */
+    private boolean closedHere;
     long idleSince;
     /** How long the connection was idle before the current call; -1 on a new one. */
     long priorIdleNanos = -1;
@@ -305,9 +328,16 @@
 
     @Override
     public void close() {
+      closedHere = true;
       channel.close();
     }
 
+    void established(long to) {
+      upstream = to;
+      established = true;
+      replacements.opened(to);
+    }
+
     /** Inspects bytes before they are decoded. Bytes that belong to no call would be taken for the response to the next one. */
     ChannelInboundHandlerAdapter rawInboundHandler() {
       return new ChannelInboundHandlerAdapter() {
@@ -335,7 +365,7 @@
           }
           if (call == null && !decoder.isBetweenMessages()) {
             reuseDelay.recordSurplus(System.nanoTime(), 0);
-            channel.close(); // The beginning of another response follows the complete one.
+            close(); // The beginning of another response follows the complete one.
           } else if (call != null && (prefixMatched > 0 || isWithinResponse())) {
             responseProgressed();
           }
@@ -446,7 +476,7 @@
       Call failed = call;
       call = null;
       resetResponse();
-      channel.close();
+      close();
       if (failed != null) {
         failed.end(Status.RESET, null);
       }
@@ -694,7 +724,7 @@
         idleSince = System.nanoTime();
         idle.add(this);
       } else {
-        channel.close();
+        close();
       }
     }
 
@@ -723,6 +753,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+      if (established) {
+        replacements.closed(upstream, !closedHere, System.nanoTime());
+      }
       if (call != null && !call.isDone() && prefixMatched == 0) {
         recordReuse(true);
       }
