Nor is keyed work repeated where it may have run at a replacement

Cause: the group of an attempt is that of the list, also where the process may have been replaced when it was sent.

Change: HttpExchange keeps which attempts went to an upstream that may have been replaced. While one of them may have run, keyed work is not repeated anywhere.

Test: AddressReuseTest#keyedRequestThatMayHaveRunAtAReplacementIsNotRetriedInTheListedCell (failed before: ran at both).

--- a/engine/src/main/java/cloverpulley/engine/Attempt.java
+++ b/engine/src/main/java/cloverpulley/engine/Attempt.java
@@ -36,6 +36,11 @@
     return exchange;
   }
 
+  /** Whether its upstream may have run the request, or may yet. */
+  public boolean mayHaveRun() {
+    return mayHaveRun;
+  }
+
   /** Its index among the request's attempts, from 0, counting those of earlier calls. */
   public int number() {
     return number;
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -25,8 +25,10 @@
 import io.netty.util.AsciiString;
 import java.net.SocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 
@@ -82,6 +84,8 @@
   private final LongSupplier clientRemaining;
   private final List<Call> calls = new ArrayList<>(1);
   private Call currentCall;
+  /** Attempts at upstreams whose process may have been replaced: in which deduplication group they ran is not known. */
+  private final Set<Attempt> sentToUncertain = new HashSet<>(1);
   private ResponseStream responseStream;
 
   /**
@@ -133,7 +137,12 @@
 
   /** A keyed request may be repeated only in its deduplication group, to which a process that has replaced another may not belong. */
   private boolean isSafeAt(Attempt attempt) {
-    return info().requestClass().effect() == Effect.SAFE || !isRepeat(attempt) || !context.pool.mayBeReplaced(attempt.upstream());
+    boolean uncertain = context.pool.mayBeReplaced(attempt.upstream());
+    if (uncertain) {
+      sentToUncertain.add(attempt);
+    }
+    return info().requestClass().effect() == Effect.SAFE || !isRepeat(attempt)
+        || !uncertain && sentToUncertain.stream().noneMatch(earlier -> earlier != attempt && earlier.mayHaveRun());
   }
 
   /** The request body is complete: a pending attempt may wait for a response for {@code remainingNanos} from now. */
--- a/http/src/test/java/cloverpulley/serve/AddressReuseTest.java
+++ b/http/src/test/java/cloverpulley/serve/AddressReuseTest.java
@@ -32,9 +32,16 @@
     private final ServerSocket first = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final BlockingQueue<Socket> connections = new LinkedBlockingQueue<>();
     private final CountDownLatch rejected = new CountDownLatch(1);
+    private final boolean replacementFails;
     private ServerSocket second;
 
     ReplacedServer() throws IOException {
+      this(false);
+    }
+
+    /** {@code replacementFails} makes the replacement reset its connection once it has a request. */
+    ReplacedServer(boolean replacementFails) throws IOException {
+      this.replacementFails = replacementFails;
       Thread thread = new Thread(() -> {
         try {
           Socket socket = first.accept();
@@ -67,6 +74,10 @@
         try (Socket socket = second.accept()) {
           String request = StubServer.Message.read(new BufferedInputStream(socket.getInputStream()));
           atReplacement.add(request == null ? "" : request);
+          if (replacementFails) {
+            socket.setOption(StandardSocketOptions.SO_LINGER, 0);
+            return;
+          }
           socket.getOutputStream().write(StubServer.ok("replacement").getBytes(StandardCharsets.ISO_8859_1));
         } catch (IOException e) {
           return; // Closed by the test.
@@ -115,6 +126,29 @@
     }
   }
 
+  /** The first attempt went to the replacement, whose group is not known: no server of the listed cell may get the next. */
+  @Test
+  void keyedRequestThatMayHaveRunAtAReplacementIsNotRetriedInTheListedCell() throws Exception {
+    BlockingQueue<String> atOther = new LinkedBlockingQueue<>();
+    try (ReplacedServer gone = new ReplacedServer(true); StubServer other = new StubServer(c -> {
+      for (String request = c.next(); request != null; request = c.next()) {
+        atOther.add(request);
+        c.write(StubServer.ok("x"));
+      }
+    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-gone", gone.address(), "ready"),
+        Rig.member("s-other", other.address(), "ready")))); Client client = rig.client()) {
+      for (int i = 0; gone.rejected.getCount() > 0; i++) {
+        client.ask(Rig.post("w" + i, "Idempotency-Key: w" + i + "\r\n", "x"));
+      }
+      gone.replace();
+      for (int i = 0; gone.atReplacement.isEmpty(); i++) {
+        client.ask(Rig.post("effect" + i, "Idempotency-Key: e" + i + "\r\n", "x"));
+      }
+      String id = SlowResponseTest.header(gone.atReplacement.take(), "x-trace-id");
+      assertTrue(atOther.stream().noneMatch(r -> r.contains("X-Trace-Id: " + id + "\r\n")), id + " ran at both");
+    }
+  }
+
   private static boolean ran(String request) {
     return request.contains("X-Trace-Id: effect");
   }
