A stand-in's connection that carried several queries can be reset for each of them

Cause: StandInZone.endSessions resets the connection of each subscription, and one connection carries several. The test's thread set SO_LINGER on a socket that the event loop had closed since the first of these resets.

Change: a reset runs on the connection's event loop and does nothing where the connection is closed. StandInDns.close uses the same.

--- a/standins/src/main/java/cloverpulley/standins/StandInDns.java
+++ b/standins/src/main/java/cloverpulley/standins/StandInDns.java
@@ -139,10 +139,13 @@
       channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(future -> channel.close());
     }
 
-    /** Resets the connection. */
+    /** Resets the connection; a no-op if it is closed already, as after another query on it was answered so. */
     public void reset() {
-      channel.config().setOption(ChannelOption.SO_LINGER, 0);
-      channel.close();
+      if (channel.eventLoop().inEventLoop()) {
+        StandInDns.reset(channel);
+      } else {
+        channel.eventLoop().execute(() -> StandInDns.reset(channel));
+      }
     }
 
     /** Whether both messages arrived on the same channel. */
@@ -248,12 +251,15 @@
   public void close() {
     tcp.close().syncUninterruptibly();
     udp.close().syncUninterruptibly();
-    openChannels.forEach(c -> c.eventLoop().execute(() -> {
-      if (c.isActive()) {
-        c.config().setOption(ChannelOption.SO_LINGER, 0);
-        c.close();
-      }
-    }));
+    openChannels.forEach(c -> c.eventLoop().execute(() -> reset(c)));
+  }
+
+  /** Resets an open connection; on its event loop, which closes it and knows whether it is open. */
+  private static void reset(Channel channel) {
+    if (channel.isActive()) {
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    }
   }
 
   private void handle(byte[] octets, boolean overTcp, Channel channel, InetSocketAddress sender) {
