A replaced process is noticed also where the end of its connections is seen late

Cause: ReplacementDetector took a process for gone once its last connection had ended. A connection to the replacement that is established before the last of these ends is read counts as one of the old process, which then never seems to end.

The detector keeps when each was established.

--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -280,6 +280,7 @@
     final Channel channel;
     long upstream;
     private boolean established;
+    private long establishedAt;
     /** This side has closed the connection, rather than the upstream. */
     private boolean closedHere;
     long idleSince;
@@ -335,7 +336,8 @@
     void established(long to) {
       upstream = to;
       established = true;
-      replacements.opened(to);
+      establishedAt = System.nanoTime();
+      replacements.opened(to, establishedAt);
     }
 
     /** Inspects bytes before they are decoded. Bytes that belong to no call would be taken for the response to the next one. */
@@ -754,7 +756,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
       if (established) {
-        replacements.closed(upstream, !closedHere, System.nanoTime());
+        replacements.closed(upstream, establishedAt, !closedHere, System.nanoTime());
       }
       if (call != null && !call.isDone() && prefixMatched == 0) {
         recordReuse(true);
