Upstreams that have ended are not remembered for ever

Test: ReplacementDetectorTest#upstreamsThatHaveEndedAreForgotten (the text before has no such call: the test rests on it).

--- a/http/src/main/java/cloverpulley/serve/ReplacementDetector.java
+++ b/http/src/main/java/cloverpulley/serve/ReplacementDetector.java
@@ -50,4 +50,14 @@
     Long since = goneSince.get(upstream);
     return since != null && now - since <= UNCERTAIN_NANOS;
   }
+
+  /** Forgets the upstreams about which the list has told by now. */
+  void removeExpired(long now) {
+    goneSince.values().removeIf(since -> now - since > UNCERTAIN_NANOS);
+  }
+
+  /** Upstreams that are remembered. */
+  int size() {
+    return openSince.size() + goneSince.size();
+  }
 }
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -271,6 +271,7 @@
 
   private void closeExpired() {
     idle.closeOlderThan(idleNanos);
+    replacements.removeExpired(System.nanoTime());
     counts.setIdleConnections(idle.size());
   }
 
--- a/http/src/test/java/cloverpulley/serve/ReplacementDetectorTest.java
+++ b/http/src/test/java/cloverpulley/serve/ReplacementDetectorTest.java
@@ -1,5 +1,6 @@
 package cloverpulley.serve;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -35,4 +36,17 @@
     detector.closed(1, 10 * MS, false, 5002 * MS);
     assertFalse(detector.mayBeReplaced(1, 5002 * MS), "this side has closed the last one");
   }
+
+  @Test
+  void upstreamsThatHaveEndedAreForgotten() {
+    for (long upstream = 0; upstream < 1000; upstream++) {
+      detector.opened(upstream, 0);
+      detector.closed(upstream, 0, true, 200 * MS);
+      detector.refused(upstream, 300 * MS);
+    }
+    detector.removeExpired(6200 * MS);
+    assertEquals(1000, detector.size());
+    detector.removeExpired(6301 * MS);
+    assertEquals(0, detector.size());
+  }
 }
