--- a/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
+++ b/handover/src/main/java/cloverpulley/handover/RequestIdFile.java
@@ -32,13 +32,13 @@
   private final Object fileKey;
   private final UsedIdTable usedIds = new UsedIdTable(new UsedIdTable.Storage() {
     @Override
-    public void read(ByteBuffer bucket, long position) throws IOException {
-      channel.read(bucket, position);
+    public void read(ByteBuffer buckets, long position) throws IOException {
+      channel.read(buckets, position);
     }
 
     @Override
-    public void write(ByteBuffer bucket, long position) throws IOException {
-      channel.write(bucket, position);
+    public void write(ByteBuffer buckets, long position) throws IOException {
+      channel.write(buckets, position);
     }
   });
 
