Frontend: the checks of a request's headers and the time of an upload are classes of their own

Change: RequestHeaders has the names, RequestValidator says what the headers mean or what is wrong with them, UploadTimer ends a request whose body is not read in its client's time. No change of behaviour.

--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -84,11 +84,11 @@
 
   /** Lowers the deadline header to the time that is left after connecting. */
   void updateExpiresHeader(FullHttpRequest request) {
-    String original = request.headers().get(Frontend.EXPIRES);
+    String original = request.headers().get(RequestHeaders.EXPIRES);
     if (original != null) {
       long untilTimeout = expiresAt - System.nanoTime();
       long remaining = TimeUnit.NANOSECONDS.toMillis(clientRemaining == null ? untilTimeout : Math.min(untilTimeout, clientRemaining.getAsLong()));
-      request.headers().set(Frontend.EXPIRES, Math.max(1, Math.min(Long.parseLong(original), remaining)));
+      request.headers().set(RequestHeaders.EXPIRES, Math.max(1, Math.min(Long.parseLong(original), remaining)));
     }
   }
 
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -1,9 +1,6 @@
 package cloverpulley.serve;
 
-import cloverpulley.Balancer.Effect;
-import cloverpulley.Balancer.RequestClass;
 import cloverpulley.Balancer.Settings;
-import cloverpulley.Balancer.Tenant;
 import cloverpulley.engine.Clock;
 import cloverpulley.engine.Engine;
 import cloverpulley.engine.Exchange;
@@ -28,7 +25,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -40,46 +36,25 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
-import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.math.BigDecimal;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
-import java.util.stream.Collectors;
 
 /** The client side: reads requests, passes them to the engine and writes the final responses. */
 final class Frontend {
 
   private static final Logger LOG = Logger.getLogger(Frontend.class.getName());
 
-  /** The time that the client still waits, in milliseconds. */
-  static final String EXPIRES = "X-Expires-In-Ms";
   static final String HEALTH = "/healthz";
   /** The longest response that is buffered whole, so that the request can be retried if the response breaks off. */
   static final int MAX_BUFFERED_RESPONSE = 64 * 1024;
   static final String API = "/api";
-  static final String ID = "X-Trace-Id";
-  static final String CLASS = "X-Qos";
-  static final String TENANT = "X-Customer";
-  private static final String RETRY = "X-Second-Try";
-  /** An estimate of the work that the request takes, in microseconds. */
-  static final String HINT = "X-Size-Hint";
-  static final String IDEMPOTENCY_KEY = "Idempotency-Key";
-  /** The cookie that holds the session key. */
-  static final String KEY_COOKIE = "sid";
-  /** The maximum number of digits in an integer header; a duration or an amount of work never needs more. */
-  private static final int MAX_DIGITS = 9;
-  private static final long MAX_EXPIRY_MILLIS = 1_000_000_000L;
-  /** The maximum length of an id or a tenant, and of a session key before it is replaced by its hash. */
-  private static final int MAX_NAME_LENGTH = 128;
   /** More requests than one read can contain, so that the limit on pipelined requests is applied here and answered in order. */
   private static final int MAX_DECODED_REQUESTS = 8192;
   private static final long TIMEOUT_CHECK_MILLIS = 100;
@@ -88,8 +63,6 @@
   private static final long MAX_UPLOAD_NANOS = TimeUnit.MINUTES.toNanos(10);
   /** How long a close may go unseen: no request may be forwarded later than 0.1 s after its client has closed. */
   private static final long MAX_UNSEEN_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-  /** The interval at which a body that is not read is checked for whether its client's time is running, and up. */
-  private static final long UPLOAD_CHECK_MILLIS = 25;
   /** Subtracted from a client's deadline, which runs from when it sent the request until the response has reached it. */
   private static final long RESPONSE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -98,8 +71,7 @@
   private final Clock clock;
   private final SocketBudget sockets;
   private final UpstreamPool pool;
-  private Map<String, RequestClass> classes;
-  private Set<String> tenants;
+  private RequestValidator validator;
   private final Clients clients = new Clients();
   private final StallDetector stallDetector = new StallDetector();
   private final BufferBudget headerBudget = HeaderMemory.newBudget();
@@ -129,8 +101,7 @@
 
   /** Applies new classes and tenants to the requests that arrive from now on. */
   void updateSettings(Settings settings) {
-    classes = settings.classes().stream().collect(Collectors.toMap(RequestClass::name, Function.identity()));
-    tenants = settings.tenants().stream().map(Tenant::name).collect(Collectors.toSet());
+    validator = new RequestValidator(settings);
   }
 
   ChannelFuture listen(ServerBootstrap bootstrap, SocketAddress address) {
@@ -252,7 +223,6 @@
     private final ClientTime clientTime = new ClientTime(System::nanoTime);
     /** How long the client of the request in progress waits from its last byte on. */
     private long waitNanos;
-    private Future<?> uploadCheck;
     private StreamedResponse streamedResponse;
     /** When the first byte of the request that is being read arrived. */
     private long readingSince = System.nanoTime();
@@ -281,42 +251,10 @@
           clientTime.resumed();
         } else {
           clientTime.paused();
-          scheduleUploadCheck();
         }
       }
     }
 
-    private void scheduleUploadCheck() {
-      if (uploadCheck == null && !lingering) {
-        uploadCheck = channel.eventLoop().schedule(this::checkUpload, UPLOAD_CHECK_MILLIS, TimeUnit.MILLISECONDS);
-      }
-    }
-
-    private void inspect(ClientSocket socket) {
-      int unread = socket.unreadBytes();
-      if (!channel.config().isAutoRead()) {
-        clientTime.inspected(unread);
-      } else if (unread == 0) {
-        clientTime.readEnded(true);
-      }
-    }
-
-    /** Ends a request whose body is not read to its end in its client's time, as its upstream is slow: the client may have sent all of it. */
-    private void checkUpload() {
-      uploadCheck = null;
-      if (exchange == null || upload == null || upload.isComplete() || !channel.isActive()) {
-        return;
-      }
-      if (channel instanceof ClientSocket socket) {
-        inspect(socket);
-      }
-      if (clientTime.remaining(waitNanos) <= RESPONSE_MARGIN_NANOS) {
-        engine.clientTimeUp(exchange);
-      } else {
-        scheduleUploadCheck();
-      }
-    }
-
     /** Sees bytes before they are decoded: the read timeout of a request starts with its first byte. */
     ChannelInboundHandlerAdapter inputMonitor() {
       return new ChannelInboundHandlerAdapter() {
@@ -486,51 +424,29 @@
     }
 
     private void forward(FullHttpRequest request) {
-      HttpHeaders headers = request.headers();
-      String id = headers.get(ID, "");
-      String tenant = headers.get(TENANT);
-      RequestClass requestClass = classes.get(headers.get(CLASS, ""));
-      long expiresMillis = headers.contains(EXPIRES) ? wholeNumber(headers.get(EXPIRES)) : Long.MAX_VALUE;
-      if (!isValidId(id)) {
-        answer(HttpResponseStatus.BAD_REQUEST, ID + " is missing or too long");
-      } else if (headers.getAll(ID).size() > 1) {
-        // An upstream could take another one than this balancer for the request's id.
-        answer(HttpResponseStatus.BAD_REQUEST, ID + " appears more than once");
-      } else if (requestClass == null) {
-        answer(HttpResponseStatus.BAD_REQUEST, CLASS + " names no known class");
-      } else if (tenant != null && !tenants.isEmpty() && !tenants.contains(tenant)) {
-        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " names no known tenant");
-      } else if (tenant != null && tenant.length() > MAX_NAME_LENGTH) {
-        answer(HttpResponseStatus.BAD_REQUEST, TENANT + " is too long");
-      } else if (expiresMillis < 0) {
-        answer(HttpResponseStatus.BAD_REQUEST, EXPIRES + " is not a number of milliseconds");
-      } else if (requestClass.effect() == Effect.KEYED && headers.get(IDEMPOTENCY_KEY, "").isEmpty()) {
-        // Without the key no upstream could deduplicate a retry of a keyed class.
-        answer(HttpResponseStatus.BAD_REQUEST, IDEMPOTENCY_KEY + " is missing");
+      RequestValidator.Result result = validator.validate(request.headers());
+      if (result instanceof RequestValidator.Invalid invalid) {
+        answer(HttpResponseStatus.BAD_REQUEST, invalid.error());
       } else if (rejecting) {
         answer(HttpResponseStatus.SERVICE_UNAVAILABLE, "stopping");
-      } else {
-        startExchange(request, requestClass, tenant, expiresMillis);
+      } else if (result instanceof RequestValidator.Valid valid) {
+        startExchange(request, valid);
       }
     }
 
-    private void startExchange(FullHttpRequest request, RequestClass requestClass, String tenant, long expiresMillis) {
+    private void startExchange(FullHttpRequest request, RequestValidator.Valid properties) {
       RequestIdClaims.Claim idClaim = accepted.takeIdClaim();
       if (idClaim == null) {
         // Protects the request that already uses this id, and its effect.
-        answer(HttpResponseStatus.CONFLICT, ID + " is that of an earlier request");
+        answer(HttpResponseStatus.CONFLICT, RequestHeaders.ID + " is that of an earlier request");
         return;
       }
-      HttpHeaders headers = request.headers();
-      // No client waits longer than its class's deadline, and no request is kept longer.
-      long allowedNanos = Math.min(requestClass.deadlineNanos(), TimeUnit.MILLISECONDS.toNanos(Math.min(expiresMillis, MAX_EXPIRY_MILLIS)));
-      waitNanos = Math.max(0, BufferedRequest.remainingNanos(request, allowedNanos) - Math.max(queuedNanos, stallDetector.stalledNanos()));
+      waitNanos = Math.max(0, BufferedRequest.remainingNanos(request, properties.waitNanos()) - Math.max(queuedNanos, stallDetector.stalledNanos()));
       queuedNanos = 0;
-      long hint = Math.max(0, wholeNumber(headers.get(HINT, "0")));
       // The client's time counts from the end of the body, which is unknown while the body is streamed.
       long deadline = clock.now() + waitNanos - RESPONSE_MARGIN_NANOS + (upload == null ? 0 : MAX_UPLOAD_NANOS);
-      Exchange.RequestInfo info = new Exchange.RequestInfo(requestClass, tenant, SessionKey.of(headers, MAX_NAME_LENGTH),
-          TimeUnit.MICROSECONDS.toNanos(hint), "1".equals(headers.get(RETRY)), deadline, 0, List.of());
+      Exchange.RequestInfo info = new Exchange.RequestInfo(properties.requestClass(), properties.tenant(), properties.sessionKey(),
+          properties.hintNanos(), properties.retry(), deadline, 0, List.of());
       long wait = waitNanos;
       LongSupplier clientRemaining = upload == null ? null : () -> clientTime.remaining(wait);
       exchange = new HttpExchange(info, exchangeContext, request.retain(), clientRemaining, this, idClaim);
@@ -539,7 +455,9 @@
         HttpExchange uploading = exchange;
         engine.bodyPending(uploading);
         upload.setCallbacks(() -> engine.bodyDiscarded(uploading), () -> uploadEnded(uploading, clientRemaining.getAsLong() - RESPONSE_MARGIN_NANOS));
-        scheduleUploadCheck();
+        BodyStream body = upload;
+        new UploadTimer(channel, clientTime, wait - RESPONSE_MARGIN_NANOS, () -> exchange == uploading && !body.isComplete(),
+            () -> engine.clientTimeUp(uploading)).start();
       }
     }
 
@@ -673,13 +591,8 @@
    * received; null if there is no single valid id, or if it is taken.
    */
   private RequestIdClaims.Claim claimId(HttpRequest request) {
-    List<String> ids = request.headers().getAll(ID);
-    boolean isValid = pathOf(request).equals(API) && ids.size() == 1 && isValidId(ids.get(0));
-    return isValid ? requestIds.claim(ids.get(0)) : null;
-  }
-
-  private static boolean isValidId(String id) {
-    return !id.isEmpty() && id.length() <= MAX_NAME_LENGTH;
+    String id = pathOf(request).equals(API) ? RequestHeaders.validId(request.headers()) : null;
+    return id == null ? null : requestIds.claim(id);
   }
 
   /** The response status for a malformed request. */
@@ -689,11 +602,4 @@
         : cause instanceof TooLongHttpHeaderException ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
         : HttpResponseStatus.BAD_REQUEST;
   }
-
-  /** The number, or -1 if the text is not a short run of digits. */
-  private static long wholeNumber(String text) {
-    boolean digits = !text.isEmpty() && text.length() <= MAX_DIGITS
-        && text.chars().allMatch(c -> c >= '0' && c <= '9');
-    return digits ? Long.parseLong(text) : -1;
-  }
 }
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -267,7 +267,7 @@
       }
     }
     HOP_BY_HOP.forEach(headers::remove);
-    headers.set(Frontend.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
+    headers.set(RequestHeaders.EXPIRES, Math.max(1, TimeUnit.NANOSECONDS.toMillis(timeoutNanos)));
     if (bodyStream != null && !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
       headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     } else if (bodyStream == null && request.content().isReadable()) {
--- a/http/src/main/java/cloverpulley/serve/SessionKey.java
+++ b/http/src/main/java/cloverpulley/serve/SessionKey.java
@@ -15,7 +15,7 @@
     for (String header : headers.getAll(HttpHeaderNames.COOKIE)) {
       try {
         for (Cookie cookie : ServerCookieDecoder.LAX.decode(header)) {
-          if (cookie.name().equals(Frontend.KEY_COOKIE)) {
+          if (cookie.name().equals(RequestHeaders.KEY_COOKIE)) {
             // Bounds the memory: keys are kept, and a long one is replaced by its hash.
             String value = cookie.value();
             return value.length() <= maxLength ? value : Integer.toHexString(value.hashCode());
--- a/http/src/main/java/cloverpulley/serve/Warmup.java
+++ b/http/src/main/java/cloverpulley/serve/Warmup.java
@@ -202,10 +202,10 @@
       RequestClass type = classes.get(sent % classes.size());
       FullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, Frontend.API,
           Unpooled.wrappedBuffer(new byte[200]));
-      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(Frontend.ID, "warm-up-" + sent)
-          .set(Frontend.CLASS, type.name()).set(Frontend.TENANT, tenant).set(Frontend.HINT, 10_000)
-          .set(Frontend.IDEMPOTENCY_KEY, sent).set(HttpHeaderNames.COOKIE, Frontend.KEY_COOKIE + "=" + sent % 100)
-          .set(Frontend.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
+      request.headers().set(HttpHeaderNames.HOST, "warm-up").set(RequestHeaders.ID, "warm-up-" + sent)
+          .set(RequestHeaders.CLASS, type.name()).set(RequestHeaders.TENANT, tenant).set(RequestHeaders.HINT, 10_000)
+          .set(RequestHeaders.IDEMPOTENCY_KEY, sent).set(HttpHeaderNames.COOKIE, RequestHeaders.KEY_COOKIE + "=" + sent % 100)
+          .set(RequestHeaders.EXPIRES, TimeUnit.NANOSECONDS.toMillis(type.deadlineNanos()))
           .set(HttpHeaderNames.CONTENT_LENGTH, 200);
       sent++;
       context.writeAndFlush(request);
