A sound answer that is being streamed is not cut off by a stop

Change: at that time only requests without an answer are failed (Engine.failUnanswered), and connections are closed on which no answer is being streamed. The others are closed as their answers end; after 30 s the process ends in any case.

Test: StartStopTest#soundResponseThatIsBeingStreamedIsNotCutOffByAStop, with a length and in chunks (failed before, both).

--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -48,6 +48,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -251,10 +252,19 @@
     return attempts;
   }
 
-  /** Fails all unanswered requests with STOPPING; whether they have run is left open. */
+  /** Fails all requests whose answer is not complete with STOPPING; whether they have run is left open. */
   public void failAll() {
+    failAll(x -> !x.isEnded());
+  }
+
+  /** As {@link #failAll}, but for the requests whose answer is being streamed to the client: that goes on. */
+  public void failUnanswered() {
+    failAll(x -> !x.isEnded() && !x.isStreaming());
+  }
+
+  private void failAll(Predicate<Exchange> failing) {
     for (Exchange x : List.copyOf(exchanges.values())) {
-      if (!x.isEnded()) {
+      if (failing.test(x)) {
         reportEnd(x, EngineListener.Completion.FAILED, Reason.STOPPING);
         x.end();
         x.respond(LocalReply.failed(Reason.STOPPING));
--- a/http/src/main/java/cloverpulley/serve/Clients.java
+++ b/http/src/main/java/cloverpulley/serve/Clients.java
@@ -26,6 +26,9 @@
 
     /** Whether a part of a request has arrived. */
     boolean hasPartialRequest();
+
+    /** Whether a response has begun and is not complete. */
+    boolean isReceiving();
   }
 
   /**
@@ -145,6 +148,13 @@
     }
   }
 
+  /** Closes all connections on which no response has begun that is not complete. */
+  void closeAllButReceiving() {
+    for (State state : State.values()) {
+      List.copyOf(since.get(state).keySet()).stream().filter(c -> !c.isReceiving()).forEach(Client::close);
+    }
+  }
+
   /**
    * Closes the connections without a request, complete or partial. A partial one is kept, since the rest of it may be on its way: it
    * completes and is answered, or times out.
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -164,7 +164,12 @@
     rejecting = true;
   }
 
-  /** Closes all connections, such as that of a client that has its response and still sends. */
+  /** Closes all connections, such as that of a client that has its response and still sends, but for those that receive a streamed response. */
+  void closeAllButReceiving() {
+    clients.closeAllButReceiving();
+  }
+
+  /** Closes all connections. */
   void closeAll() {
     clients.closeAll();
   }
@@ -385,6 +390,11 @@
       return partialRequest;
     }
 
+    @Override
+    public boolean isReceiving() {
+      return streamedResponse != null;
+    }
+
     @Override
     public void close() {
       clients.remove(this);
--- a/http/src/main/java/cloverpulley/serve/Server.java
+++ b/http/src/main/java/cloverpulley/serve/Server.java
@@ -82,6 +82,8 @@
   /** The time from the last responses to closing the last connections, so that a client that still sends does not block the stop. */
   private static final long LINGER_MILLIS = 150;
   private static final long STOP_CHECK_MILLIS = 20;
+  /** Responses that are being streamed go on after a stop until SIGKILL, or for this long after SIGTERM. */
+  private static final long MAX_STOP_MILLIS = 30_000;
   /** Retries of reading an incomplete file, and the delay between them: new settings have to be in effect 1.2 s after SIGHUP. */
   private static final int MAX_REREADS = 3;
   private static final long REREAD_MILLIS = 100;
@@ -471,9 +473,13 @@
       }, stopSchedule.serveMillis, TimeUnit.MILLISECONDS);
       loop.schedule(() -> {
         frontend.rejectRequests();
-        engine.failAll();
+        engine.failUnanswered();
       }, stopSchedule.answerMillis, TimeUnit.MILLISECONDS);
-      loop.schedule(frontend::closeAll, stopSchedule.closeMillis, TimeUnit.MILLISECONDS);
+      loop.schedule(this::finishStreams, stopSchedule.closeMillis, TimeUnit.MILLISECONDS);
+      loop.schedule(() -> {
+        engine.failAll();
+        frontend.closeAll();
+      }, MAX_STOP_MILLIS, TimeUnit.MILLISECONDS);
     });
     await(drained);
     shutDown();
@@ -490,6 +496,14 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(f -> requestIds.close());
   }
 
+  /** Closes each connection once no response is being streamed on it. */
+  private void finishStreams() {
+    frontend.closeAllButReceiving();
+    if (frontend.hasConnections()) {
+      loop.schedule(this::finishStreams, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void checkDrained() {
     if (frontend.hasConnections()) {
       loop.schedule(this::checkDrained, STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
--- a/http/src/test/java/cloverpulley/serve/ClientsTest.java
+++ b/http/src/test/java/cloverpulley/serve/ClientsTest.java
@@ -33,6 +33,11 @@
     public boolean hasPartialRequest() {
       return false;
     }
+
+    @Override
+    public boolean isReceiving() {
+      return false;
+    }
   }
 
   /** Advances the clock, with a check for timeouts every 100 ms. */
--- a/http/src/test/java/cloverpulley/serve/StartStopTest.java
+++ b/http/src/test/java/cloverpulley/serve/StartStopTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import cloverpulley.Balancer.AnswerStarted;
 import cloverpulley.Balancer.Settings;
 import cloverpulley.engine.EngineListener;
 import cloverpulley.serve.Server.StopSchedule;
@@ -99,6 +100,37 @@
     }
   }
 
+  /** Its upstream still gives: only a request without any answer is ended before SIGKILL. */
+  @ParameterizedTest
+  @ValueSource(strings = {"Content-Length: 200000", "Transfer-Encoding: chunked"})
+  void soundResponseThatIsBeingStreamedIsNotCutOffByAStop(String framing) throws Exception {
+    boolean chunked = framing.startsWith("Transfer");
+    String half = "x".repeat(100_000);
+    String part = chunked ? Integer.toHexString(half.length()) + "\r\n" + half + "\r\n" : half;
+    CountDownLatch othersEnded = new CountDownLatch(1);
+    Rig.Script module = new Rig.Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      if (c.next().contains("X-Trace-Id: long")) {
+        c.write("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + part);
+        othersEnded.await();
+        c.write(part + (chunked ? "0\r\n\r\n" : ""));
+      }
+      c.ends();
+    }); Rig rig = new Rig(Rig.config("127.0.0.1:1", Rig.list(1, true, Rig.member("s-1", upstream.address(), "ready"))), module);
+        Rig.Client client = rig.client(); Rig.Client other = rig.client()) {
+      client.write(Rig.get("long", ""));
+      module.next(AnswerStarted.class);
+      other.write(Rig.get("silent", ""));
+      Thread stop = new Thread(rig.server::stop);
+      stop.start();
+      assertTrue(other.answer().startsWith("HTTP/1.1 500 "));
+      assertNull(other.answer(), "closed after the answer");
+      othersEnded.countDown();
+      assertEquals(half + half, SlowResponseTest.body(client, "200 "));
+      stop.join();
+    }
+  }
+
   /** A request accepted with a longer deadline than the current settings have is answered before the SIGKILL that those imply. */
   @Test
   void requestWithLongerDeadlineIsAnsweredWithinNewDeadlines() throws Exception {
