A connection's wait to be accepted counts also where accepting fails or is interrupted

Cause: an accept that a signal interrupts returns no connection, as with an empty queue: the wait of all connections in the queue began anew. A failing accept did not begin it at all. On related paths: a listener that closes took an interrupted accept for the end of its queue and reset the rest; and a queue that a limit of connections per read had emptied was taken for non-empty until the next connection, whose client lost that time.

Change: AcceptQueue asks once more where a call returns nothing, counts from the first try on, and begins anew after 0.1 s without a try.

--- a/http/src/main/java/cloverpulley/serve/Listener.java
+++ b/http/src/main/java/cloverpulley/serve/Listener.java
@@ -47,30 +47,14 @@
     return future;
   }
 
-  /** Measures stalls of the loop; while null, the time that connections waited in the queue counts as 0. */
+  /** Measures stalls of the loop; null before the listener is bound. */
   private StallDetector stallDetector;
-  /** When the accept queue was first seen non-empty, and how long the loop had stalled before; valid while it is non-empty. */
-  private long queueNonEmptySince;
-  private long stalledBefore;
-  private boolean queueNonEmpty;
+  private final AcceptQueue acceptQueue = new AcceptQueue(System::nanoTime, () -> stallDetector == null ? 0 : stallDetector.stalledNanos());
 
   void setStallDetector(StallDetector detector) {
     stallDetector = detector;
   }
 
-  /** The longest time in nanoseconds that a connection accepted now may have waited in the queue. */
-  private long maxQueuedNanos() {
-    if (stallDetector == null) {
-      return 0;
-    }
-    if (!queueNonEmpty) {
-      queueNonEmpty = true;
-      queueNonEmptySince = System.nanoTime();
-      stalledBefore = stallDetector.stalledNanos();
-    }
-    return System.nanoTime() - queueNonEmptySince + stalledBefore;
-  }
-
   /**
    * Accepts one connection. A failure concerns that connection (ECONNABORTED, EPROTO, an error on its socket) or is temporary (EMFILE,
    * ENOBUFS, ENOMEM): it neither closes the listener nor pauses it for one second, as Netty's acceptor would.
@@ -79,7 +63,7 @@
   protected int doReadMessages(List<Object> accepted) {
     SocketChannel socket;
     try {
-      socket = SocketUtils.accept(javaChannel());
+      socket = acceptQueue.accept(() -> SocketUtils.accept(javaChannel()));
     } catch (ClosedChannelException e) {
       return 0;
     } catch (IOException | RuntimeException e) {
@@ -87,7 +71,6 @@
       return 0;
     }
     if (socket == null) {
-      queueNonEmpty = false;
       return 0;
     }
     ClientSocket client = toClientSocket(socket);
@@ -101,7 +84,7 @@
   /** Wraps a connection that the operating system accepted; null if it is broken or cannot be used. */
   private ClientSocket toClientSocket(SocketChannel socket) {
     try {
-      return new ClientSocket(this, socket, maxQueuedNanos());
+      return new ClientSocket(this, socket, acceptQueue.maxQueuedNanos());
     } catch (RuntimeException e) {
       LOG.log(Level.WARNING, "an accepted connection cannot be used", e);
       closeQuietly(socket);
@@ -157,7 +140,7 @@
     int failures = 0;
     while (failures < MAX_DRAIN_FAILURES) {
       try {
-        SocketChannel socket = javaChannel().accept();
+        SocketChannel socket = acceptQueue.accept(javaChannel()::accept);
         if (socket == null) {
           javaChannel().close();
           return;
