--- /dev/null
+++ b/review/src-2/OldList.java
@@ -0,0 +1,112 @@
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A balancer starts anew with its last list. Meanwhile an upstream has left, and one of another group listens at its address. A keyed request that ran
+ * there may not be sent again into the group of the upstream that has left.
+ */
+public final class OldList {
+
+  private static final int REQUESTS = 120;
+  private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(Stage.ISSUE.windowMillis());
+  /** Discovery answers the first call after this long; the connections of one upstream are reset later. */
+  private static final int CALL_MILLIS = 400;
+  private static final int RESET_MILLIS = 1200;
+
+  /** What each group remembers: when it ran a key. */
+  private final Map<String, Long> remembered = new HashMap<>();
+  /** Where each request took effect. */
+  private final Map<String, List<String>> effects = new TreeMap<>();
+  private int dropped;
+
+  private OldList() {}
+
+  public static void main(String[] args) throws IOException {
+    Stage.main(args, stage -> new OldList().play(stage));
+  }
+
+  /** Runs a request, unless the upstream's group remembers it. */
+  private synchronized void run(Stage stage, Stage.Upstream at, Stage.Message request) {
+    long now = System.nanoTime();
+    Long before = remembered.get(at.cell + " " + request.header("idempotency-key"));
+    if (before != null && now - before < WINDOW_NANOS) {
+      dropped++;
+      return;
+    }
+    remembered.put(at.cell + " " + request.header("idempotency-key"), now);
+    effects.computeIfAbsent(request.id(), id -> new ArrayList<>()).add(at.id + " of group " + at.cell + " at " + stage.millis() + " ms");
+  }
+
+  private int play(Stage stage) throws Exception {
+    Stage.Behaviour sound = (up, request, socket, out) -> {
+      if (request.line().startsWith("POST")) {
+        run(stage, up, request);
+      }
+      Stage.sleep(30);
+      Stage.write(out, Stage.ok(request.id()));
+    };
+    Stage.Behaviour resets = (up, request, socket, out) -> {
+      run(stage, up, request);
+      Stage.sleep(RESET_MILLIS);
+      Stage.reset(socket);
+    };
+    int port = Stage.freePort();
+    Stage.Discovery discovery = stage.new Discovery();
+    // The balancer's last list: s-1 to s-3 are group 1, s-4 and s-5 group 2.
+    discovery.set("s-1", "127.0.0.1:" + port, 1, "ready", 0);
+    for (int i = 2; i <= 5; i++) {
+      discovery.set(stage.new Upstream("s-" + i, i <= 3 ? 1 : 2, sound), "ready");
+    }
+    Stage.Config config = new Stage.Config();
+    config.known = discovery.whole();
+    if (stage.trouble) {
+      discovery.set("s-1", "127.0.0.1:" + port, 1, "gone", 0);
+      discovery.set(stage.new Upstream("s-9", 2, port, resets), "ready");
+      stage.note("s-1 of group 1 has left, s-9 of group 2 listens at its address, and discovery knows it");
+    } else {
+      stage.new Upstream("s-1", 1, port, resets);
+    }
+    discovery.callMillis = CALL_MILLIS;
+    config.discovery = discovery.address();
+    Stage.Balancer balancer = stage.start(config, null);
+    balancer.awaitHealthy();
+    Map<String, Integer> ends = new TreeMap<>();
+    List<Thread> clients = new ArrayList<>();
+    for (int i = 0; i < REQUESTS; i++) {
+      clients.add(Stage.daemon("client " + i, () -> {
+        try (Stage.Client client = new Stage.Client(balancer.port)) {
+          client.send(Stage.head(Stage.ISSUE, Stage.newId(), 3000, 0));
+          String end = client.outcome(4000);
+          synchronized (ends) {
+            ends.merge(end, 1, Integer::sum);
+          }
+        }
+      }));
+      Stage.sleep(2);
+    }
+    for (Thread client : clients) {
+      client.join();
+    }
+    Stage.sleep(500);
+    int twice = 0;
+    synchronized (this) {
+      for (Map.Entry<String, List<String>> e : effects.entrySet()) {
+        if (e.getValue().size() > 1) {
+          twice++;
+          stage.note("BROKEN: request " + e.getKey() + " took effect at " + String.join(", and at ", e.getValue()));
+        }
+      }
+      stage.note("answers to " + REQUESTS + " keyed requests: " + ends);
+      stage.note(effects.size() + " took effect, " + twice + " of them twice; " + dropped + " repeats were dropped by the group that had run them");
+    }
+    if (effects.size() < REQUESTS / 2) {
+      return 2;
+    }
+    return twice > 0 ? 1 : 0;
+  }
+}
