--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the build of deploy/balancer.toml, then review/build-2.sh" >&2
   exit 2
 fi
-exec java -cp review/target/second SlowAnswer "$here" short
+exec java -cp review/target/second SlowAnswer "$here" long
--- a/review/src-2/OldList.java
+++ b/review/src-2/OldList.java
@@ -1,10 +1,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A balancer starts anew with its last list. Meanwhile an upstream has left, and one of another group listens at its address. A keyed request that ran
@@ -13,45 +11,27 @@
 public final class OldList {
 
   private static final int REQUESTS = 120;
-  private static final long WINDOW_NANOS = TimeUnit.MILLISECONDS.toNanos(Stage.ISSUE.windowMillis());
   /** Discovery answers the first call after this long; the connections of one upstream are reset later. */
   private static final int CALL_MILLIS = 400;
   private static final int RESET_MILLIS = 1200;
 
-  /** What each group remembers: when it ran a key. */
-  private final Map<String, Long> remembered = new HashMap<>();
-  /** Where each request took effect. */
-  private final Map<String, List<String>> effects = new TreeMap<>();
-  private int dropped;
-
   private OldList() {}
 
   public static void main(String[] args) throws IOException {
-    Stage.main(args, stage -> new OldList().play(stage));
-  }
-
-  /** Runs a request, unless the upstream's group remembers it. */
-  private synchronized void run(Stage stage, Stage.Upstream at, Stage.Message request) {
-    long now = System.nanoTime();
-    Long before = remembered.get(at.cell + " " + request.header("idempotency-key"));
-    if (before != null && now - before < WINDOW_NANOS) {
-      dropped++;
-      return;
-    }
-    remembered.put(at.cell + " " + request.header("idempotency-key"), now);
-    effects.computeIfAbsent(request.id(), id -> new ArrayList<>()).add(at.id + " of group " + at.cell + " at " + stage.millis() + " ms");
+    Stage.main(args, OldList::play);
   }
 
-  private int play(Stage stage) throws Exception {
+  private static int play(Stage stage) throws Exception {
+    Groups groups = new Groups(stage, Stage.ISSUE.windowMillis());
     Stage.Behaviour sound = (up, request, socket, out) -> {
       if (request.line().startsWith("POST")) {
-        run(stage, up, request);
+        groups.run(up, request);
       }
       Stage.sleep(30);
       Stage.write(out, Stage.ok(request.id()));
     };
     Stage.Behaviour resets = (up, request, socket, out) -> {
-      run(stage, up, request);
+      groups.run(up, request);
       Stage.sleep(RESET_MILLIS);
       Stage.reset(socket);
     };
@@ -93,20 +73,10 @@
       client.join();
     }
     Stage.sleep(500);
-    int twice = 0;
-    synchronized (this) {
-      for (Map.Entry<String, List<String>> e : effects.entrySet()) {
-        if (e.getValue().size() > 1) {
-          twice++;
-          stage.note("BROKEN: request " + e.getKey() + " took effect at " + String.join(", and at ", e.getValue()));
-        }
-      }
+    int twice = groups.noteRepeated();
+    synchronized (ends) {
       stage.note("answers to " + REQUESTS + " keyed requests: " + ends);
-      stage.note(effects.size() + " took effect, " + twice + " of them twice; " + dropped + " repeats were dropped by the group that had run them");
-    }
-    if (effects.size() < REQUESTS / 2) {
-      return 2;
     }
-    return twice > 0 ? 1 : 0;
+    return groups.count() < REQUESTS / 2 ? 2 : twice > 0 ? 1 : 0;
   }
 }
--- a/review/src-2/Stage.java
+++ b/review/src-2/Stage.java
@@ -283,6 +283,8 @@
     final int cell;
     final List<Run> runs = new ArrayList<>();
     volatile Behaviour behaviour;
+    /** How fast it reads; 0 for at once. */
+    volatile int bytesPerSecond;
     private ServerSocket listener;
     private final int port;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
@@ -318,7 +320,7 @@
     private void serve(Socket s) throws Exception {
       try (s) {
         s.setTcpNoDelay(true);
-        InputStream in = new BufferedInputStream(s.getInputStream(), 1 << 16);
+        InputStream in = new BufferedInputStream(paced(s.getInputStream()), 4096);
         OutputStream out = s.getOutputStream();
         for (Message m = read(in); m != null; m = read(in)) {
           if (m.line().contains("/healthz")) {
@@ -335,6 +337,23 @@
       }
     }
 
+    private InputStream paced(InputStream in) {
+      return new java.io.FilterInputStream(in) {
+        @Override
+        public int read(byte[] to, int offset, int length) throws IOException {
+          int n = super.read(to, offset, length);
+          if (n > 0 && bytesPerSecond > 0) {
+            try {
+              TimeUnit.NANOSECONDS.sleep(n * 1_000_000_000L / bytesPerSecond);
+            } catch (InterruptedException e) {
+              throw new IOException(e);
+            }
+          }
+          return n;
+        }
+      };
+    }
+
     List<Run> runs() {
       synchronized (runs) {
         return List.copyOf(runs);
