--- a/review/src-2/SlowReader.java
+++ b/review/src-2/SlowReader.java
@@ -24,6 +24,7 @@
   private static int play(Stage stage) throws Exception {
     Groups groups = new Groups(stage, Stage.PACK.windowMillis());
     Stage.Discovery discovery = stage.new Discovery();
+    List<Stage.Upstream> slow = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
       boolean resets = i < 2;
       Stage.Upstream u = stage.new Upstream("s-" + i, 1, (up, request, socket, out) -> {
@@ -36,7 +37,9 @@
           Stage.write(out, Stage.ok(request.id()));
         }
       });
-      u.bytesPerSecond = !resets && stage.trouble ? BYTES_PER_SECOND : 0;
+      if (!resets) {
+        slow.add(u);
+      }
       discovery.set(u, "ready");
     }
     Stage.Config config = new Stage.Config();
@@ -56,7 +59,12 @@
           }
         }
       }));
-      Stage.sleep(80);
+      Stage.sleep(60);
+    }
+    Stage.sleep(200);
+    if (stage.trouble) {
+      slow.forEach(u -> u.bytesPerSecond = BYTES_PER_SECOND);
+      stage.note("all requests have been sent; two upstreams read " + BYTES_PER_SECOND + " bytes a second from now on");
     }
     for (Thread client : clients) {
       client.join();
