--- a/review/src-2/SecondAnswer.java
+++ b/review/src-2/SecondAnswer.java
@@ -9,7 +9,9 @@
 
   private static final int LINK_MILLIS = 12;
   private static final int COPY_MILLIS = 13;
-  private static final int CLIENTS = 6;
+  private static final int BALANCERS = 4;
+  /** Clients of each balancer. */
+  private static final int CLIENTS = 3;
   private static final int THINK_MILLIS = 10;
   private static final int SECONDS = 12;
   /** One of so many answers gets a second copy, but none in the first two seconds. */
@@ -44,17 +46,25 @@
       });
       discovery.set(u.id, "127.0.0.1:" + new Relay(u.port(), LINK_MILLIS).port(), 1, "ready", 0);
     }
-    Stage.Config config = new Stage.Config();
-    config.discovery = discovery.address();
-    Stage.Balancer balancer = stage.start(config, null);
-    balancer.awaitHealthy();
+    List<Stage.Balancer> balancers = new ArrayList<>();
+    for (int i = 0; i < BALANCERS; i++) {
+      Stage.Config config = new Stage.Config();
+      config.me = i;
+      config.balancers = BALANCERS;
+      config.discovery = discovery.address();
+      balancers.add(stage.start(config, null));
+    }
+    for (Stage.Balancer b : balancers) {
+      b.awaitHealthy();
+    }
     calmUntil[0] = stage.millis() + 2000;
     long end = stage.millis() + SECONDS * 1000L;
     AtomicInteger served = new AtomicInteger();
     AtomicInteger other = new AtomicInteger();
     AtomicInteger foreign = new AtomicInteger();
     List<Thread> clients = new ArrayList<>();
-    for (int i = 0; i < CLIENTS; i++) {
+    for (int i = 0; i < CLIENTS * BALANCERS; i++) {
+      Stage.Balancer balancer = balancers.get(i % BALANCERS);
       String about = Stage.newId(); // What all requests of a client are about.
       clients.add(Stage.daemon("client " + i, () -> {
         while (stage.millis() < end) {
--- a/review/src-2/Stage.java
+++ b/review/src-2/Stage.java
@@ -515,6 +515,9 @@
   /** A balancer's configuration: settings like those of a small deployment. */
   static final class Config {
     int memoryMb = 192;
+    /** Its number among the balancers of the tier, and how many there are. */
+    int me;
+    int balancers = 1;
     int sockets = 1024;
     String listen;
     String discovery;
@@ -526,9 +529,9 @@
 
     String json() {
       List<String> all = classes.stream().map(RequestClass::json).toList();
-      return "{\"name\":\"n0\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\n"
+      return "{\"name\":\"n" + me + "\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery + "\",\"seed\":\"8c1f30d27a5be964\",\n"
           + "\"limits\":{\"cores\":1.0,\"memory_mb\":" + memoryMb + ",\"sockets\":" + sockets + "},\n\"known\":" + known + ",\n"
-          + "\"settings\":{\"me\":0,\"group-size\":1,\"zone\":\"a\",\"areas\":[\"a\",\"b\"],\"registry-mode\":\"on_request\",\n\"categories\":["
+          + "\"settings\":{\"me\":" + me + ",\"group-size\":" + balancers + ",\"zone\":\"a\",\"areas\":[\"a\",\"b\"],\"registry-mode\":\"on_request\",\n\"categories\":["
           + String.join(",\n", all) + "],\n\"projects\":[{\"name\":\"acme\",\"portion\":1.0,\"quota-per-s\":100000.0}],\n\"limits\":{" + limits + "},\n"
           + "\"contract\":{\"answer-slack-ns\":8000000,\"ask-within-ns\":10000000000,\"cold-from\":0.32,\"drain-grace-ns\":" + drainGraceMillis
           + "000000,\"fall-multiple\":3.0,\"overload-for-ns\":3000000000,\"warm-within-ns\":8500000000},\n"
@@ -614,7 +617,7 @@
   }
 
   Path writeConfig(Config config) throws IOException {
-    Path file = folder.resolve("config.json");
+    Path file = folder.resolve("config-" + config.me + ".json");
     Path part = folder.resolve("config.part");
     Files.writeString(part, config.json());
     Files.move(part, file, java.nio.file.StandardCopyOption.ATOMIC_MOVE, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
@@ -630,12 +633,12 @@
     }
     Path file = writeConfig(config);
     Path log = folder.resolve("balancer-" + started++ + ".log");
-    Path temporary = folder.resolve("tmp");
+    Path temporary = folder.resolve("tmp-" + config.me);
     Files.createDirectories(temporary);
     ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", deploy("run")).redirectErrorStream(true).redirectOutput(log.toFile());
     Map<String, String> env = b.environment();
     env.keySet().removeIf(k -> k.startsWith("ROUTER_") || k.equals("TROUBLE"));
-    env.put("ROUTER_NAME", "n0");
+    env.put("ROUTER_NAME", "n" + config.me);
     env.put("ROUTER_LISTEN", config.listen);
     env.put("ROUTER_DISCOVERY", config.discovery);
     env.put("ROUTER_CONFIG", file.toString());
