--- a/review/src-2/OldList.java
+++ b/review/src-2/OldList.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
 
 /**
  * A balancer starts anew with its last list. Meanwhile an upstream has left, and one of another group listens at its address. A keyed request that ran
@@ -11,8 +12,6 @@
 public final class OldList {
 
   private static final int REQUESTS = 120;
-  /** Discovery answers the first call after this long; the connections of one upstream are reset later. */
-  private static final int CALL_MILLIS = 400;
   private static final int RESET_MILLIS = 1200;
 
   private OldList() {}
@@ -51,7 +50,7 @@
     } else {
       stage.new Upstream("s-1", 1, port, resets);
     }
-    discovery.callMillis = CALL_MILLIS;
+    discovery.turn = new CountDownLatch(1); // Its call comes to its turn once the requests have been sent.
     config.discovery = discovery.address();
     Stage.Balancer balancer = stage.start(config, null);
     balancer.awaitHealthy();
@@ -69,6 +68,8 @@
       }));
       Stage.sleep(2);
     }
+    discovery.turn.countDown();
+    stage.note("the requests have been sent, discovery answers the balancer's call");
     for (Thread client : clients) {
       client.join();
     }
--- a/review/src-2/Stage.java
+++ b/review/src-2/Stage.java
@@ -383,6 +383,7 @@
 
   /** A discovery service: the whole list on request, and watches that get each change, and an empty line every 2 s. */
   final class Discovery implements Closeable {
+    private static final long MAX_CALL_MILLIS = 1900;
     private final ServerSocket listener = new ServerSocket(0, 1024, LOOPBACK);
     private final Map<String, String> members = new LinkedHashMap<>();
     private final Map<String, Long> changedAt = new LinkedHashMap<>();
@@ -391,8 +392,8 @@
     private long revision = 41;
     /** The zone of the upstreams. */
     String zone = "a";
-    /** How long a call waits in turn before it is answered. */
-    volatile long callMillis;
+    /** What a call waits for in turn before it is answered, for {@link #MAX_CALL_MILLIS} at most; null for nothing. */
+    volatile java.util.concurrent.CountDownLatch turn;
     /** How a list is written; cases may change the white space. */
     volatile java.util.function.UnaryOperator<String> layout = t -> t;
 
@@ -475,7 +476,9 @@
         InputStream in = new BufferedInputStream(s.getInputStream());
         OutputStream out = s.getOutputStream();
         for (Message m = read(in); m != null; m = read(in)) {
-          sleep(callMillis);
+          if (turn != null) {
+            turn.await(MAX_CALL_MILLIS, TimeUnit.MILLISECONDS);
+          }
           synchronized (this) {
             if (m.line().contains("follow=1")) {
               write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
