--- a/review/src-2/OldList.java
+++ b/review/src-2/OldList.java
@@ -59,8 +59,11 @@
     for (int i = 0; i < REQUESTS; i++) {
       clients.add(Stage.daemon("client " + i, () -> {
         try (Stage.Client client = new Stage.Client(balancer.port)) {
-          client.send(Stage.head(Stage.ISSUE, Stage.newId(), 3000, 0));
+          String id = Stage.newId();
+          stage.trace("sent " + id);
+          client.send(Stage.head(Stage.ISSUE, id, 3000, 0));
           String end = client.outcome(4000);
+          stage.trace("answered " + id + " " + end);
           synchronized (ends) {
             ends.merge(end, 1, Integer::sum);
           }
--- a/review/src-2/SecondAnswer.java
+++ b/review/src-2/SecondAnswer.java
@@ -71,9 +71,11 @@
           try (Stage.Client client = new Stage.Client(balancer.port)) {
             while (stage.millis() < end) {
               String id = Stage.newId();
+              stage.trace("sent " + id);
               client.send(Stage.head(Stage.LOOKUP, id, 2000, 0).replace("sid=" + id, "sid=" + about));
               Stage.Message answer = client.receive(2500);
               String body = new String(answer.body(), StandardCharsets.ISO_8859_1);
+              stage.trace("answered " + id + " " + answer.status() + " " + body);
               if (answer.status() != 200) {
                 other.incrementAndGet();
               } else if (body.equals(id)) {
@@ -84,6 +86,7 @@
               Stage.sleep(THINK_MILLIS);
             }
           } catch (IOException e) {
+            stage.trace("a client's connection ended: " + e);
             other.incrementAndGet();
           }
         }
--- a/review/src-2/SlowAnswer.java
+++ b/review/src-2/SlowAnswer.java
@@ -104,6 +104,7 @@
     String id = Stage.newId();
     try (Stage.Client client = new Stage.Client(balancer.port)) {
       long sent = stage.millis();
+      stage.trace("sent " + id);
       client.send(Stage.head(Stage.LOOKUP, id, CLIENT_MILLIS, 0));
       client.socket.setSoTimeout(10_000);
       byte[] first = client.in.readNBytes(16);
@@ -148,6 +149,7 @@
     String id = Stage.newId();
     try (Stage.Client client = new Stage.Client(balancer.port)) {
       long sent = stage.millis();
+      stage.trace("sent " + id);
       client.send(Stage.head(Stage.LOOKUP, id, CLIENT_MILLIS, 0));
       String outcome = client.outcome(10_000);
       long took = stage.millis() - sent;
--- a/review/src-2/SlowReader.java
+++ b/review/src-2/SlowReader.java
@@ -52,8 +52,11 @@
     for (int i = 0; i < REQUESTS; i++) {
       clients.add(Stage.daemon("client " + i, () -> {
         try (Stage.Client client = new Stage.Client(balancer.port)) {
-          client.send(Stage.head(Stage.PACK, Stage.newId(), 6000, BODY_BYTES) + body);
+          String id = Stage.newId();
+          stage.trace("sent " + id);
+          client.send(Stage.head(Stage.PACK, id, 6000, BODY_BYTES) + body);
           String end = client.outcome(7000);
+          stage.trace("answered " + id + " " + end);
           synchronized (ends) {
             ends.merge(end, 1, Integer::sum);
           }
--- a/review/src-2/Stage.java
+++ b/review/src-2/Stage.java
@@ -91,6 +91,14 @@
     System.out.println(line);
   }
 
+  /** Adds a line to the record alone: one for each request sent, answered and run. */
+  void trace(String text) {
+    String line = String.format("%7d ms  %s", millis(), text);
+    synchronized (record) {
+      record.add(line);
+    }
+  }
+
   synchronized void finish(int status) {
     note(status == 0 ? "RESULT: the rule held" : status == 1 ? "RESULT: the rule was broken" : "RESULT: the case could not run");
     close();
@@ -330,6 +338,7 @@
           synchronized (runs) {
             runs.add(new Run(id, m.id(), millis(), System.nanoTime(), Integer.parseInt(m.headers().getOrDefault("x-expires-in-ms", "0"))));
           }
+          trace("run " + m.id() + " at " + id);
           behaviour.answer(this, m, s, out);
         }
       } finally {
