--- a/http/src/main/java/cloverpulley/serve/Counts.java
+++ b/http/src/main/java/cloverpulley/serve/Counts.java
@@ -40,6 +40,12 @@
   private final Map<Long, Integer> connectionsOpened = new HashMap<>();
   private final Map<Long, Integer> newConnectionsRejected = new HashMap<>();
   private final Map<Long, Integer> slowStarting = new HashMap<>();
+  private final Map<Long, Integer> surplusReceived = new HashMap<>();
+  private final Map<Long, Integer> responsesEarly = new HashMap<>();
+  private int responsesLate;
+  private int responsesCut;
+  private int shortResponsesLate;
+  private int notWrittenInTime;
   private int closedForOthers;
   private int closedOnTimeout;
   private int responsesStalled;
@@ -102,6 +108,36 @@
     responsesStalled++;
   }
 
+  /** Counts a response that was incomplete at its client's deadline and could still be long. */
+  void responseLate() {
+    responsesLate++;
+  }
+
+  /** Counts a short response that was complete only after it had been counted as late. */
+  void shortResponseLate() {
+    shortResponsesLate++;
+  }
+
+  /** Counts a response that had begun to be passed on and that this side ended. */
+  void responseCut() {
+    responsesCut++;
+  }
+
+  /** Counts bytes behind a complete response, which no request waits for. */
+  void surplusReceived(long upstream) {
+    surplusReceived.merge(upstream, 1, Integer::sum);
+  }
+
+  /** Counts a response that came sooner than the connection's round trip is known to take: it may belong to an earlier request. */
+  void responseEarly(long upstream) {
+    responsesEarly.merge(upstream, 1, Integer::sum);
+  }
+
+  /** Counts an attempt that was cancelled because its last byte was not written by its send deadline. */
+  void notWrittenInTime() {
+    notWrittenInTime++;
+  }
+
   /** Counts a client connection that was closed to make room for another, or because it sent no complete request in time. */
   void clientClosed(boolean forAnother) {
     closedForOthers += forAnother ? 1 : 0;
@@ -188,7 +224,14 @@
     put(s, "clients_closed_for_others", closedForOthers);
     put(s, "clients_closed_late", closedOnTimeout);
     put(s, "answers_paused", responsesStalled);
+    put(s, "answers_late", responsesLate);
+    put(s, "answers_short_late", shortResponsesLate);
+    put(s, "answers_cut", responsesCut);
+    put(s, "answers_early", responsesEarly);
+    put(s, "surplus", surplusReceived);
+    put(s, "unwritten_in_window", notWrittenInTime);
     closedForOthers = closedOnTimeout = responsesStalled = 0;
+    responsesLate = shortResponsesLate = responsesCut = notWrittenInTime = 0;
     accepted = served = clientsGone = sent = retried = listsRequested = listsUnanswered = listsIgnored = listLines = 0;
     return s.toString();
   }
--- a/http/src/main/java/cloverpulley/serve/ReuseDelay.java
+++ b/http/src/main/java/cloverpulley/serve/ReuseDelay.java
@@ -9,7 +9,8 @@
 final class ReuseDelay {
 
   private static final long MIN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-  private static final long MAX_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+  /** The longest rest. */
+  static final long MAX_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
   /** Others may come later than the latest that was seen. */
   private static final int MARGIN_FACTOR = 4;
   /** How long it is remembered that surplus bytes came. */
--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -77,9 +77,12 @@
   private final StrictResponseDecoder decoder;
   private final ResponseBuffer body;
   private final ResponseProgress progress;
+  private final RoundTrip roundTrip = new RoundTrip();
   /** Bytes of a streamed response that its client's socket has not accepted yet. */
   private int inTransitBytes;
   private boolean streaming;
+  /** The response was incomplete at its client's deadline, and is streamed. */
+  private boolean streamedLate;
   /** The connection has failed, rather than been closed in order by the upstream. */
   private boolean broken;
   private long bodyBytes;
@@ -102,6 +105,7 @@
 
       @Override
       public void onStreamStall() {
+        shared.counts.responseCut();
         resetConnection();
       }
     });
@@ -150,12 +154,15 @@
         int matched = call == null ? -1 : isWithinResponse() ? prefixMatched : ResponseValidator.matchPrefix(bytes, prefixMatched);
         if (matched < 0) {
           if (call == null && !firstCall) {
-            shared.reuseDelay.recordSurplus(System.nanoTime(), System.nanoTime() - idleSince);
+            recordSurplus(System.nanoTime() - idleSince);
           }
           bytes.release();
           resetConnection();
         } else {
           prefixMatched = matched;
+          if (roundTrip.responseReceived(System.nanoTime())) {
+            shared.counts.responseEarly(upstream);
+          }
           context.fireChannelRead(bytes);
         }
       }
@@ -167,7 +174,7 @@
           deliverBody();
         }
         if (call == null && !decoder.isBetweenMessages()) {
-          shared.reuseDelay.recordSurplus(System.nanoTime(), 0);
+          recordSurplus(0);
           close(); // The beginning of another response follows the complete one.
         } else if (call != null && (prefixMatched > 0 || isWithinResponse())) {
           progress.received();
@@ -176,6 +183,11 @@
     };
   }
 
+  private void recordSurplus(long restedNanos) {
+    shared.reuseDelay.recordSurplus(System.nanoTime(), restedNanos);
+    shared.counts.surplusReceived(upstream);
+  }
+
   /** Whether a part of a response has been decoded that began in the same read as the end of an informational one. */
   private boolean isWithinResponse() {
     return prefixMatched == 0 && !decoder.isBetweenMessages();
@@ -210,6 +222,7 @@
     responseHead = null;
     headerMemory.releaseAll();
     streaming = false;
+    streamedLate = false;
     bodyBytes = 0;
     progress.reset();
   }
@@ -312,6 +325,7 @@
     broken |= !success;
     if (success) {
       next.written = true;
+      roundTrip.requestWritten(System.nanoTime(), firstCall || priorIdleNanos >= ReuseDelay.MAX_NANOS);
     } else {
       channel.close();
       next.end(Status.CONNECT_FAILED, null);
@@ -405,6 +419,8 @@
     if (call != expired || call.isResponseDiscarded() || !streaming && !startStreamingLate()) {
       return false;
     }
+    streamedLate = true;
+    shared.counts.responseLate();
     progress.streamedLate(bodyBytes > Frontend.MAX_BUFFERED_RESPONSE);
     deliverBody();
     return true;
@@ -453,6 +469,9 @@
   private void completeStreamedResponse() {
     Call completed = call;
     boolean keepAlive = isKeepAlive(responseHead);
+    if (streamedLate && bodyBytes <= Frontend.MAX_BUFFERED_RESPONSE) {
+      shared.counts.shortResponseLate();
+    }
     call = null;
     resetResponse();
     recordReuse(false);
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -78,7 +78,10 @@
   /** Starts a call and takes ownership of the request. The timeout includes connecting. */
   void start(Call call, SocketAddress address, FullHttpRequest request, long timeoutNanos) {
     call.timeout = scheduleTimeout(call, timeoutNanos);
-    call.scheduleSendTimeout(bootstrap.config().group().next(), () -> abandon(call, Status.NOT_SENT, Status.NOT_SENT));
+    call.scheduleSendTimeout(bootstrap.config().group().next(), () -> {
+      counts.notWrittenInTime();
+      abandon(call, Status.NOT_SENT, Status.NOT_SENT);
+    });
     UpstreamConnection reused = takeIdle(call.upstream, address);
     if (reused != null) {
       reused.write(call, request);
