--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -341,6 +341,20 @@
     return true;
   }
 
+  /**
+   * The client's time is up, but an attempt's answer may be long, so that only its first bytes are timed: the engine fails the request only so much
+   * later. Returns false if the answer is of no more use, as the request has ended or streams another attempt's answer.
+   */
+  public boolean extendDeadline(Attempt attempt, long nanos) {
+    Exchange x = attempt.exchange();
+    if (attempt.ended || x.isEnded() || x.streamingAttempt != null || !isTracked(x)) {
+      return false;
+    }
+    x.deadlineTimer.cancel(false);
+    scheduleExpiry(x, x.deadline + nanos);
+    return true;
+  }
+
   /** A request was accepted before its body was complete: to be called right after {@link #accept}. */
   public void bodyPending(Exchange x) {
     enqueue(() -> isTracked(x) ? new BodyPending(x.id) : null);
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -30,6 +30,9 @@
     /** The response has begun, and nothing of it has arrived for a while. The call goes on. */
     void responseStalled();
 
+    /** The client's time is up, and the response may be long: the call goes on for so long. Returns false if it is of no use any more. */
+    boolean deadlineExtended(long nanos);
+
     /** Offers the response head; returns false to decline the response, and then no body is delivered. */
     boolean responseStarted(HttpResponse head);
 
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -52,8 +52,6 @@
   private static final Logger LOG = Logger.getLogger(Frontend.class.getName());
 
   static final String HEALTH = "/healthz";
-  /** The longest response that is buffered whole, so that the request can be retried if the response breaks off. */
-  static final int MAX_BUFFERED_RESPONSE = 64 * 1024;
   static final String API = "/api";
   /** More requests than one read can contain, so that the limit on pipelined requests is applied here and answered in order. */
   private static final int MAX_DECODED_REQUESTS = 8192;
--- a/http/src/main/java/cloverpulley/serve/HttpExchange.java
+++ b/http/src/main/java/cloverpulley/serve/HttpExchange.java
@@ -178,6 +178,11 @@
       context.engine.answerStalled(attempt);
     }
 
+    @Override
+    public boolean deadlineExtended(long nanos) {
+      return context.engine.extendDeadline(attempt, nanos);
+    }
+
     @Override
     public boolean responseStarted(HttpResponse head) {
       if (!context.engine.answerStarted(attempt)) {
--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -35,14 +35,10 @@
 
   private static final Logger LOG = Logger.getLogger(UpstreamConnection.class.getName());
 
-  /** A response of unknown length of which less has arrived by its client's deadline is taken for a short one, which is too late then. */
-  private static final int MIN_LATE_RESPONSE_BYTES = 16 * 1024;
   /** How long a streamed response is read on after its client has left: as long as a client may read nothing of one. */
   private static final long DISCARD_TIMEOUT_NANOS = TimeUnit.SECONDS.toNanos(30);
   /** Limit of 1xx responses per call; an upstream that sends more is taken to send them endlessly. */
   private static final int MAX_INFORMATIONAL = 16;
-  /** A response with a shorter body is buffered whole even if the memory for responses is used up. */
-  private static final int ALWAYS_BUFFERED_BYTES = 8 * 1024;
   /** Chunks of a streamed response are joined up to this length. */
   private static final int MAX_JOINED_BYTES = 8 * 1024;
 
@@ -81,8 +77,8 @@
   /** Bytes of a streamed response that its client's socket has not accepted yet. */
   private int inTransitBytes;
   private boolean streaming;
-  /** The response was incomplete at its client's deadline, and is streamed. */
-  private boolean streamedLate;
+  /** The response was incomplete at its client's deadline. */
+  private boolean late;
   /** The connection has failed, rather than been closed in order by the upstream. */
   private boolean broken;
   private long bodyBytes;
@@ -222,7 +218,7 @@
     responseHead = null;
     headerMemory.releaseAll();
     streaming = false;
-    streamedLate = false;
+    late = false;
     bodyBytes = 0;
     progress.reset();
   }
@@ -365,9 +361,6 @@
       return; // The decoder takes any end of the connection for the end of the body, also a failure or a close by this side.
     }
     bodyBytes += content.content().readableBytes();
-    if (bodyBytes > Frontend.MAX_BUFFERED_RESPONSE) {
-      progress.knownToBeLong();
-    }
     if (responseHead.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
       if (++informationalCount > MAX_INFORMATIONAL || responseHead.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
         resetConnection();
@@ -380,12 +373,22 @@
       if (last) {
         completeDiscardedResponse();
       }
-    } else if (streaming || startStreamingIfLong()) {
+    } else if (streaming) {
       streamContent(content.content(), last);
-    } else if (bodyBytes > Frontend.MAX_BUFFERED_RESPONSE) {
+    } else {
+      beginContent(content.content(), last);
+    }
+  }
+
+  /** Handles content of a response that is not streamed yet. */
+  private void beginContent(ByteBuf content, boolean last) {
+    ResponseForwarding.OnContent action = ResponseForwarding.onContent(length(), bodyBytes, shared.responseBudget.isExhausted());
+    if (action == ResponseForwarding.OnContent.STREAM && startStreaming()) {
+      streamContent(content, last);
+    } else if (bodyBytes > ResponseForwarding.MAX_SHORT_BYTES) {
       resetConnection(); // Too long to buffer, and it can't be streamed.
     } else {
-      bufferContent(content.content(), last);
+      bufferContent(content, last);
     }
   }
 
@@ -400,34 +403,30 @@
     }
   }
 
-  /** Starts streaming a response that is too long to buffer, or that there is no memory to buffer; returns whether it did. */
-  private boolean startStreamingIfLong() {
-    return (isLong() || bodyBytes > ALWAYS_BUFFERED_BYTES && shared.responseBudget.isExhausted()) && startStreaming();
-  }
-
-  /** Whether the response is known to be longer than is buffered. */
-  private boolean isLong() {
-    return bodyBytes > Frontend.MAX_BUFFERED_RESPONSE
-        || HttpUtil.getContentLength(responseHead, -1L) > Frontend.MAX_BUFFERED_RESPONSE;
+  private ResponseForwarding.Length length() {
+    return ResponseForwarding.Length.of(responseHead, bodyBytes);
   }
 
   /**
-   * Streams what has arrived of a response of unknown length, at its client's deadline: of a long one the first bytes are in time then. One of
-   * which little has arrived is more likely to be short, and one that has paused for long to be incomplete. Returns whether it did.
+   * The client's time is up: returns whether the call goes on for {@link ResponseForwarding#LATE_GRACE_NANOS}, as its response may be long, or has
+   * begun to be passed on.
    */
-  boolean streamLate(Call expired) {
-    if (call != expired || call.isResponseDiscarded() || !streaming && !startStreamingLate()) {
+  boolean awaitsLateResponse(Call expired) {
+    if (call != expired || responseHead == null || !responseHead.status().equals(HttpResponseStatus.OK) || call.isResponseDiscarded()
+        || call.responseConsumer == null || ResponseForwarding.atDeadline(length(), streaming) == ResponseForwarding.AtDeadline.FAIL) {
       return false;
     }
-    streamedLate = true;
+    if (!streaming && !call.responseConsumer.deadlineExtended(ResponseForwarding.LATE_GRACE_NANOS)) {
+      return false;
+    }
+    late = true;
     shared.counts.responseLate();
-    progress.streamedLate(bodyBytes > Frontend.MAX_BUFFERED_RESPONSE);
-    deliverBody();
     return true;
   }
 
-  private boolean startStreamingLate() {
-    return bodyBytes >= MIN_LATE_RESPONSE_BYTES && !HttpUtil.isContentLengthSet(responseHead) && progress.mayBeStreamedLate() && startStreaming();
+  /** Whether a streamed response is incomplete because its client reads slowly, and not because of its upstream. */
+  boolean awaitsClient(Call late) {
+    return call == late && streaming && paused;
   }
 
   /** Starts streaming the response if it is a 200 and still wanted; returns whether it did. */
@@ -438,7 +437,7 @@
     }
     streaming = true;
     progress.streamed();
-    if (isLong()) {
+    if (length() == ResponseForwarding.Length.LONG) {
       call.timeout.cancel(false);
     }
     return true;
@@ -469,9 +468,7 @@
   private void completeStreamedResponse() {
     Call completed = call;
     boolean keepAlive = isKeepAlive(responseHead);
-    if (streamedLate && bodyBytes <= Frontend.MAX_BUFFERED_RESPONSE) {
-      shared.counts.shortResponseLate();
-    }
+    countIfLate();
     call = null;
     resetResponse();
     recordReuse(false);
@@ -509,6 +506,12 @@
     }
   }
 
+  private void countIfLate() {
+    if (late && bodyBytes <= ResponseForwarding.MAX_SHORT_BYTES) {
+      shared.counts.shortResponseLate();
+    }
+  }
+
   private boolean isKeepAlive(HttpResponse head) {
     return HttpUtil.isKeepAlive(head) && !ResponseValidator.endsWithConnection(head);
   }
@@ -529,6 +532,7 @@
     FullHttpResponse response = new DefaultFullHttpResponse(responseHead.protocolVersion(), responseHead.status(),
         body.take(), responseHead.headers(), EmptyHttpHeaders.INSTANCE);
     Call completed = call;
+    countIfLate();
     call = null;
     resetResponse();
     recordReuse(false);
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -148,14 +148,33 @@
     return bootstrap.config().group().next().schedule(() -> expire(call), nanos, TimeUnit.NANOSECONDS);
   }
 
-  /** The client's time is up: what has arrived of a long response is passed on, and any other call ends. */
+  /** The client's time is up: a call whose response may be long, or has begun to be passed on, has some more; any other ends. */
   private void expire(Call call) {
-    UpstreamConnection connection = call.channel == null ? null : UpstreamConnection.of(call.channel);
-    if (connection == null || !connection.streamLate(call)) {
+    UpstreamConnection connection = connectionOf(call);
+    if (connection != null && connection.awaitsLateResponse(call)) {
+      scheduleLateEnd(call);
+    } else {
       abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT);
     }
   }
 
+  private void scheduleLateEnd(Call call) {
+    call.timeout = bootstrap.config().group().next().schedule(() -> endLate(call), ResponseForwarding.LATE_GRACE_NANOS, TimeUnit.NANOSECONDS);
+  }
+
+  private void endLate(Call call) {
+    UpstreamConnection connection = connectionOf(call);
+    if (connection != null && connection.awaitsClient(call)) {
+      scheduleLateEnd(call);
+    } else {
+      abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT);
+    }
+  }
+
+  private static UpstreamConnection connectionOf(Call call) {
+    return call.channel == null ? null : UpstreamConnection.of(call.channel);
+  }
+
   /** Cancels a call. */
   void cancel(Call call) {
     abandon(call, Status.NOT_SENT, Status.CANCELLED);
@@ -199,7 +218,7 @@
   private void abandon(Call call, Status unwritten, Status written) {
     if (!call.isDone()) {
       Channel channel = call.channel;
-      UpstreamConnection connection = channel == null ? null : UpstreamConnection.of(call.channel);
+      UpstreamConnection connection = connectionOf(call);
       call.end(call.written ? written : unwritten, null);
       if (connection != null) {
         connection.close();
--- a/http/src/main/java/cloverpulley/serve/Warmup.java
+++ b/http/src/main/java/cloverpulley/serve/Warmup.java
@@ -123,7 +123,7 @@
     serverBootstrap.childHandler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(Frontend.MAX_BUFFERED_RESPONSE), new Upstream());
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ResponseForwarding.MAX_SHORT_BYTES), new Upstream());
       }
     }).bind(upstream);
     frontend.listen(serverBootstrap, balancer).addListener(f -> {
@@ -131,7 +131,7 @@
           .handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel channel) {
-              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(Frontend.MAX_BUFFERED_RESPONSE), client);
+              channel.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(ResponseForwarding.MAX_SHORT_BYTES), client);
             }
           });
       for (int i = 0; i < CLIENTS; i++) {
