--- a/http/src/main/java/cloverpulley/serve/BufferBudget.java
+++ b/http/src/main/java/cloverpulley/serve/BufferBudget.java
@@ -1,13 +1,19 @@
 package cloverpulley.serve;
 
+import java.util.ArrayDeque;
+
 /**
- * Counts the memory that one kind of work holds over all connections, against a limit. Nothing waits for the budget: work that does not fit takes
- * less memory, or is rejected. Not thread-safe.
+ * Counts the memory that one kind of work holds over all connections, against a limit. Acquiring never fails or blocks: the work looks at the budget
+ * and takes less memory, pauses or is rejected. Not thread-safe.
  */
 final class BufferBudget {
 
+  /** Part of the budget from which on work that can go on without it takes no more. */
+  private static final double NEARLY_EXHAUSTED_RATIO = 0.75;
+
   private final long maxBytes;
   private long usedBytes;
+  private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
 
   BufferBudget(long maxBytes) {
     this.maxBytes = maxBytes;
@@ -16,11 +22,14 @@
   /** Takes bytes, even beyond the budget; a negative number gives them back. */
   void acquire(long bytes) {
     usedBytes += bytes;
+    if (bytes < 0) {
+      notifyWaiting();
+    }
   }
 
   /** Gives back bytes that were acquired. */
   void release(long bytes) {
-    usedBytes -= bytes;
+    acquire(-bytes);
   }
 
   /** Whether so many more bytes fit in the budget. */
@@ -32,4 +41,25 @@
   boolean isExhausted() {
     return usedBytes >= maxBytes;
   }
+
+  /** Whether little of the budget is left, which is kept for work that can't go on without it. */
+  boolean isNearlyExhausted() {
+    return usedBytes >= NEARLY_EXHAUSTED_RATIO * maxBytes;
+  }
+
+  /** Runs {@code resume} once bytes have been given back and the budget is not used up: one for each time, in the order of the calls. */
+  void whenAvailable(Runnable resume) {
+    waiting.add(resume);
+  }
+
+  /** Takes back a {@link #whenAvailable} that has not run. */
+  void cancel(Runnable resume) {
+    waiting.remove(resume);
+  }
+
+  private void notifyWaiting() {
+    if (!waiting.isEmpty() && !isExhausted()) {
+      waiting.poll().run();
+    }
+  }
 }
--- a/http/src/main/java/cloverpulley/serve/Call.java
+++ b/http/src/main/java/cloverpulley/serve/Call.java
@@ -85,11 +85,16 @@
     expiresAt = System.nanoTime() + nanos;
   }
 
+  /** The time until the timeout; negative once it has passed. */
+  long nanosToExpiry() {
+    return expiresAt - System.nanoTime();
+  }
+
   /** Lowers the deadline header to the time that is left after connecting. */
   void updateExpiresHeader(FullHttpRequest request) {
     String original = request.headers().get(RequestHeaders.EXPIRES);
     if (original != null) {
-      long untilTimeout = expiresAt - System.nanoTime();
+      long untilTimeout = nanosToExpiry();
       long remaining = TimeUnit.NANOSECONDS.toMillis(clientRemaining == null ? untilTimeout : Math.min(untilTimeout, clientRemaining.getAsLong()));
       request.headers().set(RequestHeaders.EXPIRES, Math.max(1, Math.min(Long.parseLong(original), remaining)));
     }
--- a/http/src/main/java/cloverpulley/serve/ResponseForwarding.java
+++ b/http/src/main/java/cloverpulley/serve/ResponseForwarding.java
@@ -8,8 +8,9 @@
  * Decides when the body of a response is passed on to its client, and what becomes of it when the client's time is up before it is complete.
  *
  * <p>Of a response of up to {@link #MAX_SHORT_BYTES} the last byte has to be in time, of a longer one the first; and once a response has begun to be
- * passed on, only its end or a break tells the client what became of it. So one of unknown length is kept until it is complete or longer than a
- * short one, as long as there is memory.
+ * passed on, only its end or a break tells the client what became of it. So a response is begun only where it is known which of the two it is: a
+ * long one may go on without a limit, and a short one can be ended soon after the client's time. One of unknown length is kept until it is complete
+ * or longer than a short one.
  */
 final class ResponseForwarding {
 
@@ -48,6 +49,8 @@
   enum OnContent {
     /** It is kept until the response is complete. */
     BUFFER,
+    /** It is kept, and nothing more is read until there is memory. */
+    BUFFER_AND_PAUSE,
     /** It is passed on, and so is all that follows. */
     STREAM
   }
@@ -68,7 +71,7 @@
     if (!memoryShort || bodyBytes <= ALWAYS_BUFFERED_BYTES) {
       return OnContent.BUFFER;
     }
-    return OnContent.STREAM;
+    return length == Length.SHORT ? OnContent.STREAM : OnContent.BUFFER_AND_PAUSE;
   }
 
   /** Decides on a response that is incomplete when its client's time is up. One that would only be late fails at once. */
--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -82,8 +82,10 @@
   /** The connection has failed, rather than been closed in order by the upstream. */
   private boolean broken;
   private long bodyBytes;
-  /** Reading is paused for a slow client. */
+  /** Reading is paused for a slow client, or until there is memory. */
   private boolean paused;
+  /** Resumes reading once there is memory; null unless the response waits for it. */
+  private Runnable memoryWaiter;
   /** Ends a call whose streamed response is discarded. */
   private Future<?> discardTimeout;
 
@@ -208,6 +210,7 @@
 
   private void resetResponse() {
     paused = false;
+    cancelMemoryWaiter();
     body.release();
     inTransitBytes = 0;
     if (discardTimeout != null) {
@@ -232,6 +235,7 @@
       return;
     }
     paused = false;
+    cancelMemoryWaiter();
     body.release();
     updateAutoRead();
     if (streaming) {
@@ -389,6 +393,9 @@
       resetConnection(); // Too long to buffer, and it can't be streamed.
     } else {
       bufferContent(content, last);
+      if (action == ResponseForwarding.OnContent.BUFFER_AND_PAUSE && !last && !body.isEmpty()) {
+        awaitMemory();
+      }
     }
   }
 
@@ -403,6 +410,28 @@
     }
   }
 
+  /** Reads nothing more of the buffered response until other responses have given memory back. */
+  private void awaitMemory() {
+    if (memoryWaiter != null) {
+      return;
+    }
+    paused = true;
+    updateAutoRead();
+    Call waiting = call;
+    memoryWaiter = () -> {
+      memoryWaiter = null;
+      channel.eventLoop().execute(waiting::resume);
+    };
+    shared.responseBudget.whenAvailable(memoryWaiter);
+  }
+
+  private void cancelMemoryWaiter() {
+    if (memoryWaiter != null) {
+      shared.responseBudget.cancel(memoryWaiter);
+      memoryWaiter = null;
+    }
+  }
+
   private ResponseForwarding.Length length() {
     return ResponseForwarding.Length.of(responseHead, bodyBytes);
   }
@@ -489,7 +518,7 @@
     inTransitBytes += bytes;
     shared.responseBudget.acquire(bytes);
     boolean writable = call.responseConsumer.bodyReceived(content, () -> transferred(current, bytes));
-    if (!writable || inTransitBytes > 0 && shared.responseBudget.isExhausted()) {
+    if (!writable || inTransitBytes > 0 && shared.responseBudget.isNearlyExhausted()) {
       paused = true;
       updateAutoRead();
     }
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -152,20 +152,20 @@
   private void expire(Call call) {
     UpstreamConnection connection = connectionOf(call);
     if (connection != null && connection.awaitsLateResponse(call)) {
-      scheduleLateEnd(call);
+      scheduleLateEnd(call, call.nanosToExpiry() + ResponseForwarding.LATE_GRACE_NANOS);
     } else {
       abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT);
     }
   }
 
-  private void scheduleLateEnd(Call call) {
-    call.timeout = bootstrap.config().group().next().schedule(() -> endLate(call), ResponseForwarding.LATE_GRACE_NANOS, TimeUnit.NANOSECONDS);
+  private void scheduleLateEnd(Call call, long nanos) {
+    call.timeout = bootstrap.config().group().next().schedule(() -> endLate(call), nanos, TimeUnit.NANOSECONDS);
   }
 
   private void endLate(Call call) {
     UpstreamConnection connection = connectionOf(call);
     if (connection != null && connection.awaitsClient(call)) {
-      scheduleLateEnd(call);
+      scheduleLateEnd(call, ResponseForwarding.LATE_GRACE_NANOS);
     } else {
       abandon(call, Status.CONNECT_FAILED, Status.TIMEOUT);
     }
--- a/http/src/test/java/cloverpulley/serve/ResponseDeadlineTest.java
+++ b/http/src/test/java/cloverpulley/serve/ResponseDeadlineTest.java
@@ -82,6 +82,47 @@
     }
   }
 
+  /** Guards against a long answer of unknown length that is begun and then cut off at a pause around its client's deadline (review/9). */
+  @ParameterizedTest
+  @CsvSource({"CHUNKS, 192, 20000", "CLOSE, 192, 20000", "CHUNKS, 192, 60000", "CHUNKS, 16, 20000", "CLOSE, 16, 20000"})
+  void responseThatMayBeLongIsNotBegunAndThenCutOff(Framing framing, int memoryMegabytes, int beginning) throws Exception {
+    CountDownLatch answered = new CountDownLatch(1);
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      boolean holding = c.next().contains("holding");
+      c.write(SlowResponseTest.head(framing, 0) + SlowResponseTest.part(framing, "x".repeat(holding ? HELD_BYTES : beginning)));
+      answered.await();
+    }); Rig rig = rig(upstream, module, memoryMegabytes); Client client = rig.client()) {
+      List<Client> others = holdMemory(rig, module);
+      String answer = client.ask(Rig.get("r1", EXPIRES));
+      answered.countDown();
+      assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+      closeAll(others);
+    }
+  }
+
+  /** Where memory is used up, an answer of unknown length waits for it, and is served whole once others give theirs back. */
+  @Test
+  void responseOfUnknownLengthGoesOnOnceThereIsMemory() throws Exception {
+    CountDownLatch begun = new CountDownLatch(1);
+    String body = "x".repeat(LENGTH - 1) + "y";
+    Script module = new Script(0);
+    try (StubServer upstream = new StubServer(c -> {
+      boolean holding = c.next().contains("holding");
+      String text = holding ? "x".repeat(HELD_BYTES) : body;
+      c.write(SlowResponseTest.head(Framing.CHUNKS, 0) + SlowResponseTest.part(Framing.CHUNKS, text.substring(0, HELD_BYTES)));
+      begun.await();
+      c.write((holding ? "" : SlowResponseTest.part(Framing.CHUNKS, text.substring(HELD_BYTES))) + SlowResponseTest.end(Framing.CHUNKS));
+    }); Rig rig = rig(upstream, module, MEMORY_MB); Client client = rig.client()) {
+      List<Client> others = holdMemory(rig, module);
+      client.write(Rig.get("r1", ""));
+      assertNotNull(module.next(AnswerBegan.class));
+      begun.countDown();
+      assertEquals(body, SlowResponseTest.body(client, "200 "));
+      closeAll(others);
+    }
+  }
+
   /** Begins more responses than there is memory for. */
   private static List<Client> holdMemory(Rig rig, Script module) throws Exception {
     List<Client> clients = new ArrayList<>();
