--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -49,8 +49,8 @@
    * @param responseBudget memory for the bodies of responses, buffered or on their way to a client
    * @param headerBudget memory for the headers of responses
    */
-  record Shared(IdleConnections<UpstreamConnection> idle, LongPredicate upstreamReady, ReuseDelay reuseDelay, IdleReusePolicy reusePolicy,
-      ReplacementDetector replacements, BufferBudget responseBudget, BufferBudget headerBudget, Counts counts) {}
+  record Shared(IdleConnections<UpstreamConnection> idle, LongPredicate upstreamReady, ReuseDelay reuseDelay, RoundTrips roundTrips,
+      IdleReusePolicy reusePolicy, ReplacementDetector replacements, BufferBudget responseBudget, BufferBudget headerBudget, Counts counts) {}
 
   private final Shared shared;
   private final Channel channel;
@@ -73,7 +73,7 @@
   private final StrictResponseDecoder decoder;
   private final ResponseBuffer body;
   private final ResponseProgress progress;
-  private final RoundTrip roundTrip = new RoundTrip();
+  private final ResponseTimer responseTimer;
   /** Bytes of a streamed response that its client's socket has not accepted yet. */
   private int inTransitBytes;
   private boolean streaming;
@@ -94,6 +94,7 @@
     this.shared = shared;
     headerMemory = new HeaderMemory(shared.headerBudget);
     decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
+    responseTimer = new ResponseTimer(shared.roundTrips);
     body = new ResponseBuffer(channel.alloc(), shared.responseBudget);
     progress = new ResponseProgress(channel, new ResponseProgress.Listener() {
       @Override
@@ -158,7 +159,7 @@
           resetConnection();
         } else {
           prefixMatched = matched;
-          if (roundTrip.responseReceived(System.nanoTime())) {
+          if (responseTimer.responseReceived(upstream, System.nanoTime())) {
             shared.counts.responseEarly(upstream);
           }
           context.fireChannelRead(bytes);
@@ -325,7 +326,7 @@
     broken |= !success;
     if (success) {
       next.written = true;
-      roundTrip.requestWritten(System.nanoTime(), firstCall || priorIdleNanos >= ReuseDelay.MAX_NANOS);
+      responseTimer.requestWritten(System.nanoTime(), firstCall || priorIdleNanos >= ReuseDelay.MAX_NANOS);
     } else {
       channel.close();
       next.end(Status.CONNECT_FAILED, null);
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -44,6 +44,7 @@
   private final IdleConnections<UpstreamConnection> idle = new IdleConnections<>();
   private final Set<Call> connecting = new HashSet<>();
   private final ReuseDelay reuseDelay = new ReuseDelay();
+  private final RoundTrips roundTrips = new RoundTrips();
   private final ReplacementDetector replacements = new ReplacementDetector();
 
   /**
@@ -56,8 +57,8 @@
     this.sockets = sockets;
     this.upstreamReady = upstreamReady;
     this.loadReports = loadReports;
-    UpstreamConnection.Shared shared = new UpstreamConnection.Shared(idle, upstreamReady, reuseDelay, new IdleReusePolicy(), replacements,
-        responseBudget, HeaderMemory.newBudget(), counts);
+    UpstreamConnection.Shared shared = new UpstreamConnection.Shared(idle, upstreamReady, reuseDelay, roundTrips,
+        new IdleReusePolicy(), replacements, responseBudget, HeaderMemory.newBudget(), counts);
     this.bootstrap = bootstrap.clone().handler(new ChannelInitializer<Channel>() {
       @Override
       protected void initChannel(Channel channel) {
@@ -230,9 +231,10 @@
 
   private UpstreamConnection takeIdle(long upstream, SocketAddress address) {
     long now = System.nanoTime();
+    long rest = reuseDelay.nanos(now, roundTrips.maxNanos(upstream, now));
     for (UpstreamConnection c : idle.of(upstream)) {
       long rested = now - c.idleSinceNanos();
-      if (rested >= reuseDelay.nanos(now)) {
+      if (rested >= rest) {
         idle.remove(c);
         if (c.reuse(address, now, rested)) {
           return c;
@@ -244,7 +246,9 @@
 
   private void closeExpired() {
     idle.closeOlderThan(idleNanos);
-    replacements.removeExpired(System.nanoTime());
+    long now = System.nanoTime();
+    replacements.removeExpired(now);
+    roundTrips.removeExpired(now);
     counts.setIdleConnections(idle.size());
   }
 }
--- a/http/src/test/java/cloverpulley/serve/AttemptTest.java
+++ b/http/src/test/java/cloverpulley/serve/AttemptTest.java
@@ -39,6 +39,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -217,6 +218,31 @@
     }
   }
 
+  /** Guards against a second copy over a long link that is taken for the response to the request it crosses (review/6). */
+  @Test
+  void secondCopyThatCrossesTheNextRequestIsNotTakenForItsResponse() throws Exception {
+    long linkNanos = TimeUnit.MILLISECONDS.toNanos(40);
+    long restNanos = TimeUnit.MILLISECONDS.toNanos(12);
+    try (StubServer upstream = new StubServer(c -> {
+      String answer = "";
+      long answeredAt = 0;
+      for (String request = c.next(); request != null; request = c.next()) {
+        boolean crosses = !answer.isEmpty() && System.nanoTime() - answeredAt < linkNanos;
+        c.write(crosses ? answer : ""); // Sent before the request came to the upstream, at the other end of the link.
+        LockSupport.parkNanos(linkNanos);
+        answer = StubServer.ok(request.replaceAll("(?s).*X-Trace-Id: (\\w+).*", "$1"));
+        c.write(answer);
+        answeredAt = System.nanoTime();
+      }
+    }); Rig rig = new Rig(singleUpstream(upstream.address()), new Script(ATTEMPT_TIMEOUT)); Client client = rig.client()) {
+      for (int i = 0; i < 5; i++) {
+        String answer = client.ask(Rig.get("t" + i, ""));
+        assertTrue(answer.endsWith("\r\n\r\nt" + i), answer);
+        LockSupport.parkNanos(restNanos);
+      }
+    }
+  }
+
   /** The beginning of a second response right behind the first, cut off anywhere, would otherwise wait in the decoder for the next request. */
   @ParameterizedTest
   @ValueSource(ints = {1, 9, 17, 18, 30, 37, 39, 43})
--- a/http/src/test/java/cloverpulley/serve/ReuseDelayTest.java
+++ b/http/src/test/java/cloverpulley/serve/ReuseDelayTest.java
@@ -1,6 +1,8 @@
 package cloverpulley.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -30,4 +32,32 @@
     delay.recordSurplus(MS, 12 * MS);
     assertEquals(10 * MS, delay.nanos(TimeUnit.MINUTES.toNanos(11)));
   }
+
+  @Test
+  void connectionsRestForSomeRoundTrips() {
+    assertEquals(10 * MS, delay.nanos(MS, MS / 2));
+    assertEquals(60 * MS, delay.nanos(MS, 10 * MS));
+    assertEquals(200 * MS, delay.nanos(MS, 100 * MS));
+    assertEquals(200 * MS, delay.nanos(MS, Long.MAX_VALUE), "unknown");
+    delay.recordSurplus(MS, 20 * MS);
+    assertEquals(80 * MS, delay.nanos(MS, 10 * MS));
+  }
+
+  @Test
+  void theRoundTripIsBoundedByTheFastestCountedResponseOfTheLastMinutes() {
+    RoundTrips roundTrips = new RoundTrips();
+    ResponseTimer timer = new ResponseTimer(roundTrips);
+    assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(1, 0));
+    timer.requestWritten(0, true);
+    assertFalse(timer.responseReceived(1, 30 * MS));
+    assertFalse(timer.responseReceived(1, 31 * MS), "more of the same response");
+    timer.requestWritten(40 * MS, false);
+    assertTrue(timer.responseReceived(1, 43 * MS), "sooner than a round trip");
+    assertEquals(30 * MS, roundTrips.maxNanos(1, 50 * MS), "surplus bytes don't count");
+    assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(2, 50 * MS));
+    roundTrips.record(1, TimeUnit.MINUTES.toNanos(6), 50 * MS);
+    assertEquals(30 * MS, roundTrips.maxNanos(1, TimeUnit.MINUTES.toNanos(9)));
+    assertEquals(50 * MS, roundTrips.maxNanos(1, TimeUnit.MINUTES.toNanos(12)));
+    assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(1, TimeUnit.MINUTES.toNanos(30)));
+  }
 }
