--- a/decision/src/main/java/cloverpulley/Balancer.java
+++ b/decision/src/main/java/cloverpulley/Balancer.java
@@ -146,9 +146,16 @@
    * A request was received and must get one final answer by {@code deadlineNanos} (a clock reading). Tenant and key may
    * be null; {@code workHintNanos} is 0 if there is no hint. If {@code answerByNanos} is above 0, the request has to be sent or
    * ended by then. {@code priorAttempts} are finished attempts of earlier calls; they count as the first attempts of this one.
+   * {@code bodyBytes} is the length of the body that an upstream reads before it runs the request; 0 if that takes no time.
    */
   record Request(String id, String className, String tenant, String key, long deadlineNanos, long workHintNanos,
-      boolean retry, long answerByNanos, List<PriorAttempt> priorAttempts) implements Event {
+      boolean retry, long answerByNanos, List<PriorAttempt> priorAttempts, long bodyBytes) implements Event {
+
+    /** A request without a body. */
+    public Request(String id, String className, String tenant, String key, long deadlineNanos, long workHintNanos,
+        boolean retry, long answerByNanos, List<PriorAttempt> priorAttempts) {
+      this(id, className, tenant, key, deadlineNanos, workHintNanos, retry, answerByNanos, priorAttempts, 0);
+    }
 
     /** A request that may be queued until its deadline and has no prior attempts. */
     public Request(String id, String className, String tenant, String key, long deadlineNanos, long workHintNanos,
--- a/decision/src/main/java/cloverpulley/Logic.java
+++ b/decision/src/main/java/cloverpulley/Logic.java
@@ -19,7 +19,7 @@
  */
 public final class Logic implements Balancer {
 
-  private static final long SECOND = 1_000_000_000L;
+  static final long SECOND = 1_000_000_000L;
   /** Window length in multiples of the longest aim, at least a second: long enough for a mean, short enough
    * to follow a change. */
   private static final double WINDOW_AIMS = 2;
--- a/decision/src/main/java/cloverpulley/RetryRules.java
+++ b/decision/src/main/java/cloverpulley/RetryRules.java
@@ -8,14 +8,23 @@
  * is safe. */
 final class RetryRules {
 
+  /** An upstream is expected to read a body at least this fast: half of the rate that is asked of clients. */
+  private static final long MIN_READ_BYTES_PER_SECOND = 32 * 1024;
+
   private RetryRules() {}
 
-  /** The time by which a retry of a keyed request has to be sent: the end of the deduplication window, counted from the
-   * first attempt that may have run; 0 for no limit. A tick earlier, since the host may send a moment later. */
+  /** How long an upstream may take to read a request's body: it runs the request only when the last byte has been read. */
+  private static long readNanos(PendingRequest r) {
+    return r.request.bodyBytes() * Logic.SECOND / MIN_READ_BYTES_PER_SECOND;
+  }
+
+  /** The time by which a retry of a keyed request has to be sent, so that it is read before the end of the deduplication
+   * window, counted from the first attempt that may have run; 0 for no limit. A tick earlier, since the host may send a
+   * moment later. Past it if the body may take longer than the window: an attempt that was given up may be read as late. */
   static long sendDeadline(PendingRequest r, long tickNanos) {
     for (Attempt a : r.attempts) {
       if (a.mayHaveRun && r.type.effect() == Effect.KEYED) {
-        return a.sentAt + r.type.dedupWindowNanos() - tickNanos;
+        return Math.max(1, a.sentAt + r.type.dedupWindowNanos() - tickNanos - readNanos(r));
       }
     }
     return 0;
--- a/decision/src/test/java/cloverpulley/FourRulesTest.java
+++ b/decision/src/test/java/cloverpulley/FourRulesTest.java
@@ -1,6 +1,7 @@
 package cloverpulley;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -92,6 +93,24 @@
     assertTrue(Driver.has(d.end("r", second.upstream(), Status.NOT_SENT, 400 * Driver.MS), Fail.class), "no retry is possible any more");
   }
 
+  /** Guards against a retry whose last byte a slow upstream reads after the window (review/8): the body takes 250 ms of it. */
+  @ParameterizedTest
+  @CsvSource({"100, 8192, true", "249, 8192, false", "100, 20000, false", "498, 0, true"})
+  void aRetryLeavesTimeForItsBodyToBeReadWithinTheWindow(long failsAfterMillis, long bodyBytes, boolean retried) {
+    Driver d = new Driver(Driver.settings(false, List.of(), new Balancer.RequestClass("c", Effect.KEYED, DedupScope.CELL, 500 * Driver.MS,
+        400 * Driver.MS, 0, 2000 * Driver.MS, 1, 0, false))).upstreams(3);
+    long began = d.now;
+    Send first = (Send) d.step(new Balancer.Request("r", "c", null, "k", began + 2000 * Driver.MS, 0, false, 0, List.of(), bodyBytes)).get(0);
+    assertEquals(0, first.sendByNanos(), "nothing may have run yet");
+    d.pass(failsAfterMillis * Driver.MS);
+    Action next = d.end("r", first.upstream(), Status.RESET, failsAfterMillis * Driver.MS).get(0);
+    if (retried) {
+      assertEquals(began + 499 * Driver.MS - bodyBytes * 1000 / (32 * 1024) * Driver.MS, ((Send) next).sendByNanos());
+    } else {
+      assertInstanceOf(Fail.class, next, "the window may be over when the body has been read");
+    }
+  }
+
   @Test
   void everyRequestIsAnsweredWhenNoUpstreamIsLeft() {
     Driver d = new Driver(Driver.safe());
--- a/engine/src/main/java/cloverpulley/engine/Engine.java
+++ b/engine/src/main/java/cloverpulley/engine/Engine.java
@@ -138,7 +138,7 @@
     long due = info.answerBy() > 0 ? Math.min(info.answerBy(), info.deadline()) : info.deadline();
     scheduleExpiry(x, due);
     enqueue(() -> x.isEnded() ? null : new Request(x.id, info.requestClass().name(), info.tenant(), info.key(), info.deadline(),
-        info.hintNanos(), info.retry(), info.answerBy(), info.priorAttempts()));
+        info.hintNanos(), info.retry(), info.answerBy(), info.priorAttempts(), info.bodyBytes()));
   }
 
   /** The client has disconnected, or its frontend has answered it without the module. */
--- a/engine/src/main/java/cloverpulley/engine/Exchange.java
+++ b/engine/src/main/java/cloverpulley/engine/Exchange.java
@@ -23,9 +23,17 @@
    * @param deadline clock reading at which an answer is of no more use
    * @param answerBy clock reading by which the module must have forwarded or ended it; 0 if only the deadline applies
    * @param priorAttempts attempts made by earlier calls for the same request, oldest first
+   * @param bodyBytes length of the body, or the most that it may have; 0 if an upstream gets it in no time
    */
   public record RequestInfo(RequestClass requestClass, String tenant, String key, long hintNanos, boolean retry, long deadline,
-      long answerBy, List<PriorAttempt> priorAttempts) {}
+      long answerBy, List<PriorAttempt> priorAttempts, long bodyBytes) {
+
+    /** A request without a body. */
+    public RequestInfo(RequestClass requestClass, String tenant, String key, long hintNanos, boolean retry, long deadline, long answerBy,
+        List<PriorAttempt> priorAttempts) {
+      this(requestClass, tenant, key, hintNanos, retry, deadline, answerBy, priorAttempts, 0);
+    }
+  }
 
   private final RequestInfo info;
   final List<Attempt> attempts = new ArrayList<>(1);
--- a/http/src/main/java/cloverpulley/serve/Frontend.java
+++ b/http/src/main/java/cloverpulley/serve/Frontend.java
@@ -454,7 +454,7 @@
       // The client's time counts from the end of the body, which is unknown while the body is streamed.
       long deadline = clock.now() + waitNanos - RESPONSE_MARGIN_NANOS + (upload == null ? 0 : MAX_UPLOAD_NANOS);
       Exchange.RequestInfo info = new Exchange.RequestInfo(properties.requestClass(), properties.tenant(), properties.sessionKey(),
-          properties.hintNanos(), properties.retry(), deadline, 0, List.of());
+          properties.hintNanos(), properties.retry(), deadline, 0, List.of(), bodyBytes(request));
       long wait = waitNanos;
       LongSupplier clientRemaining = upload == null ? null : () -> clientTime.remaining(wait);
       exchange = new HttpExchange(info, exchangeContext, request.retain(), clientRemaining, this, idClaim);
@@ -469,6 +469,11 @@
       }
     }
 
+    /** The length of the body; the most that it may have while it is being received in chunks. */
+    private long bodyBytes(FullHttpRequest request) {
+      return upload == null ? request.content().readableBytes() : HttpUtil.getContentLength(request, RequestReader.MAX_BODY);
+    }
+
     private void uploadEnded(HttpExchange uploading, long remainingNanos) {
       partialRequest = false;
       uploading.bodyEnded(clock.now() + remainingNanos, remainingNanos);
