--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -136,6 +137,12 @@
     channel.close();
   }
 
+  /** Closes the connection at once: what the upstream's side has not received yet is dropped, while after a close it would still be delivered. */
+  void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    close();
+  }
+
   /** The connection to an upstream has been established. */
   void established(long to) {
     upstream = to;
--- a/http/src/main/java/cloverpulley/serve/UpstreamPool.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamPool.java
@@ -215,14 +215,14 @@
     return idle.closeOldest();
   }
 
-  /** Ends a call whose response may still arrive, and closes its connection, which can't be reused. */
+  /** Ends a call whose response may still arrive, and resets its connection: the upstream is not to begin a request that nobody waits for. */
   private void abandon(Call call, Status unwritten, Status written) {
     if (!call.isDone()) {
       Channel channel = call.channel;
       UpstreamConnection connection = connectionOf(call);
       call.end(call.written ? written : unwritten, null);
       if (connection != null) {
-        connection.close();
+        connection.reset();
       } else if (channel != null) {
         channel.close();
       }
