--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -9,8 +9,6 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.CodecException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -21,7 +19,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -75,6 +72,7 @@
   private final ResponseBuffer body;
   private final ResponseProgress progress;
   private final ResponseTimer responseTimer;
+  private final RequestWriter requestWriter;
   /** Bytes of a streamed response that its client's socket has not accepted yet. */
   private int inTransitBytes;
   private boolean streaming;
@@ -96,6 +94,7 @@
     headerMemory = new HeaderMemory(shared.headerBudget);
     decoder = new StrictResponseDecoder(headerMemory.decoderConfig());
     responseTimer = new ResponseTimer(shared.roundTrips);
+    requestWriter = new RequestWriter(channel, this::requestWritten);
     body = new ResponseBuffer(channel.alloc(), shared.responseBudget);
     progress = new ResponseProgress(channel, new ResponseProgress.Listener() {
       @Override
@@ -301,32 +300,7 @@
       updateAutoRead();
     };
     next.onDiscardResponse = () -> discardResponse(next);
-    if (next.bodyStream == null) {
-      channel.writeAndFlush(request).addListener(f -> requestWritten(next, f.isSuccess()));
-      return;
-    }
-    channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), request.headers()));
-    channel.writeAndFlush(new DefaultHttpContent(request.content())).addListener(f -> {
-      if (!f.isSuccess()) {
-        requestWritten(next, false);
-      }
-    });
-    next.bodyStream.attach(new BodyStream.Sink() {
-      @Override
-      public boolean isWritable() {
-        return channel.isWritable();
-      }
-
-      @Override
-      public void write(ByteBuf content, Runnable onWritten) {
-        channel.writeAndFlush(new DefaultHttpContent(content)).addListener(f -> onWritten.run());
-      }
-
-      @Override
-      public void end() {
-        channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(f -> UpstreamConnection.this.requestWritten(next, f.isSuccess()));
-      }
-    });
+    requestWriter.write(next, request);
   }
 
   private void requestWritten(Call next, boolean success) {
