--- a/http/src/main/java/cloverpulley/serve/BufferBudget.java
+++ b/http/src/main/java/cloverpulley/serve/BufferBudget.java
@@ -11,6 +11,9 @@
   /** Part of the budget from which on work that can go on without it takes no more. */
   private static final double NEARLY_EXHAUSTED_RATIO = 0.75;
 
+  /** What one that has waited may take before it looks at the budget again. */
+  private static final long RESUME_BYTES = 16 * 1024;
+
   private final long maxBytes;
   private long usedBytes;
   private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
@@ -47,7 +50,7 @@
     return usedBytes >= NEARLY_EXHAUSTED_RATIO * maxBytes;
   }
 
-  /** Runs {@code resume} once bytes have been given back and the budget is not used up: one for each time, in the order of the calls. */
+  /** Runs {@code resume} once bytes have been given back and the budget is not used up: as many as there is room for, in the order of the calls. */
   void whenAvailable(Runnable resume) {
     waiting.add(resume);
   }
@@ -58,7 +61,7 @@
   }
 
   private void notifyWaiting() {
-    if (!waiting.isEmpty() && !isExhausted()) {
+    for (long room = maxBytes - usedBytes; room > 0 && !waiting.isEmpty(); room -= RESUME_BYTES) {
       waiting.poll().run();
     }
   }
