--- a/http/src/main/java/cloverpulley/serve/ResponseTimer.java
+++ b/http/src/main/java/cloverpulley/serve/ResponseTimer.java
@@ -1,26 +1,31 @@
 package cloverpulley.serve;
 
 /**
- * Times the responses on one upstream connection from a request's last byte to the first byte of its response, for {@link RoundTrips}. Only requests
- * whose response can't be mistaken for surplus bytes of an earlier one count: the first on a connection, and those after a long rest. Confined to the
- * event loop.
+ * Times the responses on one upstream connection from a request's first byte to the first byte of its response, for {@link RoundTrips}. Only a 200
+ * counts, as other responses may be sent before the request arrives, and only one that can't be mistaken for surplus bytes of an earlier one: to the
+ * first request on a connection, or to one after a long rest. Confined to the event loop.
  */
 final class ResponseTimer {
 
+  private static final long NONE = -1;
+
   private final RoundTrips roundTrips;
   private long writtenAt;
   private boolean awaitingResponse;
   private boolean trusted;
+  /** How long the response took to begin; {@link #NONE} before that, and once it has been counted. */
+  private long elapsedNanos = NONE;
 
   ResponseTimer(RoundTrips roundTrips) {
     this.roundTrips = roundTrips;
   }
 
-  /** The last byte of a request has been written; {@code responseTrusted} tells that the next bytes to arrive are its response. */
-  void requestWritten(long now, boolean responseTrusted) {
+  /** A request begins to be written; {@code responseTrusted} tells that the next bytes to arrive are its response. */
+  void requestStarted(long now, boolean responseTrusted) {
     writtenAt = now;
     trusted = responseTrusted;
     awaitingResponse = true;
+    elapsedNanos = NONE;
   }
 
   /** Bytes of a response have arrived. Returns whether they are the first since the request, and came sooner than a round trip is known to take. */
@@ -29,12 +34,16 @@
       return false;
     }
     awaitingResponse = false;
-    long elapsed = now - writtenAt;
-    if (trusted) {
-      roundTrips.record(upstream, now, elapsed);
-      return false;
-    }
+    elapsedNanos = now - writtenAt;
     long bound = roundTrips.maxNanos(upstream, now);
-    return bound != Long.MAX_VALUE && elapsed < bound;
+    return !trusted && bound != Long.MAX_VALUE && elapsedNanos < bound;
+  }
+
+  /** The response is a 200. */
+  void responseSucceeded(long upstream, long now) {
+    if (trusted && elapsedNanos != NONE) {
+      roundTrips.record(upstream, now, elapsedNanos);
+    }
+    elapsedNanos = NONE;
   }
 }
--- a/http/src/main/java/cloverpulley/serve/RoundTrips.java
+++ b/http/src/main/java/cloverpulley/serve/RoundTrips.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * An upper bound of the round trip to each upstream: the shortest time from a request's last byte to the first byte of its response in the last
+ * An upper bound of the round trip to each upstream: the shortest time from a request's first byte to the first byte of its response in the last
  * minutes. Upstreams are identified by their number; times are in nanoseconds of a monotonic clock. Confined to the event loop.
  */
 final class RoundTrips {
--- a/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
+++ b/http/src/main/java/cloverpulley/serve/UpstreamConnection.java
@@ -300,6 +300,7 @@
       updateAutoRead();
     };
     next.onDiscardResponse = () -> discardResponse(next);
+    responseTimer.requestStarted(System.nanoTime(), firstCall || priorIdleNanos >= ReuseDelay.MAX_NANOS);
     requestWriter.write(next, request);
   }
 
@@ -307,7 +308,6 @@
     broken |= !success;
     if (success) {
       next.written = true;
-      responseTimer.requestWritten(System.nanoTime(), firstCall || priorIdleNanos >= ReuseDelay.MAX_NANOS);
     } else {
       channel.close();
       next.end(Status.CONNECT_FAILED, null);
@@ -331,6 +331,9 @@
     } else {
       if (message instanceof HttpResponse response) {
         responseHead = response;
+        if (response.status().equals(HttpResponseStatus.OK)) {
+          responseTimer.responseSucceeded(upstream, System.nanoTime());
+        }
         if (HttpUtil.getContentLength(response, -1L) > RequestReader.MAX_BODY) {
           resetConnection();
         }
--- a/http/src/test/java/cloverpulley/serve/ReuseDelayTest.java
+++ b/http/src/test/java/cloverpulley/serve/ReuseDelayTest.java
@@ -48,11 +48,16 @@
     RoundTrips roundTrips = new RoundTrips();
     ResponseTimer timer = new ResponseTimer(roundTrips);
     assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(1, 0));
-    timer.requestWritten(0, true);
+    timer.requestStarted(0, true);
+    assertFalse(timer.responseReceived(1, MS));
+    assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(1, MS), "it may be a rejection that was sent before the request came");
+    timer.requestStarted(0, true);
     assertFalse(timer.responseReceived(1, 30 * MS));
+    timer.responseSucceeded(1, 30 * MS);
     assertFalse(timer.responseReceived(1, 31 * MS), "more of the same response");
-    timer.requestWritten(40 * MS, false);
+    timer.requestStarted(40 * MS, false);
     assertTrue(timer.responseReceived(1, 43 * MS), "sooner than a round trip");
+    timer.responseSucceeded(1, 43 * MS);
     assertEquals(30 * MS, roundTrips.maxNanos(1, 50 * MS), "surplus bytes don't count");
     assertEquals(Long.MAX_VALUE, roundTrips.maxNanos(2, 50 * MS));
     roundTrips.record(1, TimeUnit.MINUTES.toNanos(6), 50 * MS);
